--- /dev/null
+++ b/pollenlb/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/pollenlb/commands/entry.py
@@ -0,0 +1,1 @@
+"""Run an entry instance."""
--- /dev/null
+++ b/pollenlb/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection to a peer."""
--- /dev/null
+++ b/pollenlb/connection/control_api.py
@@ -0,0 +1,162 @@
+"""Messages between entries and control instances."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+from ..durable.commands import Announcement, AnyCommand, AnyResult, Change, JobSettings
+from ..durable.leases import EntryInfo
+from ..durable.records import Member
+from ..ids import (
+    Address, BackendServerName, CommandId, JobName, LogIndex, ReplicaId, Revision,
+    ServiceName, StepNumber, Term, WeightVersion,
+)
+from .rpc import Method
+
+_SERVICE = "pollenlb.Control"
+
+
+class CallStatus(Enum):
+    """How a control instance dealt with a call."""
+
+    DONE = "done"
+    NOT_LEADER = "not-leader"
+    IN_DOUBT = "in-doubt"
+
+
+class ProposeRequest(msgspec.Struct, frozen=True):
+    """Asks the leader to carry out a command."""
+
+    command_id: CommandId | None
+    command: AnyCommand
+
+
+class ProposeAnswer(msgspec.Struct, frozen=True):
+    """The command's result, or where to ask instead."""
+
+    status: CallStatus
+    leader: Address = Address("")
+    result: AnyResult | None = None
+
+
+class ConfigurationView(msgspec.Struct, frozen=True):
+    """The configuration that entries have in force."""
+
+    revision: Revision
+    document: dict[str, Any]
+
+
+class DirectoryView(msgspec.Struct, frozen=True):
+    """The announced backend servers."""
+
+    version: int
+    servers: list[Announcement]
+    releases: dict[ServiceName, WeightVersion]
+
+
+class JobView(msgspec.Struct, frozen=True):
+    """What an entry needs to know of a job."""
+
+    settings: JobSettings
+    trainer_version: WeightVersion
+    open_groups: int
+    oldest_step: StepNumber
+    steps: int
+    accepted: int
+    delivered: int
+    wasted: int
+
+
+class LedgerView(msgspec.Struct, frozen=True):
+    """The rollout jobs."""
+
+    version: int
+    jobs: dict[JobName, JobView]
+
+
+class EntriesView(msgspec.Struct, frozen=True):
+    """The entry processes with a live lease."""
+
+    version: int
+    entries: list[EntryInfo]
+
+
+class RenewRequest(msgspec.Struct, frozen=True):
+    """Renews a lease and asks for what changed.
+
+    Attributes
+    ----------
+    revision : Revision
+        Configuration revision that the entry has in force.
+    directory, ledger, entries : int
+        Versions of the views that the entry has.
+    announced : list
+        Backend servers that announced themselves since the last renewal.
+    wait_s : float
+        Longest wait for a change, in seconds.
+    """
+
+    entry: EntryInfo
+    revision: Revision
+    directory: int
+    ledger: int
+    entries: int
+    announced: list[BackendServerName]
+    wait_s: float
+
+
+class RenewAnswer(msgspec.Struct, frozen=True):
+    """The lease, and those views that changed.
+
+    Attributes
+    ----------
+    lease_s : float
+        Seconds that the lease lasts from the moment the request was sent.
+    """
+
+    status: CallStatus
+    leader: Address = Address("")
+    lease_s: float = 0.0
+    configuration: ConfigurationView | None = None
+    directory: DirectoryView | None = None
+    ledger: LedgerView | None = None
+    entries: EntriesView | None = None
+
+
+class StatusRequest(msgspec.Struct, frozen=True):
+    """Asks a control instance how it is.
+
+    Attributes
+    ----------
+    is_confirmed : bool
+        Whether the answer must hold all that was committed before.
+    """
+
+    is_confirmed: bool
+
+
+class StatusAnswer(msgspec.Struct, frozen=True):
+    """State of a control instance and what it knows."""
+
+    status: CallStatus
+    replica: ReplicaId
+    role: str
+    term: Term
+    leader: Address
+    commit_index: LogIndex
+    members: list[Member]
+    revision: Revision
+    document: dict[str, Any]
+    changes: list[Change]
+    entries: list[EntryInfo]
+    servers: list[Announcement]
+    releases: dict[ServiceName, WeightVersion]
+    jobs: dict[JobName, JobView]
+
+
+PROPOSE = Method(_SERVICE, "Propose", ProposeRequest, ProposeAnswer)
+RENEW = Method(_SERVICE, "Renew", RenewRequest, RenewAnswer)
+STATUS = Method(_SERVICE, "Status", StatusRequest, StatusAnswer)
--- /dev/null
+++ b/pollenlb/connection/rpc.py
@@ -0,0 +1,213 @@
+"""Typed calls between the processes of the system, over gRPC."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Generic, TypeVar
+
+import grpc
+import grpc.aio
+import msgspec
+from result import Err, Ok, Result
+
+from ..ids import Address
+from ..process.events import EventLog
+
+Q = TypeVar("Q")
+A = TypeVar("A")
+
+_TIMESTAMP_KEY = "pollenlb-hlc"
+_CHANNEL_OPTIONS = [
+    ("grpc.keepalive_time_ms", 5000),
+    ("grpc.keepalive_timeout_ms", 2000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 500),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
+    ("grpc.max_send_message_length", 64 * 1024 * 1024),
+]
+_SERVER_OPTIONS = [
+    ("grpc.so_reuseport", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", 1000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
+    ("grpc.max_send_message_length", 64 * 1024 * 1024),
+]
+
+
+class Method(Generic[Q, A]):
+    """A call that one process offers to others.
+
+    Parameters
+    ----------
+    service, name : str
+        Parts of the gRPC path.
+    request, answer : type
+        ``msgspec`` types of the two messages.
+    """
+
+    def __init__(self, service: str, name: str, request: type[Q], answer: type[A]):
+        self.service = service
+        self.name = name
+        self.encode = msgspec.msgpack.Encoder().encode
+        self.decode_request = msgspec.msgpack.Decoder(request).decode
+        self.decode_answer = msgspec.msgpack.Decoder(answer).decode
+
+    @property
+    def path(self) -> str:
+        """Full gRPC path of the method."""
+        return f"/{self.service}/{self.name}"
+
+
+class CallFailed(msgspec.Struct, frozen=True):
+    """A call without an answer; it may or may not have been carried out.
+
+    Attributes
+    ----------
+    reason : str
+        gRPC status and detail in one sentence.
+    """
+
+    reason: str
+
+
+class RpcChannel:
+    """Connection to one process, reopened after failures.
+
+    Parameters
+    ----------
+    address : Address
+        Where the peer listens.
+    events : EventLog
+        Gives and takes the timestamps that travel with calls.
+    """
+
+    def __init__(self, address: Address, events: EventLog) -> None:
+        self._address = address
+        self._events = events
+        self._channel = self._open()
+        self._calls: dict[str, Any] = {}
+
+    @property
+    def address(self) -> Address:
+        """Where the peer listens."""
+        return self._address
+
+    async def call(
+        self, method: Method[Q, A], request: Q, timeout_s: float
+    ) -> Result[A, CallFailed]:
+        """Send one request and wait for its answer.
+
+        Parameters
+        ----------
+        method : Method
+            The call.
+        request : object
+            Message of the method's request type.
+        timeout_s : float
+            Longest wait in seconds.
+        """
+        metadata = ((_TIMESTAMP_KEY, str(self._events.clock.tick())),)
+        try:
+            call = self._stub(method)(request, timeout=timeout_s, metadata=metadata)
+            answer = await call
+            for key, value in await call.trailing_metadata() or ():
+                if key == _TIMESTAMP_KEY:
+                    self._events.observe(value)
+            return Ok(answer)
+        except grpc.aio.AioRpcError as error:
+            if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
+                await self._reopen()
+            return Err(CallFailed(f"{error.code().name}: {error.details()}"))
+        except grpc.aio.UsageError as error:
+            return Err(CallFailed(f"channel closed: {error}"))
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._channel.close()
+
+    def _open(self) -> grpc.aio.Channel:
+        return grpc.aio.insecure_channel(self._address, options=_CHANNEL_OPTIONS)
+
+    async def _reopen(self) -> None:
+        # A connection that went silent may stay so although a new one works.
+        silent = self._channel
+        self._channel = self._open()
+        self._calls = {}
+        await silent.close(grace=1.0)
+
+    def _stub(self, method: Method) -> Any:
+        stub = self._calls.get(method.path)
+        if stub is None:
+            stub = self._channel.unary_unary(
+                method.path,
+                request_serializer=method.encode,
+                response_deserializer=method.decode_answer,
+            )
+            self._calls[method.path] = stub
+        return stub
+
+
+class RpcServer:
+    """gRPC server of one process.
+
+    Parameters
+    ----------
+    listen : Address
+        Where to listen.
+    events : EventLog
+        Gives and takes the timestamps that travel with calls.
+    """
+
+    def __init__(self, listen: Address, events: EventLog) -> None:
+        self._listen = listen
+        self._events = events
+        self._handlers: dict[str, dict[str, Any]] = {}
+        self._server = grpc.aio.server(options=_SERVER_OPTIONS)
+
+    def offer(self, method: Method[Q, A], handler: Callable[[Q], Awaitable[A]]) -> None:
+        """Answer a method with a coroutine function; call before ``start``."""
+
+        async def answer(request: Q, context: grpc.aio.ServicerContext) -> A:
+            for key, value in context.invocation_metadata() or ():
+                if key == _TIMESTAMP_KEY:
+                    self._events.observe(value)
+            reply = await handler(request)
+            stamp = str(self._events.clock.tick())
+            context.set_trailing_metadata(((_TIMESTAMP_KEY, stamp),))
+            return reply
+
+        self._handlers.setdefault(method.service, {})[method.name] = (
+            grpc.unary_unary_rpc_method_handler(
+                answer,
+                request_deserializer=method.decode_request,
+                response_serializer=method.encode,
+            )
+        )
+
+    async def start(self) -> None:
+        """Start to listen.
+
+        Raises
+        ------
+        OSError
+            When the address cannot be bound.
+        """
+        for service, handlers in self._handlers.items():
+            generic = grpc.method_handlers_generic_handler(service, handlers)
+            self._server.add_generic_rpc_handlers((generic,))
+        try:
+            bound = self._server.add_insecure_port(self._listen)
+        except RuntimeError as error:
+            raise OSError(f"cannot listen on {self._listen}") from error
+        if not bound:
+            raise OSError(f"cannot listen on {self._listen}")
+        await self._server.start()
+
+    async def stop(self, grace_s: float = 0.5) -> None:
+        """Stop listening and give calls in flight some seconds to finish."""
+        await self._server.stop(grace_s)
--- /dev/null
+++ b/pollenlb/durable/__init__.py
@@ -0,0 +1,1 @@
+"""What outlives every process: the replicated log and its state."""
--- /dev/null
+++ b/pollenlb/durable/leases.py
@@ -0,0 +1,133 @@
+"""Leases of entry processes, held by a leader in memory."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from ..exceptions import ControlError
+from ..ids import Address, BootId, FailureDomain, InstanceName, Revision
+from ..process.clock import Deadline, now, remaining
+
+
+class EntryInfo(msgspec.Struct, frozen=True):
+    """One entry process, as it names itself."""
+
+    instance: InstanceName
+    boot: BootId
+    address: Address
+    failure_domain: FailureDomain
+
+
+class Lease(msgspec.Struct):
+    """What a leader granted to one entry process.
+
+    Attributes
+    ----------
+    expires_at : float
+        Monotonic seconds of the leader at which no clock within the stated
+        drift still counts the lease as valid.
+    revision : Revision
+        Configuration revision that the entry has in force.
+    """
+
+    entry: EntryInfo
+    expires_at: Deadline
+    revision: Revision
+
+
+class LeaseTable:
+    """Leases granted in one term.
+
+    A lease lasts from the last time at which a quorum followed the leader.
+    Leases of earlier terms are unknown, so nothing counts as expired before
+    the longest of them has run out.
+
+    Parameters
+    ----------
+    lease_s : float
+        Length of a lease in seconds.
+    clock_drift : float
+        Greatest difference in speed of two clocks, as a share.
+    started_at : float
+        Monotonic time at which the term began, in seconds.
+    """
+
+    def __init__(self, lease_s: float, clock_drift: float, started_at: float) -> None:
+        self._lease_s = lease_s
+        self._guarded_s = lease_s * (1 + clock_drift) / (1 - clock_drift)
+        self._unknown_until = Deadline(started_at + self._guarded_s)
+        self._leases: dict[BootId, Lease] = {}
+        self._changed = asyncio.Condition()
+
+    @property
+    def unknown_until(self) -> Deadline:
+        """Deadline of the leases that earlier leaders may have granted."""
+        return self._unknown_until
+
+    async def renew(
+        self, entry: EntryInfo, revision: Revision, quorum_contact_at: float
+    ) -> float:
+        """Extend an entry's lease and return its length in seconds.
+
+        Parameters
+        ----------
+        entry : EntryInfo
+            The entry process.
+        revision : Revision
+            Configuration revision that it has in force.
+        quorum_contact_at : float
+            Monotonic time at which a quorum last followed this leader.
+        """
+        left_s = self._lease_s - (now() - quorum_contact_at)
+        if left_s <= 0:
+            return 0.0
+        expires_at = Deadline(quorum_contact_at + self._guarded_s)
+        self._leases[entry.boot] = Lease(entry, expires_at, revision)
+        async with self._changed:
+            self._changed.notify_all()
+        return left_s
+
+    def live(self) -> list[Lease]:
+        """Return the leases that may still be in use."""
+        moment = now()
+        return [each for each in self._leases.values() if each.expires_at > moment]
+
+    def forget_expired(self) -> list[EntryInfo]:
+        """Remove leases that no entry can still use and return their entries."""
+        moment = now()
+        expired = [
+            lease.entry for lease in self._leases.values() if lease.expires_at <= moment
+        ]
+        for entry in expired:
+            del self._leases[entry.boot]
+        return expired
+
+    async def wait_in_force(self, revision: Revision, deadline: Deadline) -> None:
+        """Return once every entry with a live lease has a revision in force.
+
+        Raises
+        ------
+        ControlError
+            When the deadline passes before.
+        """
+        while (behind := self._behind(revision)) > 0:
+            if not remaining(deadline):
+                raise ControlError(f"revision {revision} is not in force everywhere")
+            try:
+                async with asyncio.timeout(min(behind, remaining(deadline)) + 0.001):
+                    async with self._changed:
+                        await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def _behind(self, revision: Revision) -> float:
+        moment = now()
+        waits = [self._unknown_until - moment]
+        waits += [
+            lease.expires_at - moment
+            for lease in self._leases.values()
+            if lease.revision < revision
+        ]
+        return max(waits)
--- /dev/null
+++ b/pollenlb/durable/machine.py
@@ -0,0 +1,210 @@
+"""The replicated state, changed by the commands of the log."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import Any
+
+import msgspec
+
+from ..ids import LogIndex
+from .commands import (
+    AddHolder, AnnounceServer, AnyResult, ChangeConfiguration, ClaimGroups, ClaimKey,
+    CommitSamples, CreateJob, Done, ForgetServer, LoseHolders, Proposal, PullBatch,
+    ReleaseVersion, ReportMissing, SettleKey, SetTrainerVersion, SubmitStep,
+)
+from .configuration import ConfigurationTable
+from .deduplication import CommandTable
+from .directory import Directory
+from .keys import KeyTable
+from .ledger import Ledger
+
+
+class State(msgspec.Struct):
+    """All that outlives every process."""
+
+    configuration: ConfigurationTable = msgspec.field(
+        default_factory=ConfigurationTable
+    )
+    directory: Directory = msgspec.field(default_factory=Directory)
+    keys: KeyTable = msgspec.field(default_factory=KeyTable)
+    ledger: Ledger = msgspec.field(default_factory=Ledger)
+    commands: CommandTable = msgspec.field(default_factory=CommandTable)
+
+
+class Position(msgspec.Struct, frozen=True):
+    """Where and when a command stands in the log.
+
+    Attributes
+    ----------
+    at_ms : int
+        Wall time of the leader, milliseconds since the epoch.
+    """
+
+    index: LogIndex
+    at_ms: int
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode_proposal = msgspec.msgpack.Decoder(Proposal).decode
+_decode_state = msgspec.msgpack.Decoder(State).decode
+
+
+class Machine:
+    """Applies the commands of the log to the state.
+
+    Satisfies ``pollenlb.durable.replica.StateMachine``.
+    """
+
+    def __init__(self) -> None:
+        self._state = State()
+        self._versions: dict[str, int] = {}
+
+    @property
+    def state(self) -> State:
+        """The state after the last applied command."""
+        return self._state
+
+    def version_of(self, table: str) -> int:
+        """Return the log index of the last command that touched a table."""
+        return self._versions.get(table, 0)
+
+    def apply(self, index: LogIndex, payload: bytes) -> AnyResult:
+        """Carry out one committed command."""
+        proposal = _decode_proposal(payload)
+        first = self._state.commands.find(proposal.command_id)
+        if first is not None:
+            return first
+        position = Position(index, proposal.at_ms)
+        result = apply_command(proposal.command, self._state, position)
+        self._state.commands.remember(proposal.command_id, result)
+        for table in _TOUCHED.get(type(proposal.command), ()):
+            self._versions[table] = index
+        return result
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return _encode((self._versions, _encode(self._state)))
+
+    def restore(self, state: bytes) -> None:
+        """Replace the whole state."""
+        versions, encoded = msgspec.msgpack.decode(
+            state, type=tuple[dict[str, int], bytes]
+        )
+        self._versions = versions
+        self._state = _decode_state(encoded)
+
+
+def encode_proposal(proposal: Proposal) -> bytes:
+    """Return a command in the form it has in the log."""
+    return _encode(proposal)
+
+
+@singledispatch
+def apply_command(command: Any, state: State, position: Position) -> AnyResult:
+    """Change the state by one command.
+
+    Parameters
+    ----------
+    command : Command
+        What to do.
+    state : State
+        Changed in place.
+    position : Position
+        Where the command stands in the log.
+    """
+    raise TypeError(f"unknown command {type(command).__name__}")
+
+
+@apply_command.register
+def _(command: ChangeConfiguration, state: State, position: Position) -> AnyResult:
+    return state.configuration.change(command, position.at_ms)
+
+
+@apply_command.register
+def _(command: AnnounceServer, state: State, position: Position) -> AnyResult:
+    return state.directory.announce(command)
+
+
+@apply_command.register
+def _(command: ForgetServer, state: State, position: Position) -> AnyResult:
+    return state.directory.forget(command)
+
+
+@apply_command.register
+def _(command: ReleaseVersion, state: State, position: Position) -> AnyResult:
+    return state.directory.release(command)
+
+
+@apply_command.register
+def _(command: ClaimKey, state: State, position: Position) -> AnyResult:
+    return state.keys.claim(command, position.at_ms)
+
+
+@apply_command.register
+def _(command: SettleKey, state: State, position: Position) -> AnyResult:
+    return state.keys.settle(command)
+
+
+@apply_command.register
+def _(command: CreateJob, state: State, position: Position) -> AnyResult:
+    return state.ledger.create(command)
+
+
+@apply_command.register
+def _(command: SetTrainerVersion, state: State, position: Position) -> AnyResult:
+    return state.ledger.set_trainer_version(command)
+
+
+@apply_command.register
+def _(command: SubmitStep, state: State, position: Position) -> AnyResult:
+    return state.ledger.submit(command)
+
+
+@apply_command.register
+def _(command: ClaimGroups, state: State, position: Position) -> AnyResult:
+    return state.ledger.claim(command)
+
+
+@apply_command.register
+def _(command: CommitSamples, state: State, position: Position) -> AnyResult:
+    return state.ledger.commit(command)
+
+
+@apply_command.register
+def _(command: PullBatch, state: State, position: Position) -> AnyResult:
+    return state.ledger.pull(command, position.index)
+
+
+@apply_command.register
+def _(command: LoseHolders, state: State, position: Position) -> AnyResult:
+    boots = set(command.boots)
+    state.keys.lose_holders(boots)
+    state.ledger.lose_holders(boots)
+    return Done()
+
+
+@apply_command.register
+def _(command: ReportMissing, state: State, position: Position) -> AnyResult:
+    return state.ledger.report_missing(command)
+
+
+@apply_command.register
+def _(command: AddHolder, state: State, position: Position) -> AnyResult:
+    return state.ledger.add_holder(command)
+
+
+_TOUCHED: dict[type, tuple[str, ...]] = {
+    ChangeConfiguration: ("configuration",),
+    AnnounceServer: ("directory",),
+    ForgetServer: ("directory",),
+    ReleaseVersion: ("directory",),
+    CreateJob: ("ledger",),
+    SetTrainerVersion: ("ledger",),
+    SubmitStep: ("ledger",),
+    ClaimGroups: ("ledger",),
+    CommitSamples: ("ledger",),
+    PullBatch: ("ledger",),
+    LoseHolders: ("ledger",),
+    ReportMissing: ("ledger",),
+}
--- /dev/null
+++ b/pollenlb/durable/storage.py
@@ -0,0 +1,264 @@
+"""The log of one replica in its data folder."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import TypeVar
+
+import msgspec
+
+from ..exceptions import StorageDamagedError, StorageError
+from ..ids import ClusterId, LogIndex, ReplicaId, Term
+from .files import frame, read_frames, read_whole, sync_folder, write_whole
+from .records import EntryKind, HardState, LogEntry, Member, Snapshot, decode_members
+
+T = TypeVar("T")
+
+_LOG_FILE = "log"
+_HARD_STATE_FILE = "replica"
+_SNAPSHOT_FILE = "snapshot"
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode_entries = msgspec.msgpack.Decoder(list[LogEntry]).decode
+_decode_hard_state = msgspec.msgpack.Decoder(HardState).decode
+_decode_snapshot = msgspec.msgpack.Decoder(Snapshot).decode
+
+
+class Storage:
+    """Hard state, snapshot and entries of one replica, synced before use.
+
+    Every write returns only after a sync. After a failed write or sync the
+    storage refuses all further writes, since what the disk holds is unknown.
+
+    Parameters
+    ----------
+    folder : Path
+        The data folder.
+    sync : callable
+        Makes a file descriptor's content last; replaced in tests.
+    """
+
+    def __init__(
+        self, folder: Path, sync: Callable[[int], None] = os.fdatasync
+    ) -> None:
+        self._folder = folder
+        self._sync = sync
+        self._disk = ThreadPoolExecutor(max_workers=1, thread_name_prefix="disk")
+        self._hard_state: HardState | None = None
+        self._snapshot = Snapshot(Term(0), LogIndex(0), [], b"")
+        self._entries: list[LogEntry] = []
+        self._ends: list[int] = []
+        self._members: list[Member] = []
+        self._descriptor = -1
+        self._failure: StorageError | None = None
+
+    @property
+    def is_formatted(self) -> bool:
+        """Whether the folder holds a replica's identity."""
+        return self._hard_state is not None
+
+    @property
+    def hard_state(self) -> HardState:
+        """Identity, term and vote."""
+        assert self._hard_state is not None
+        return self._hard_state
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """The latest snapshot; index 0 when there is none."""
+        return self._snapshot
+
+    @property
+    def first_index(self) -> LogIndex:
+        """Index of the first entry after the snapshot."""
+        return LogIndex(self._snapshot.index + 1)
+
+    @property
+    def last_index(self) -> LogIndex:
+        """Index of the last entry."""
+        return LogIndex(self._snapshot.index + len(self._entries))
+
+    @property
+    def last_term(self) -> Term:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self._snapshot.term
+
+    @property
+    def members(self) -> list[Member]:
+        """Members by the latest members entry, committed or not."""
+        return self._members
+
+    def open(self) -> None:
+        """Read the folder.
+
+        Raises
+        ------
+        StorageDamagedError
+            When a synced record no longer matches its checksum.
+        StorageError
+            When the folder cannot be read.
+        """
+        try:
+            self._folder.mkdir(parents=True, exist_ok=True)
+            self._read_hard_state()
+            self._read_snapshot()
+            self._read_log()
+        except OSError as error:
+            raise StorageError(f"{self._folder} cannot be read: {error}") from error
+        self._update_members()
+
+    async def format(self, hard_state: HardState, entries: list[LogEntry]) -> None:
+        """Write the identity and first entries of a new replica."""
+        await self.append(entries)
+        await self.save_hard_state(hard_state)
+
+    async def save_hard_state(self, hard_state: HardState) -> None:
+        """Replace term and vote."""
+        payload = _encode(hard_state)
+        path = self._folder / _HARD_STATE_FILE
+        await self._on_disk(lambda: write_whole(path, payload))
+        self._hard_state = hard_state
+
+    def term_at(self, index: LogIndex) -> Term | None:
+        """Return the term of an entry, or None when the log has no such entry."""
+        if index == self._snapshot.index:
+            return self._snapshot.term
+        position = index - self.first_index
+        if 0 <= position < len(self._entries):
+            return self._entries[position].term
+        return None
+
+    def entries_from(self, index: LogIndex, most: int) -> list[LogEntry]:
+        """Return at most ``most`` entries from an index on."""
+        start = index - self.first_index
+        return self._entries[start : start + most]
+
+    async def append(self, entries: list[LogEntry]) -> None:
+        """Write entries after the last one and sync them."""
+        if not entries:
+            return
+        data = frame(_encode(entries))
+        start = self._ends[-1] if self._ends else 0
+        await self._on_disk(lambda: self._write_at(start, data))
+        self._entries.extend(entries)
+        self._ends.extend([start + len(data)] * len(entries))
+        if any(entry.kind is EntryKind.MEMBERS for entry in entries):
+            self._update_members()
+
+    async def truncate_from(self, index: LogIndex) -> None:
+        """Remove the entries from an index on."""
+        position = index - self.first_index
+        if position >= len(self._entries):
+            return
+        self._entries = self._entries[:position]
+        self._update_members()
+        await self._rewrite_log()
+
+    async def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Store a snapshot and drop the entries that it covers."""
+        if snapshot.index <= self._snapshot.index:
+            return
+        is_known = self.term_at(snapshot.index) == snapshot.term
+        kept: list[LogEntry] = []
+        if is_known:
+            kept = self._entries[snapshot.index - self._snapshot.index :]
+        payload = _encode(snapshot)
+        path = self._folder / _SNAPSHOT_FILE
+        await self._on_disk(lambda: write_whole(path, payload))
+        self._snapshot = snapshot
+        self._entries = kept
+        self._update_members()
+        await self._rewrite_log()
+
+    def members_at(self, index: LogIndex) -> list[Member]:
+        """Return the members by the entries up to an index."""
+        for entry in reversed(self._entries):
+            if entry.index <= index and entry.kind is EntryKind.MEMBERS:
+                return decode_members(entry.payload)
+        return self._snapshot.members
+
+    def close(self) -> None:
+        """Finish the write in progress and close the files."""
+        self._disk.shutdown(wait=True)
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
+
+    def _read_hard_state(self) -> None:
+        payload = read_whole(self._folder / _HARD_STATE_FILE)
+        if payload is not None:
+            self._hard_state = _decode_hard_state(payload)
+
+    def _read_snapshot(self) -> None:
+        payload = read_whole(self._folder / _SNAPSHOT_FILE)
+        if payload is not None:
+            self._snapshot = _decode_snapshot(payload)
+
+    def _read_log(self) -> None:
+        path = self._folder / _LOG_FILE
+        self._descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o644)
+        sync_folder(self._folder)
+        data = path.read_bytes()
+        end = 0
+        for end, payload in read_frames(data, path):
+            for entry in _decode_entries(payload):
+                self._take_read(entry, end, path)
+        if end < len(data):
+            os.ftruncate(self._descriptor, end)
+            self._sync(self._descriptor)
+        if end and not self._ends:
+            self._ends = []
+            os.ftruncate(self._descriptor, 0)
+            self._sync(self._descriptor)
+
+    def _take_read(self, entry: LogEntry, end: int, path: Path) -> None:
+        if entry.index <= self._snapshot.index:
+            return
+        if entry.index != self.last_index + 1:
+            raise StorageDamagedError(
+                f"{path} is damaged: entry {self.last_index + 1} is missing"
+            )
+        self._entries.append(entry)
+        self._ends.append(end)
+
+    def _write_at(self, start: int, data: bytes) -> None:
+        os.pwrite(self._descriptor, data, start)
+        self._sync(self._descriptor)
+
+    async def _rewrite_log(self) -> None:
+        data = frame(_encode(self._entries)) if self._entries else b""
+        await self._on_disk(lambda: self._replace_log(data))
+        self._ends = [len(data)] * len(self._entries)
+
+    def _replace_log(self, data: bytes) -> None:
+        path = self._folder / _LOG_FILE
+        temporary = path.with_suffix(".new")
+        descriptor = os.open(temporary, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
+        os.pwrite(descriptor, data, 0)
+        self._sync(descriptor)
+        os.replace(temporary, path)
+        sync_folder(self._folder)
+        os.close(self._descriptor)
+        self._descriptor = descriptor
+
+    def _update_members(self) -> None:
+        self._members = self.members_at(self.last_index)
+
+    async def _on_disk(self, write: Callable[[], T]) -> T:
+        if self._failure is not None:
+            raise self._failure
+        loop = asyncio.get_running_loop()
+        try:
+            return await asyncio.shield(loop.run_in_executor(self._disk, write))
+        except OSError as error:
+            self._failure = StorageError(f"{self._folder} failed: {error}")
+            raise self._failure from error
+
+
+def first_hard_state(replica: ReplicaId, cluster: ClusterId) -> HardState:
+    """Return the hard state of a replica that has not voted yet."""
+    return HardState(replica, cluster, Term(0))
--- /dev/null
+++ b/pollenlb/durable/views.py
@@ -0,0 +1,47 @@
+"""Views of the replicated state that entries keep."""
+
+from __future__ import annotations
+
+from ..connection.control_api import (
+    ConfigurationView, DirectoryView, JobView, LedgerView,
+)
+from .ledger import Job
+from .machine import Machine
+
+
+def configuration_view(machine: Machine) -> ConfigurationView:
+    """Return the configuration with its revision."""
+    table = machine.state.configuration
+    return ConfigurationView(table.revision, table.document)
+
+
+def directory_view(machine: Machine) -> DirectoryView:
+    """Return the announced backend servers."""
+    directory = machine.state.directory
+    return DirectoryView(
+        machine.version_of("directory"),
+        list(directory.servers.values()),
+        dict(directory.releases),
+    )
+
+
+def ledger_view(machine: Machine) -> LedgerView:
+    """Return a summary of each job."""
+    jobs = machine.state.ledger.jobs
+    return LedgerView(
+        machine.version_of("ledger"),
+        {name: _job_view(job) for name, job in jobs.items()},
+    )
+
+
+def _job_view(job: Job) -> JobView:
+    return JobView(
+        settings=job.settings,
+        trainer_version=job.trainer_version,
+        open_groups=job.open_groups(),
+        oldest_step=min(job.steps, default=job.next_step),
+        steps=len(job.steps),
+        accepted=job.accepted,
+        delivered=job.delivered,
+        wasted=job.wasted,
+    )
--- /dev/null
+++ b/pollenlb/ids.py
@@ -0,0 +1,46 @@
+"""Identifiers and numbers that name things across processes."""
+
+from __future__ import annotations
+
+import secrets
+from typing import NewType
+
+InstanceName = NewType("InstanceName", str)
+FailureDomain = NewType("FailureDomain", str)
+ServiceName = NewType("ServiceName", str)
+BackendServerName = NewType("BackendServerName", str)
+BootId = NewType("BootId", str)
+ReplicaId = NewType("ReplicaId", str)
+ClusterId = NewType("ClusterId", str)
+CommandId = NewType("CommandId", str)
+RequestId = NewType("RequestId", str)
+RequestKey = NewType("RequestKey", str)
+Fingerprint = NewType("Fingerprint", str)
+JobName = NewType("JobName", str)
+BodyDigest = NewType("BodyDigest", str)
+Address = NewType("Address", str)
+Term = NewType("Term", int)
+LogIndex = NewType("LogIndex", int)
+Revision = NewType("Revision", int)
+WeightVersion = NewType("WeightVersion", int)
+StepNumber = NewType("StepNumber", int)
+GroupIndex = NewType("GroupIndex", int)
+BatchNumber = NewType("BatchNumber", int)
+
+_ID_BYTES = 8
+
+
+def new_id(prefix: str) -> str:
+    """Return a new random identifier.
+
+    Parameters
+    ----------
+    prefix : str
+        Short word that tells a reader what is named.
+
+    Returns
+    -------
+    str
+        ``prefix-`` followed by 16 hexadecimal digits.
+    """
+    return f"{prefix}-{secrets.token_hex(_ID_BYTES)}"
--- /dev/null
+++ b/pollenlb/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one process."""
--- /dev/null
+++ b/pollenlb/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files: typed options, checked all at once."""
--- /dev/null
+++ b/pollenlb/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version of weights or configuration."""
