--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: a whole system on one machine."""
--- /dev/null
+++ b/pollenlb/connection/backend_api.py
@@ -0,0 +1,37 @@
+"""Messages between entries and backend servers, in JSON over HTTP."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..durable.commands import ServerState
+from ..ids import BootId, WeightVersion
+
+PROBE_PATH = "/pollenlb/probe"
+ORDER_PATH = "/pollenlb/order"
+REQUEST_ID_HEADER = "Pollenlb-Request-Id"
+BOOT_HEADER = "Pollenlb-Boot"
+OUTCOME_HEADER = "Pollenlb-Outcome"
+DEADLINE_HEADER = "Pollenlb-Timeout-Ms"
+LOAD_HEADER = "Pollenlb-In-Flight"
+
+
+class ProbeAnswer(msgspec.Struct, frozen=True):
+    """What a backend server answers to a probe.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests that it runs or holds in its queue.
+    version : WeightVersion or None
+        Weight version that it serves; None while it has no whole one, and for
+        plain services.
+    """
+
+    boot: BootId
+    state: ServerState
+    in_flight: int
+    version: WeightVersion | None = None
+
+
+decode_probe = msgspec.json.Decoder(ProbeAnswer).decode
--- a/pollenlb/durable/leases.py
+++ b/pollenlb/durable/leases.py
@@ -12,11 +12,20 @@
 
 
 class EntryInfo(msgspec.Struct, frozen=True):
-    """One entry process, as it names itself."""
+    """One entry process, as it names itself.
+
+    Attributes
+    ----------
+    address : Address
+        gRPC address for other entries.
+    http : Address
+        HTTP address for callers and operators.
+    """
 
     instance: InstanceName
     boot: BootId
     address: Address
+    http: Address
     failure_domain: FailureDomain
 
 
--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -28,6 +28,7 @@
 
 _IN_FORCE_TIMEOUT_S = 30.0
 _CARE_INTERVAL_S = 0.5
+_VERSIONS_PER_TERM = 1_000_000
 
 
 class TermDuties:
@@ -165,7 +166,7 @@
             duties.announced_at[server] = now()
         if request.entry not in known:
             self._events.record("entry.joined", entry=request.entry.instance)
-            await self._entries_changed()
+            await self._entries_changed(duties)
 
     async def _wait_for_news(self, request: RenewRequest) -> None:
         try:
@@ -219,10 +220,9 @@
         entries = [lease.entry for lease in duties.leases.live()]
         return EntriesView(self._entries_version, entries)
 
-    async def _entries_changed(self) -> None:
-        self._entries_version = max(
-            self._entries_version + 1, time.time_ns() // 1_000_000
-        )
+    async def _entries_changed(self, duties: TermDuties) -> None:
+        least = duties.term * _VERSIONS_PER_TERM
+        self._entries_version = max(self._entries_version + 1, least)
         async with self._applied:
             self._applied.notify_all()
 
@@ -272,7 +272,7 @@
         for entry in expired:
             self._events.record("entry.lost", entry=entry.instance, boot=entry.boot)
         if expired:
-            await self._entries_changed()
+            await self._entries_changed(duties)
         if now() < duties.leases.unknown_until:
             return
         live = {lease.entry.boot for lease in duties.leases.live()}
--- /dev/null
+++ b/pollenlb/process/metrics.py
@@ -0,0 +1,58 @@
+"""Counters and latencies of an entry."""
+
+from __future__ import annotations
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+
+LEAST_LATENCY_US = 1
+MOST_LATENCY_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+
+_MICROSECONDS_PER_SECOND = 1_000_000
+
+
+class Metrics:
+    """What an entry counts; served in the Prometheus text format."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self.requests = self._counter(
+            "requests",
+            "Requests by service, class and outcome",
+            "service class outcome",
+        )
+        self.attempts = self._counter(
+            "attempts", "Attempts by service and result", "service result"
+        )
+        self.retries = self._counter("retries", "Second attempts", "service")
+        self.samples = self._counter("samples", "Samples by job and fate", "job fate")
+        self.in_flight = Gauge(
+            "pollenlb_in_flight", "Requests in flight", registry=self._registry
+        )
+        self._latencies: dict[str, HdrHistogram] = {}
+
+    @property
+    def latencies(self) -> dict[str, HdrHistogram]:
+        """Latency histograms in microseconds, by ``service/class``."""
+        return self._latencies
+
+    def record_latency(self, name: str, seconds: float) -> None:
+        """Add one latency to a histogram."""
+        histogram = self._latencies.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(
+                LEAST_LATENCY_US, MOST_LATENCY_US, SIGNIFICANT_DIGITS
+            )
+            self._latencies[name] = histogram
+        value_us = int(seconds * _MICROSECONDS_PER_SECOND)
+        histogram.record_value(max(LEAST_LATENCY_US, min(value_us, MOST_LATENCY_US)))
+
+    def exposition(self) -> bytes:
+        """Return all counters in the Prometheus text format."""
+        return generate_latest(self._registry)
+
+    def _counter(self, name: str, text: str, labels: str) -> Counter:
+        return Counter(
+            f"pollenlb_{name}", text, labels.split(), registry=self._registry
+        )
--- /dev/null
+++ b/pollenlb/process/renewals.py
@@ -0,0 +1,97 @@
+"""Keeps an entry's lease and its views of the replicated state."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ..connection.control_api import RenewAnswer, RenewRequest
+from .clock import Deadline, deadline_in, now, sleep_until
+from .context import EntryContext
+
+_WAIT_S = 0.8
+_TIMEOUT_S = 1.6
+_PAUSE_S = 0.1
+
+
+class Renewals:
+    """Renews the lease and applies what changed, for as long as the process.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Parts of the entry process.
+    on_ledger : callable
+        Called after a change of the rollout jobs.
+    """
+
+    def __init__(self, context: EntryContext, on_ledger: Callable[[], None]) -> None:
+        self._context = context
+        self._on_ledger = on_ledger
+        self._task: asyncio.Task | None = None
+        self._was_leased = False
+
+    def start(self) -> None:
+        """Start to renew."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop to renew."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            announced = set(self._context.announced)
+            sent_at = now()
+            answer = await self._context.control.renew(self._request(), _TIMEOUT_S)
+            if answer is None:
+                self._note_lease()
+                await sleep_until(deadline_in(_PAUSE_S))
+                continue
+            self._context.announced -= announced
+            self._apply(answer, sent_at)
+            self._note_lease()
+
+    def _request(self) -> RenewRequest:
+        context = self._context
+        is_current = context.in_force.is_leased
+        return RenewRequest(
+            entry=context.own,
+            revision=context.in_force.revision,
+            directory=context.directory.version,
+            ledger=context.ledger.version,
+            entries=context.peers.version,
+            announced=sorted(context.announced),
+            wait_s=_WAIT_S if is_current else 0.0,
+        )
+
+    def _apply(self, answer: RenewAnswer, sent_at: float) -> None:
+        context = self._context
+        if answer.configuration is not None:
+            if context.in_force.apply(answer.configuration):
+                context.events.record(
+                    "configuration.applied", revision=answer.configuration.revision
+                )
+        if answer.directory is not None:
+            context.directory.apply(answer.directory)
+        if answer.entries is not None:
+            context.peers.apply(answer.entries)
+        if answer.ledger is not None:
+            self._apply_ledger(answer)
+        context.in_force.extend_lease(Deadline(sent_at + answer.lease_s))
+
+    def _apply_ledger(self, answer: RenewAnswer) -> None:
+        assert answer.ledger is not None
+        self._context.ledger = answer.ledger
+        for name, job in answer.ledger.jobs.items():
+            self._context.bodies.drop_steps(name, job.oldest_step)
+        self._on_ledger()
+
+    def _note_lease(self) -> None:
+        is_leased = self._context.in_force.is_leased
+        if is_leased != self._was_leased:
+            self._was_leased = is_leased
+            kind = "lease.held" if is_leased else "lease.lost"
+            self._context.events.record(kind)
--- /dev/null
+++ b/pollenlb/request/announce_api.py
@@ -0,0 +1,73 @@
+"""Announcements of backend servers."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from aiohttp import web
+
+from ..durable.commands import Announcement, AnnounceServer, ServerState
+from ..ids import Address, BackendServerName, BootId, FailureDomain, ServiceName
+from ..process.context import EntryContext
+from ..settings.options import SocketAddress
+from .api import execute, json_response, read_json, refusing
+from .outcome import bad_request
+from .trainer_api import Count, NameText
+
+ANNOUNCE_PATH = "/pollenlb/v1/announce"
+ANNOUNCE_INTERVAL_S = 2.0
+
+
+class AnnounceBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of an announcement."""
+
+    server: NameText
+    service: NameText
+    address: str
+    failure_domain: NameText
+    boot: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+    slots: Count
+    state: ServerState = ServerState.SERVING
+
+
+class AnnounceApi:
+    """HTTP handler for backend servers.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Parts of the entry process.
+    """
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the handler to a server's router."""
+        router.add_post(ANNOUNCE_PATH, refusing(self.announce))
+
+    async def announce(self, request: web.Request) -> web.Response:
+        """Enter a backend server in the directory, or keep it there."""
+        body = await read_json(request, AnnounceBody)
+        try:
+            SocketAddress().check(body.address)
+        except ValueError as error:
+            raise bad_request(f"address {error}", "address") from error
+        if body.service not in self._context.in_force.settings.services:
+            raise bad_request(f"service {body.service!r} is not known", "service", 404)
+        announcement = Announcement(
+            BackendServerName(body.server),
+            ServiceName(body.service),
+            Address(body.address),
+            FailureDomain(body.failure_domain),
+            BootId(body.boot),
+            body.slots,
+            body.state,
+        )
+        known = self._context.directory.servers.get(announcement.server)
+        if known is not None and known.announcement == announcement:
+            self._context.announced.add(announcement.server)
+        else:
+            await execute(self._context, AnnounceServer(announcement), None)
+        return json_response({"announce_again_s": ANNOUNCE_INTERVAL_S})
--- /dev/null
+++ b/pollenlb/request/api.py
@@ -0,0 +1,114 @@
+"""What the handlers of trainers, operators and backend servers share."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import msgspec
+from aiohttp import web
+
+from ..durable.commands import AnyCommand, AnyResult, Refused
+from ..exceptions import CommandInDoubtError, ControlError
+from ..ids import CommandId, new_id
+from ..process.clock import Deadline, deadline_in
+from ..process.context import EntryContext
+from .caller_request import request_id_of
+from .outcome import (
+    Outcome, Refusal, RefusedError, bad_request, refusal_response, unavailable,
+)
+
+T = TypeVar("T")
+
+COMMAND_ID_HEADER = "Pollenlb-Command-Id"
+_COMMAND_TIMEOUT_S = 20.0
+_MOST_COMMAND_ID = 128
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def refusing(handler: Handler) -> Handler:
+    """Return a handler that answers with the refusals that are raised."""
+
+    async def handle(request: web.Request) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except RefusedError as error:
+            return refusal_response(error.refusal, request_id_of(request))
+
+    return handle
+
+
+def json_response(value: Any, status: int = 200) -> web.Response:
+    """Return a value as JSON."""
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(value),
+        content_type="application/json",
+    )
+
+
+async def read_json(request: web.Request, message: type[T]) -> T:
+    """Return the checked body of a request.
+
+    Raises
+    ------
+    RefusedError
+        When it is not JSON or a field is wrong; names the field.
+    """
+    try:
+        return msgspec.json.decode(await request.read(), type=message)
+    except msgspec.ValidationError as error:
+        raise bad_request(f"the body is wrong: {error}", _field(error)) from error
+    except msgspec.DecodeError as error:
+        raise bad_request(f"the body is not JSON: {error}", "body") from error
+
+
+def command_id_of(request: web.Request) -> CommandId:
+    """Return the command id of a request, or a new one.
+
+    Raises
+    ------
+    RefusedError
+        When it is too long.
+    """
+    text = request.headers.get(COMMAND_ID_HEADER)
+    if text is None:
+        return CommandId(new_id("command"))
+    if not 0 < len(text) <= _MOST_COMMAND_ID:
+        raise bad_request(
+            f"{COMMAND_ID_HEADER} must have 1 to {_MOST_COMMAND_ID} characters",
+            COMMAND_ID_HEADER,
+        )
+    return CommandId(text)
+
+
+async def execute(
+    context: EntryContext,
+    command: AnyCommand,
+    command_id: CommandId | None,
+    deadline: Deadline | None = None,
+) -> AnyResult:
+    """Carry out a command and refuse the request if it was refused.
+
+    Raises
+    ------
+    RefusedError
+        When the command was refused, not carried out or is in doubt.
+    """
+    deadline = deadline or deadline_in(_COMMAND_TIMEOUT_S)
+    try:
+        result = await context.control.propose(command, command_id, deadline)
+    except CommandInDoubtError as error:
+        reason = f"{error}; send it again with the same command id"
+        raise RefusedError(Refusal(504, Outcome.UNKNOWN, reason, 1)) from error
+    except ControlError as error:
+        raise unavailable(str(error)) from error
+    if isinstance(result, Refused):
+        raise RefusedError(Refusal(409, Outcome.NOT_RUN, result.reason))
+    return result
+
+
+def _field(error: msgspec.ValidationError) -> str:
+    _, _, path = str(error).partition("$.")
+    return path.rstrip("`") or "body"
--- /dev/null
+++ b/pollenlb/request/generation.py
@@ -0,0 +1,321 @@
+"""Generation of one completion, resumed at another engine after a failure."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+import msgspec
+from result import Err, Ok
+
+from ..connection.backend import BackendServer
+from ..connection.backend_api import BOOT_HEADER
+from ..connection.engine_api import (
+    COMPLETIONS_PATH, END_MARK, Resume, StreamEvent, completion_body, decode_event,
+)
+from ..durable.commands import Span
+from ..ids import BackendServerName, BootId, RequestId, ServiceName, WeightVersion
+from ..process.clock import Deadline, deadline_in, now, remaining, sleep_until
+from ..process.context import EntryContext
+from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailed, send
+from .caller_request import RequestClass
+from .choice import choose_server
+from .outcome import Outcome, Refusal, RefusedError
+
+_PRIORITIES = {
+    RequestClass.INTERACTIVE: 0,
+    RequestClass.SHORT: 10,
+    RequestClass.LONG: 20,
+}
+_MOST_ATTEMPTS = 4
+_PATIENT_PAUSE_S = 0.2
+_MOST_EVENT_BYTES = 1_048_576
+
+
+class StreamBroken(Exception):
+    """A stream ended without its end mark or does not belong to the attempt."""
+
+
+@dataclass
+class Generation:
+    """A completion as far as it was generated.
+
+    Attributes
+    ----------
+    asked : dict
+        Body of the completion request.
+    least_version : WeightVersion
+        Engines with older weights are not used.
+    is_patient : bool
+        Whether to wait for an engine until the deadline, as samples do.
+    spans : list of Span
+        Weight versions that produced the tokens so far.
+    """
+
+    request_id: RequestId
+    service: ServiceName
+    asked: dict[str, Any]
+    request_class: RequestClass
+    deadline: Deadline
+    is_repeatable: bool = True
+    is_patient: bool = False
+    least_version: WeightVersion = WeightVersion(0)
+    text: list[str] = field(default_factory=list)
+    tokens: int = 0
+    spans: list[Span] = field(default_factory=list)
+    finish_reason: str | None = None
+    attempts: int = 0
+    server: BackendServer | None = None
+
+    @property
+    def whole_text(self) -> str:
+        """Text generated so far."""
+        return "".join(self.text)
+
+    @property
+    def resume(self) -> Resume | None:
+        """Output to go on from, if there is any."""
+        return Resume(self.whole_text, self.tokens) if self.tokens else None
+
+    def add(self, event: StreamEvent) -> None:
+        """Append the tokens of an event."""
+        choice = event.choices[0]
+        self.finish_reason = choice.finish_reason or self.finish_reason
+        origin = event.pollenlb
+        if not origin.tokens:
+            return
+        self.text.append(choice.text)
+        last = self.tokens + origin.tokens - 1
+        if self.spans and self.spans[-1].version == origin.version:
+            first = self.spans.pop().first
+        else:
+            first = self.tokens
+        self.spans.append(Span(origin.version, first, last))
+        self.tokens += origin.tokens
+
+
+async def generate(
+    generation: Generation, context: EntryContext
+) -> AsyncIterator[StreamEvent]:
+    """Yield the events of a completion, going on elsewhere after failures.
+
+    Parameters
+    ----------
+    generation : Generation
+        What to generate; holds the output as it grows.
+    context : EntryContext
+        Parts of the entry process.
+
+    Raises
+    ------
+    RefusedError
+        When the completion cannot be finished.
+    """
+    tried: set[BackendServerName] = set()
+    was_sent = False
+    while True:
+        server = await _choose(generation, context, tried, was_sent)
+        generation.attempts += 1
+        generation.server = server
+        try:
+            async for event in _attempt(generation, server, context):
+                yield event
+            return
+        except _AttemptError as error:
+            failed = error.failed
+        tried.add(server.name)
+        was_sent = was_sent or failed.outcome is not Outcome.NOT_RUN
+        _note_failure(context, generation, server, failed)
+        _check_retry(generation, failed, was_sent)
+
+
+class _AttemptError(Exception):
+    def __init__(self, failed: AttemptFailed) -> None:
+        super().__init__(failed.reason)
+        self.failed = failed
+
+
+async def _choose(
+    generation: Generation,
+    context: EntryContext,
+    tried: set[BackendServerName],
+    was_sent: bool,
+) -> BackendServer:
+    while True:
+        servers = [
+            each
+            for each in context.usable(generation.service)
+            if each.version is not None and each.version >= generation.least_version
+        ]
+        server = choose_server(servers, tried, context.rng)
+        if server is not None:
+            return server
+        if tried:
+            tried.clear()
+        elif not generation.is_patient or not remaining(generation.deadline):
+            outcome = Outcome.UNKNOWN if was_sent else Outcome.NOT_RUN
+            raise RefusedError(
+                Refusal(503, outcome, f"no engine of {generation.service} is usable", 1)
+            )
+        await sleep_until(deadline_in(_PATIENT_PAUSE_S))
+
+
+def _note_failure(
+    context: EntryContext,
+    generation: Generation,
+    server: BackendServer,
+    failed: AttemptFailed,
+) -> None:
+    context.metrics.attempts.labels(generation.service, "failed").inc()
+    context.events.record(
+        "attempt.failed",
+        request=generation.request_id,
+        server=server.name,
+        outcome=failed.outcome.value,
+        reason=failed.reason,
+    )
+    if failed.is_connection_lost:
+        server.note_failure()
+
+
+def _check_retry(generation: Generation, failed: AttemptFailed, was_sent: bool) -> None:
+    is_over = not remaining(generation.deadline)
+    is_spent = generation.attempts >= _MOST_ATTEMPTS and not generation.is_patient
+    may_not = was_sent and not generation.is_repeatable
+    if is_over or is_spent or may_not:
+        outcome = Outcome.UNKNOWN if was_sent else Outcome.NOT_RUN
+        status = 504 if failed.is_timeout else 502
+        raise RefusedError(Refusal(status, outcome, failed.reason, 1))
+
+
+async def _attempt(
+    generation: Generation, server: BackendServer, context: EntryContext
+) -> AsyncIterator[StreamEvent]:
+    attempt_id = RequestId(f"{generation.request_id}/{generation.attempts}")
+    attempt = Attempt(
+        request_id=attempt_id,
+        method="POST",
+        path=COMPLETIONS_PATH,
+        headers={"Content-Type": "application/json"},
+        body=completion_body(
+            generation.asked,
+            _PRIORITIES[generation.request_class],
+            generation.resume,
+        ),
+        deadline=generation.deadline,
+        is_repeatable=generation.is_repeatable,
+    )
+    server.in_flight += 1
+    started_at = now()
+    try:
+        answer = await _open(attempt, server, context)
+        try:
+            async for event in _events(answer, attempt_id, context):
+                generation.add(event)
+                yield event
+        finally:
+            answer.response.close()
+        server.note_answer(now() - started_at, None)
+        context.metrics.attempts.labels(generation.service, "whole").inc()
+    finally:
+        server.in_flight -= 1
+
+
+async def _open(
+    attempt: Attempt, server: BackendServer, context: EntryContext
+) -> Answer:
+    progress_s = context.settings.progress_timeout_s
+    try:
+        async with asyncio.timeout(progress_s):
+            result = await send(attempt, server, context.session, context.settings)
+    except TimeoutError:
+        failed = AttemptFailed(
+            Outcome.UNKNOWN, f"{server.name} is silent", is_timeout=True
+        )
+        raise _AttemptError(failed) from None
+    match result:
+        case Err(failed):
+            raise _AttemptError(failed)
+        case Ok(answer):
+            await _check_status(answer)
+            return answer
+    raise AssertionError
+
+
+async def _check_status(answer: Answer) -> None:
+    status = answer.response.status
+    if status == 200:
+        return
+    try:
+        body = await answer.response.content.read(_MOST_EVENT_BYTES)
+    except SEND_ERRORS:
+        body = b""
+    answer.response.close()
+    if 400 <= status < 500:
+        reason = f"{answer.server.name} refused the request: {body[:300]!r}"
+        raise RefusedError(Refusal(status, Outcome.RAN, reason))
+    raise _AttemptError(
+        AttemptFailed(Outcome.UNKNOWN, f"{answer.server.name} answered {status}")
+    )
+
+
+async def _events(
+    answer: Answer, attempt_id: RequestId, context: EntryContext
+) -> AsyncIterator[StreamEvent]:
+    is_finished = False
+    boot = answer.response.headers.get(BOOT_HEADER)
+    try:
+        async for data in _data_lines(answer, context):
+            if data == END_MARK:
+                if not is_finished:
+                    raise StreamBroken("the stream ended before its last piece")
+                return
+            event = _check_event(decode_event(data), attempt_id, BootId(boot or ""))
+            is_finished = is_finished or event.choices[0].finish_reason is not None
+            yield event
+    except (*SEND_ERRORS, StreamBroken, msgspec.MsgspecError) as error:
+        raise _AttemptError(_stream_failure(answer, error)) from error
+    raise _AttemptError(
+        _stream_failure(answer, StreamBroken("the stream has no end mark"))
+    )
+
+
+def _check_event(
+    event: StreamEvent, attempt_id: RequestId, boot: BootId
+) -> StreamEvent:
+    if event.id != attempt_id:
+        raise StreamBroken("the stream belongs to another request")
+    if event.pollenlb.boot != boot:
+        raise StreamBroken("the engine was started again within the stream")
+    if len(event.choices) != 1:
+        raise StreamBroken("an event must hold one choice")
+    return event
+
+
+def _stream_failure(answer: Answer, error: Exception) -> AttemptFailed:
+    is_answer_wrong = isinstance(error, (StreamBroken, msgspec.MsgspecError))
+    return AttemptFailed(
+        Outcome.UNKNOWN,
+        f"{answer.server.name}: {str(error) or type(error).__name__}",
+        is_connection_lost=not is_answer_wrong and not isinstance(error, TimeoutError),
+        is_timeout=isinstance(error, TimeoutError),
+    )
+
+
+async def _data_lines(answer: Answer, context: EntryContext) -> AsyncIterator[bytes]:
+    content: aiohttp.StreamReader = answer.response.content
+    pending = b""
+    while True:
+        async with asyncio.timeout(context.settings.progress_timeout_s):
+            chunk = await content.readany()
+        if not chunk:
+            return
+        *lines, pending = (pending + chunk).split(b"\n")
+        if len(pending) > _MOST_EVENT_BYTES:
+            raise StreamBroken("an event is too large")
+        for line in lines:
+            if line.startswith(b"data:"):
+                yield line[len(b"data:") :].strip()
--- /dev/null
+++ b/pollenlb/request/handler.py
@@ -0,0 +1,115 @@
+"""The way of a caller's request through an entry."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from ..connection.engine_api import COMPLETIONS_PATH
+from ..ids import RequestId, ServiceName
+from ..process.clock import now
+from ..process.context import EntryContext
+from .caller_request import (
+    CallerRequest, RequestBody, read_class, read_deadline, read_key, read_repeatable,
+    request_id_of,
+)
+from .completion import answer_completion
+from .once import run_once
+from .outcome import (
+    Outcome, Refusal, RefusedError, bad_request, refusal_response, unavailable,
+)
+from .passthrough import pass_through
+
+
+class RequestHandler:
+    """Routes callers' requests.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Parts of the entry process.
+    """
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer one request of a caller."""
+        received_at = now()
+        request_id = request_id_of(request)
+        service = "none"
+        request_class = "none"
+        outcome = Outcome.RAN
+        metrics = self._context.metrics
+        metrics.in_flight.inc()
+        try:
+            caller = await self._read(request, request_id, received_at)
+            service = caller.service_name
+            request_class = caller.request_class.value
+            return await self._answer(caller)
+        except RefusedError as error:
+            outcome = error.refusal.outcome
+            return refusal_response(error.refusal, request_id)
+        except web.HTTPException:
+            raise
+        except ConnectionError:
+            outcome = Outcome.UNKNOWN
+            raise
+        except Exception as error:
+            self._context.events.record(
+                "request.error", request=request_id, reason=repr(error)
+            )
+            outcome = Outcome.UNKNOWN
+            reason = "the entry failed; whether the request ran is not known"
+            return refusal_response(Refusal(500, outcome, reason), request_id)
+        finally:
+            metrics.in_flight.dec()
+            metrics.requests.labels(service, request_class, outcome.value).inc()
+            metrics.record_latency(f"{service}/{request_class}", now() - received_at)
+
+    async def _read(
+        self, request: web.Request, request_id: RequestId, received_at: float
+    ) -> CallerRequest:
+        context = self._context
+        self._check_may_take()
+        cluster = context.in_force.settings
+        route = cluster.route_for(request.host, request.path, request.method)
+        if route is None:
+            raise bad_request(
+                f"no route takes {request.method} {request.path}", "path", 404
+            )
+        body = RequestBody(request, context.settings.replay_body_bytes)
+        self._check_length(request)
+        caller = CallerRequest(
+            request_id=request_id,
+            route=route,
+            service_name=ServiceName(route.service),
+            service=cluster.services[route.service],
+            request_class=read_class(request, route.request_class),
+            deadline=read_deadline(request, context.settings, route.timeout_s),
+            is_repeatable=read_repeatable(request, route.repeatable),
+            key=read_key(request, ServiceName(route.service)),
+            http=request,
+            body=body,
+            received_at=received_at,
+        )
+        await body.read_start()
+        return caller
+
+    def _check_may_take(self) -> None:
+        if self._context.is_draining:
+            raise unavailable("this entry is shutting down")
+        if not self._context.in_force.is_leased:
+            raise unavailable("this entry has no contact with the control instances")
+
+    def _check_length(self, request: web.Request) -> None:
+        most = self._context.settings.max_body_bytes
+        if request.content_length is not None and request.content_length > most:
+            raise bad_request(f"the body is larger than {most} bytes", "body", 413)
+
+    async def _answer(self, caller: CallerRequest) -> web.StreamResponse:
+        is_completion = caller.http.path.endswith(COMPLETIONS_PATH)
+        if caller.service.kind == "engine" and is_completion:
+            return await answer_completion(caller, self._context)
+        if caller.key is not None and not caller.is_repeatable:
+            return await run_once(caller, self._context)
+        return await pass_through(caller, self._context)
--- /dev/null
+++ b/pollenlb/request/once.py
@@ -0,0 +1,144 @@
+"""Requests that run at most once, by a key claimed in the replicated log."""
+
+from __future__ import annotations
+
+import msgspec
+from aiohttp import web
+from result import Err, Ok
+
+from ..durable.commands import (
+    ClaimKey, KeyClaimed, KeyHeld, KeyRecord, KeyState, Refused, SettleKey,
+)
+from ..durable.keys import KEY_LIFETIME_MS
+from ..exceptions import CommandInDoubtError, ControlError
+from ..ids import BodyDigest, CommandId, new_id
+from ..process.bodies import BodyLabel
+from ..process.clock import deadline_in, remaining, sleep_until
+from ..process.context import EntryContext
+from .caller_request import CallerRequest
+from .outcome import Outcome, Refusal, RefusedError, bad_request, unavailable
+from .passthrough import WholeAnswer, run, whole_response
+
+_SETTLE_TIMEOUT_S = 5.0
+_POLL_S = 0.2
+_MOST_ANSWER_BYTES = 262_144
+_LIFETIME_S = KEY_LIFETIME_MS / 1000
+_REPLAY_HEADER = "Pollenlb-Replayed"
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(WholeAnswer).decode
+
+
+async def run_once(caller: CallerRequest, context: EntryContext) -> web.StreamResponse:
+    """Run a keyed request unless any entry has claimed it before.
+
+    Raises
+    ------
+    RefusedError
+        When it was not run, or when its outcome is not known.
+    """
+    await caller.body.read_whole(context.settings.max_body_bytes)
+    while True:
+        held = await _claim(caller, context)
+        if held is None:
+            return await _run_claimed(caller, context)
+        if held.state is KeyState.RAN:
+            return await _replay(caller, held, context)
+        if held.state is KeyState.UNKNOWN or remaining(caller.deadline) < 2 * _POLL_S:
+            raise _unknown("an earlier attempt may have run; it is not run again")
+        await sleep_until(deadline_in(_POLL_S))
+
+
+async def _claim(caller: CallerRequest, context: EntryContext) -> KeyRecord | None:
+    assert caller.key is not None
+    command = ClaimKey(caller.key, caller.fingerprint, context.peers.holder)
+    command_id = CommandId(new_id("claim"))
+    try:
+        result = await context.control.propose(command, command_id, caller.deadline)
+    except CommandInDoubtError as error:
+        await _give_back(caller, context)
+        raise unavailable("the request's key could not be claimed in time") from error
+    except ControlError as error:
+        raise unavailable("the request's key could not be claimed") from error
+    match result:
+        case KeyClaimed():
+            return None
+        case KeyHeld(record=record):
+            return record
+        case Refused(reason=reason):
+            raise bad_request(reason, "Idempotency-Key", 422)
+    raise AssertionError(f"unexpected {result}")
+
+
+async def _run_claimed(
+    caller: CallerRequest, context: EntryContext
+) -> web.StreamResponse:
+    if not remaining(caller.deadline) or not context.in_force.is_leased:
+        await _give_back(caller, context)
+        raise unavailable("the deadline passed before the request was sent")
+    try:
+        answer = await run(caller, context)
+    except RefusedError as error:
+        state = None if error.refusal.outcome is Outcome.NOT_RUN else KeyState.UNKNOWN
+        await _settle(caller, context, state)
+        raise
+    assert isinstance(answer, WholeAnswer)
+    await _settle_answer(caller, context, answer)
+    return whole_response(caller, answer)
+
+
+async def _settle_answer(
+    caller: CallerRequest, context: EntryContext, answer: WholeAnswer
+) -> None:
+    body = _encode(answer)
+    digest: BodyDigest | None = None
+    holders = []
+    if len(body) <= _MOST_ANSWER_BYTES:
+        try:
+            label = BodyLabel(None, lifetime_s=_LIFETIME_S)
+            digest, holders = await context.peers.store_twice(body, label)
+        except ControlError:
+            digest = None
+    await _settle(caller, context, KeyState.RAN, digest, holders)
+
+
+async def _settle(
+    caller: CallerRequest,
+    context: EntryContext,
+    state: KeyState | None,
+    answer: BodyDigest | None = None,
+    holders: list | None = None,
+) -> None:
+    assert caller.key is not None
+    command = SettleKey(caller.key, context.peers.holder, state, answer, holders or [])
+    command_id = CommandId(new_id("settle"))
+    try:
+        await context.control.propose(
+            command, command_id, deadline_in(_SETTLE_TIMEOUT_S)
+        )
+    except ControlError:
+        context.events.record("key.unsettled", request=caller.request_id)
+
+
+async def _give_back(caller: CallerRequest, context: EntryContext) -> None:
+    await _settle(caller, context, None)
+
+
+async def _replay(
+    caller: CallerRequest, record: KeyRecord, context: EntryContext
+) -> web.StreamResponse:
+    if record.answer is not None:
+        match await context.peers.fetch(record.answer, record.holders):
+            case Ok(body):
+                response = whole_response(caller, _decode(body))
+                response.headers[_REPLAY_HEADER] = "yes"
+                return response
+            case Err(_):
+                pass
+    raise RefusedError(
+        Refusal(410, Outcome.RAN, "it ran once; its answer is no longer held")
+    )
+
+
+def _unknown(reason: str) -> RefusedError:
+    return RefusedError(Refusal(409, Outcome.UNKNOWN, reason, 1))
--- /dev/null
+++ b/pollenlb/request/operator_api.py
@@ -0,0 +1,161 @@
+"""Queries and commands of operators."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any
+
+import msgspec
+from aiohttp import web
+
+from ..connection.control_api import CallStatus, StatusAnswer
+from ..durable.commands import (
+    ChangeConfiguration, ConfigurationChanged, ConfigurationConflict,
+    ConfigurationInvalid, ReleaseVersion,
+)
+from ..ids import Revision, ServiceName, WeightVersion
+from ..process.context import EntryContext
+from .api import command_id_of, execute, json_response, read_json, refusing
+from .outcome import Outcome, Refusal, RefusedError, unavailable
+from .trainer_api import NameText, Number
+
+_STATUS_TIMEOUT_S = 0.7
+
+
+class ChangeBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a change of configuration.
+
+    Attributes
+    ----------
+    based_on : int or None
+        Revision that the operator saw; None takes the one in force here.
+    """
+
+    changes: Annotated[dict[str, Any], msgspec.Meta(min_length=1)]
+    based_on: Number | None = None
+    operator: str = ""
+
+
+class ReleaseBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a release of weights."""
+
+    service: NameText
+    version: Number
+
+
+class ServerStatus(msgspec.Struct):
+    """What this entry knows of a backend server."""
+
+    server: str
+    service: str
+    address: str
+    failure_domain: str
+    is_usable: bool
+    is_leaving: bool
+    version: int | None
+    in_flight: int
+    load: float
+    latency_ms: float
+
+
+class EntryStatus(msgspec.Struct):
+    """State of this entry."""
+
+    name: str
+    revision: int
+    is_leased: bool
+    is_draining: bool
+    servers: list[ServerStatus]
+
+
+class OperatorApi:
+    """HTTP handlers for operators.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Parts of the entry process.
+    """
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the handlers to a server's router."""
+        base = "/pollenlb/v1/operator"
+        router.add_post(base + "/configuration", refusing(self.change))
+        router.add_post(base + "/releases", refusing(self.release))
+        router.add_get(base + "/entry", refusing(self.entry))
+        router.add_get(base + "/control", refusing(self.control))
+
+    async def change(self, request: web.Request) -> web.Response:
+        """Change the configuration."""
+        body = await read_json(request, ChangeBody)
+        based_on = body.based_on
+        if based_on is None:
+            based_on = max(0, self._context.in_force.revision)
+        command = ChangeConfiguration(body.changes, Revision(based_on), body.operator)
+        result = await execute(self._context, command, command_id_of(request))
+        match result:
+            case ConfigurationChanged():
+                return json_response(result)
+            case ConfigurationConflict():
+                return json_response(result, 409)
+            case ConfigurationInvalid(problems=problems):
+                raise RefusedError(
+                    Refusal(422, Outcome.NOT_RUN, "; ".join(problems), None, "changes")
+                )
+        raise AssertionError(f"unexpected {result}")
+
+    async def release(self, request: web.Request) -> web.Response:
+        """Release a weight version of a service."""
+        body = await read_json(request, ReleaseBody)
+        command = ReleaseVersion(ServiceName(body.service), WeightVersion(body.version))
+        await execute(self._context, command, command_id_of(request))
+        return json_response({"service": body.service, "version": body.version})
+
+    async def entry(self, request: web.Request) -> web.Response:
+        """Tell the state of this entry."""
+        context = self._context
+        servers = [
+            ServerStatus(
+                server.name,
+                server.announcement.service,
+                server.announcement.address,
+                server.announcement.failure_domain,
+                server.is_usable,
+                server.is_leaving,
+                server.version,
+                server.in_flight,
+                round(server.load, 3),
+                round(1000 * server.latency_s, 3),
+            )
+            for server in context.directory.servers.values()
+        ]
+        return json_response(
+            EntryStatus(
+                context.settings.name,
+                context.in_force.revision,
+                context.in_force.is_leased,
+                context.is_draining,
+                servers,
+            )
+        )
+
+    async def control(self, request: web.Request) -> web.Response:
+        """Tell the state of the control instances."""
+        answers = await self._context.control.status(_STATUS_TIMEOUT_S)
+        if not any(answers.values()):
+            raise unavailable("no control instance could be reached")
+        return json_response(
+            {address: _summary(answer) for address, answer in answers.items()}
+        )
+
+
+def _summary(answer: StatusAnswer | None) -> Any:
+    if answer is None:
+        return None
+    summary = msgspec.to_builtins(answer)
+    summary["is_leader"] = answer.role == "leader" and (
+        answer.status is CallStatus.DONE
+    )
+    return summary
--- /dev/null
+++ b/pollenlb/request/outcome.py
@@ -0,0 +1,88 @@
+"""What became of a request, and refusals that tell it."""
+
+from __future__ import annotations
+
+import math
+from enum import Enum
+
+import msgspec
+from aiohttp import web
+
+from ..connection.backend_api import OUTCOME_HEADER, REQUEST_ID_HEADER
+from ..ids import RequestId
+
+VERSIONS_HEADER = "Pollenlb-Weight-Versions"
+SERVER_HEADER = "Pollenlb-Backend-Server"
+
+
+class Outcome(Enum):
+    """Whether a request was run."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """An answer that the entry gives itself.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    reason : str
+        Plain sentence.
+    retry_after_s : float or None
+        Seconds after which a new try makes sense.
+    field : str or None
+        Header or key that is wrong.
+    """
+
+    status: int
+    outcome: Outcome
+    reason: str
+    retry_after_s: float | None = None
+    field: str | None = None
+
+
+class RefusedError(Exception):
+    """Ends the handling of a request with a refusal."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.reason)
+        self.refusal = refusal
+
+
+def bad_request(
+    reason: str, field: str | None = None, status: int = 400
+) -> RefusedError:
+    """Return the error for a request that is wrong in itself."""
+    return RefusedError(Refusal(status, Outcome.NOT_RUN, reason, None, field))
+
+
+def unavailable(reason: str, retry_after_s: float = 1.0) -> RefusedError:
+    """Return the error for a request that was not run and may come again."""
+    return RefusedError(Refusal(503, Outcome.NOT_RUN, reason, retry_after_s))
+
+
+def refusal_response(refusal: Refusal, request_id: RequestId) -> web.Response:
+    """Return the HTTP response of a refusal."""
+    headers = {
+        REQUEST_ID_HEADER: request_id,
+        OUTCOME_HEADER: refusal.outcome.value,
+    }
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_s)))
+    error = {
+        "message": refusal.reason,
+        "outcome": refusal.outcome.value,
+        "request_id": request_id,
+    }
+    if refusal.field is not None:
+        error["field"] = refusal.field
+    return web.Response(
+        status=refusal.status,
+        body=msgspec.json.encode({"error": error}),
+        content_type="application/json",
+        headers=headers,
+    )
--- /dev/null
+++ b/pollenlb/request/passthrough.py
@@ -0,0 +1,284 @@
+"""Requests to plain services, passed through as they are."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from result import Err, Ok, Result
+
+from ..connection.backend import BackendServer
+from ..connection.backend_api import BOOT_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER
+from ..ids import BackendServerName
+from ..process.clock import now, remaining
+from ..process.context import EntryContext
+from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailed, send
+from .caller_request import (
+    CLASS_HEADER, KEY_HEADER, REPEATABLE_HEADER, TIMEOUT_HEADER, CallerRequest,
+)
+from .choice import choose_server
+from .outcome import SERVER_HEADER, Outcome, Refusal, RefusedError
+
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "expect",
+    )
+)
+_OWN = frozenset(
+    each.lower()
+    for each in (
+        REQUEST_ID_HEADER,
+        OUTCOME_HEADER,
+        BOOT_HEADER,
+        CLASS_HEADER,
+        REPEATABLE_HEADER,
+        TIMEOUT_HEADER,
+        SERVER_HEADER,
+    )
+)
+_MOST_ATTEMPTS = 3
+_MOST_CHUNK_BYTES = 65_536
+
+
+class WholeAnswer(msgspec.Struct, frozen=True):
+    """An answer whose body was received whole."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    server: BackendServerName
+
+
+async def pass_through(
+    caller: CallerRequest, context: EntryContext
+) -> web.StreamResponse:
+    """Pass a request to a backend server and its answer to the caller.
+
+    Raises
+    ------
+    RefusedError
+        Before anything of the answer was sent.
+    """
+    result = await run(caller, context)
+    if isinstance(result, WholeAnswer):
+        return whole_response(caller, result)
+    return await _stream(caller, result, context)
+
+
+async def run(caller: CallerRequest, context: EntryContext) -> WholeAnswer | Answer:
+    """Run a request at one backend server, at another one after a failure.
+
+    Returns
+    -------
+    WholeAnswer or Answer
+        The whole answer if it is small; else its head, to be streamed.
+
+    Raises
+    ------
+    RefusedError
+        When no attempt led to an answer.
+    """
+    tried: set[BackendServerName] = set()
+    was_sent = False
+    while True:
+        server = _choose(caller, context, tried, was_sent)
+        result = await _attempt(caller, server, context)
+        match result:
+            case Ok(answer):
+                context.metrics.attempts.labels(caller.service_name, "whole").inc()
+                return answer
+            case Err(failed):
+                tried.add(server.name)
+                was_sent = was_sent or failed.outcome is not Outcome.NOT_RUN
+                _note_failure(caller, server, failed, context)
+                _check_retry(caller, failed, was_sent, len(tried))
+
+
+def whole_response(caller: CallerRequest, answer: WholeAnswer) -> web.Response:
+    """Return the HTTP response for a whole answer."""
+    response = web.Response(status=answer.status, body=answer.body)
+    response.headers.clear()
+    for name, value in answer.headers:
+        response.headers.add(name, value)
+    _add_own_headers(caller, response, answer.server)
+    return response
+
+
+def _choose(
+    caller: CallerRequest,
+    context: EntryContext,
+    tried: set[BackendServerName],
+    was_sent: bool,
+) -> BackendServer:
+    servers = context.usable(caller.service_name)
+    server = choose_server(servers, tried, context.rng)
+    if server is None:
+        outcome = Outcome.UNKNOWN if was_sent else Outcome.NOT_RUN
+        reason = f"no backend server of {caller.service_name} is usable"
+        raise RefusedError(Refusal(503, outcome, reason, 1))
+    return server
+
+
+def _check_retry(
+    caller: CallerRequest, failed: AttemptFailed, was_sent: bool, attempts: int
+) -> None:
+    may_repeat = caller.is_repeatable or not was_sent
+    is_left = attempts < _MOST_ATTEMPTS and remaining(caller.deadline) > 0
+    if may_repeat and is_left and caller.body.is_replayable:
+        return
+    outcome = Outcome.UNKNOWN if was_sent else Outcome.NOT_RUN
+    status = 504 if failed.is_timeout else 503 if not was_sent else 502
+    retry_after_s = failed.retry_after_s or 1
+    raise RefusedError(Refusal(status, outcome, failed.reason, retry_after_s))
+
+
+def _note_failure(
+    caller: CallerRequest,
+    server: BackendServer,
+    failed: AttemptFailed,
+    context: EntryContext,
+) -> None:
+    context.metrics.attempts.labels(caller.service_name, "failed").inc()
+    context.events.record(
+        "attempt.failed",
+        request=caller.request_id,
+        server=server.name,
+        outcome=failed.outcome.value,
+        reason=failed.reason,
+    )
+    if failed.is_connection_lost:
+        server.note_failure()
+
+
+async def _attempt(
+    caller: CallerRequest, server: BackendServer, context: EntryContext
+) -> Result[WholeAnswer | Answer, AttemptFailed]:
+    attempt = Attempt(
+        request_id=caller.request_id,
+        method=caller.http.method,
+        path=caller.http.path_qs,
+        headers=_request_headers(caller),
+        body=caller.body.stream() or None,
+        deadline=caller.deadline,
+        is_repeatable=caller.is_repeatable,
+    )
+    session = context.session if caller.is_repeatable else context.single_use_session
+    started_at = now()
+    server.in_flight += 1
+    try:
+        match await send(attempt, server, session, context.settings):
+            case Err(failed):
+                return Err(failed)
+            case Ok(answer):
+                result = await _read_if_small(caller, answer, context)
+                if result.is_ok():
+                    server.note_answer(now() - started_at, None)
+                return result
+    finally:
+        server.in_flight -= 1
+    raise AssertionError
+
+
+async def _read_if_small(
+    caller: CallerRequest, answer: Answer, context: EntryContext
+) -> Result[WholeAnswer | Answer, AttemptFailed]:
+    response = answer.response
+    length = response.content_length
+    is_small = length is not None and length <= context.settings.replay_body_bytes
+    if not is_small and caller.key is None:
+        return Ok(answer)
+    try:
+        async with asyncio.timeout(remaining(caller.deadline)):
+            body = await response.content.read(-1)
+    except SEND_ERRORS as error:
+        response.close()
+        reason = f"{answer.server.name} did not send a whole answer"
+        return Err(
+            AttemptFailed(
+                Outcome.UNKNOWN, reason, is_timeout=isinstance(error, TimeoutError)
+            )
+        )
+    response.release()
+    headers = _answer_headers(response)
+    if caller.http.method != "HEAD" and length is not None and length != len(body):
+        reason = f"{answer.server.name} did not send a whole answer"
+        return Err(AttemptFailed(Outcome.UNKNOWN, reason))
+    return Ok(WholeAnswer(response.status, headers, body, answer.server.name))
+
+
+async def _stream(
+    caller: CallerRequest, answer: Answer, context: EntryContext
+) -> web.StreamResponse:
+    response = web.StreamResponse(status=answer.response.status)
+    response.headers.clear()
+    for name, value in _answer_headers(answer.response):
+        response.headers.add(name, value)
+    _add_own_headers(caller, response, answer.server.name)
+    await response.prepare(caller.http)
+    answer.server.in_flight += 1
+    try:
+        await _copy(answer.response, response, context)
+        await response.write_eof()
+    except SEND_ERRORS as error:
+        context.events.record(
+            "answer.cut", request=caller.request_id, reason=str(error)
+        )
+        if caller.http.transport is not None:
+            caller.http.transport.close()
+    finally:
+        answer.server.in_flight -= 1
+        answer.response.close()
+    return response
+
+
+async def _copy(
+    source: aiohttp.ClientResponse, target: web.StreamResponse, context: EntryContext
+) -> None:
+    while True:
+        async with asyncio.timeout(context.settings.progress_timeout_s):
+            chunk = await source.content.readany()
+        if not chunk:
+            return
+        await target.write(chunk)
+
+
+def _request_headers(caller: CallerRequest) -> dict[str, str]:
+    dropped = _HOP_BY_HOP | (_OWN - {KEY_HEADER.lower()})
+    named = caller.http.headers.get("Connection", "")
+    dropped = dropped | {each.strip().lower() for each in named.split(",")}
+    headers: dict[str, str] = {}
+    for name, value in caller.http.headers.items():
+        if name.lower() in dropped or name.lower() == "content-length":
+            continue
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    if caller.body.whole is None and caller.http.content_length is not None:
+        headers["Content-Length"] = str(caller.http.content_length)
+    return headers
+
+
+def _answer_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
+    dropped = _HOP_BY_HOP | _OWN
+    return [
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in dropped
+    ]
+
+
+def _add_own_headers(
+    caller: CallerRequest, response: web.StreamResponse, server: BackendServerName
+) -> None:
+    response.headers[REQUEST_ID_HEADER] = caller.request_id
+    response.headers[OUTCOME_HEADER] = Outcome.RAN.value
+    response.headers[SERVER_HEADER] = server
--- /dev/null
+++ b/pollenlb/request/trainer_api.py
@@ -0,0 +1,244 @@
+"""Jobs, steps and batches, for trainers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Annotated
+
+import msgspec
+from aiohttp import web
+from result import Err, Ok
+
+from ..durable.commands import (
+    BatchNotReady, BatchSealed, CreateJob, JobSettings, PullBatch, ReportMissing,
+    SampleRecord, SetTrainerVersion, SubmitStep,
+)
+from ..exceptions import ControlError
+from ..ids import BatchNumber, JobName, ServiceName, StepNumber, WeightVersion
+from ..process.bodies import BodyLabel
+from ..process.clock import Deadline, deadline_in, remaining, sleep_until
+from ..process.context import EntryContext
+from .api import command_id_of, execute, json_response, read_json, refusing
+from .outcome import bad_request, unavailable
+from .sample import SampleBody
+
+_MOST_WAIT_S = 60.0
+_POLL_S = 0.1
+_FETCHES_AT_ONCE = 32
+
+Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Number = Annotated[int, msgspec.Meta(ge=0)]
+NameText = Annotated[str, msgspec.Meta(pattern="^[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?$")]
+
+
+class JobBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a request that creates a job."""
+
+    name: NameText
+    service: NameText
+    group_size: Count
+    batch_groups: Count
+    staleness_bound: Number
+    max_tokens: Count
+    scorer: NameText | None = None
+
+
+class StepBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a request that submits a step."""
+
+    step: Number
+    prompts: Annotated[list[str], msgspec.Meta(min_length=1, max_length=100_000)]
+
+
+class VersionBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a request that tells the trainer's version."""
+
+    version: Number
+
+
+class DeliveredSample(msgspec.Struct):
+    """One sample of a batch, as the trainer gets it."""
+
+    step: int
+    group: int
+    position: int
+    sample: SampleBody
+
+
+class DeliveredBatch(msgspec.Struct):
+    """Body of the answer to a pull."""
+
+    job: JobName
+    number: BatchNumber
+    step: StepNumber
+    seal: int
+    trainer_version: WeightVersion
+    samples: list[DeliveredSample]
+
+
+class NotReady(msgspec.Struct):
+    """Body of the answer to a pull when the batch is not whole yet."""
+
+    whole_groups: int
+    needed_groups: int
+
+
+_decode_sample = msgspec.msgpack.Decoder(SampleBody).decode
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class TrainerApi:
+    """HTTP handlers for trainers.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Parts of the entry process.
+    """
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the handlers to a server's router."""
+        base = "/pollenlb/v1/jobs"
+        router.add_post(base, refusing(self.create))
+        router.add_get(base + "/{job}", refusing(self.show))
+        router.add_post(base + "/{job}/steps", refusing(self.submit))
+        router.add_post(base + "/{job}/version", refusing(self.set_version))
+        router.add_get(base + "/{job}/batches/{number}", refusing(self.pull))
+
+    async def create(self, request: web.Request) -> web.Response:
+        """Create a job."""
+        body = await read_json(request, JobBody)
+        services = self._context.in_force.settings.services
+        for key in ("service", "scorer"):
+            name = getattr(body, key)
+            if name is not None and name not in services:
+                raise bad_request(f"{key} {name!r} is not a service", key)
+        settings = JobSettings(
+            JobName(body.name),
+            ServiceName(body.service),
+            body.group_size,
+            body.batch_groups,
+            body.staleness_bound,
+            body.max_tokens,
+            ServiceName(body.scorer) if body.scorer else None,
+        )
+        await execute(self._context, CreateJob(settings), command_id_of(request))
+        return json_response(settings, 201)
+
+    async def show(self, request: web.Request) -> web.Response:
+        """Tell how a job stands."""
+        job = self._context.ledger.jobs.get(_job_of(request))
+        if job is None:
+            raise bad_request("there is no such job", "job", 404)
+        return json_response(job)
+
+    async def submit(self, request: web.Request) -> web.Response:
+        """Add a step of prompts to a job."""
+        body = await read_json(request, StepBody)
+        job = _job_of(request)
+        label = BodyLabel(job, StepNumber(body.step))
+        try:
+            digest, holders = await self._context.peers.store_twice(
+                _encode(body.prompts), label
+            )
+        except ControlError as error:
+            raise unavailable(str(error)) from error
+        command = SubmitStep(
+            job, StepNumber(body.step), len(body.prompts), digest, holders
+        )
+        await execute(self._context, command, command_id_of(request))
+        return json_response({"step": body.step, "groups": len(body.prompts)}, 201)
+
+    async def set_version(self, request: web.Request) -> web.Response:
+        """Tell the weight version that the trainer has reached."""
+        body = await read_json(request, VersionBody)
+        command = SetTrainerVersion(_job_of(request), WeightVersion(body.version))
+        await execute(self._context, command, command_id_of(request))
+        return json_response({"version": body.version})
+
+    async def pull(self, request: web.Request) -> web.Response:
+        """Give a batch; asking for the next one acknowledges it."""
+        number = _number_of(request)
+        deadline = deadline_in(_wait_of(request))
+        command = PullBatch(_job_of(request), number)
+        while True:
+            result = await execute(self._context, command, None)
+            if isinstance(result, BatchSealed):
+                batch = await self._deliver(command.job, result)
+                if batch is not None:
+                    return json_response(batch)
+            if not remaining(deadline):
+                if isinstance(result, BatchNotReady):
+                    waiting = NotReady(result.whole_groups, result.needed_groups)
+                else:
+                    waiting = NotReady(0, 0)
+                return json_response(waiting, 202)
+            await self._wait_for_progress(command.job, deadline)
+
+    async def _wait_for_progress(self, job: JobName, deadline: Deadline) -> None:
+        before = self._context.ledger.jobs.get(job)
+        while remaining(deadline):
+            await sleep_until(deadline_in(_POLL_S))
+            if self._context.ledger.jobs.get(job) != before:
+                return
+
+    async def _deliver(
+        self, job: JobName, sealed: BatchSealed
+    ) -> DeliveredBatch | None:
+        limit = asyncio.Semaphore(_FETCHES_AT_ONCE)
+        fetches = [self._fetch(limit, record) for record in sealed.samples]
+        bodies = await asyncio.gather(*fetches)
+        view = self._context.ledger.jobs.get(job)
+        is_version_later = (
+            view is not None and view.trainer_version > sealed.trainer_version
+        )
+        if None in bodies or is_version_later:
+            return None
+        samples = [
+            DeliveredSample(record.step, record.group, record.position, body)
+            for record, body in zip(sealed.samples, bodies)
+            if body is not None
+        ]
+        batch = sealed.batch
+        return DeliveredBatch(
+            job, batch.number, batch.step, batch.seal, sealed.trainer_version, samples
+        )
+
+    async def _fetch(
+        self, limit: asyncio.Semaphore, record: SampleRecord
+    ) -> SampleBody | None:
+        async with limit:
+            fetched = await self._context.peers.fetch(record.body, record.holders)
+        match fetched:
+            case Ok(body):
+                return _decode_sample(body)
+            case Err(unreachable):
+                for boot in unreachable.without_it:
+                    command = ReportMissing(record.job, record.body, boot)
+                    await execute(self._context, command, None)
+        return None
+
+
+def _job_of(request: web.Request) -> JobName:
+    return JobName(request.match_info["job"])
+
+
+def _number_of(request: web.Request) -> BatchNumber:
+    text = request.match_info["number"]
+    if not text.isdigit() or int(text) < 1:
+        raise bad_request("a batch number must be a whole number above 0", "number")
+    return BatchNumber(int(text))
+
+
+def _wait_of(request: web.Request) -> float:
+    text = request.query.get("wait", "0")
+    try:
+        wait_s = float(text)
+    except ValueError:
+        wait_s = -1.0
+    if not 0 <= wait_s <= _MOST_WAIT_S:
+        raise bad_request(f"wait must be 0 to {_MOST_WAIT_S:g} seconds", "wait")
+    return wait_s
--- a/pollenlb/settings/entry.py
+++ b/pollenlb/settings/entry.py
@@ -19,6 +19,9 @@
     listen: Option[str] = SocketAddress()
     """Address of the HTTP server for callers, backend servers and operators."""
 
+    peer_listen: Option[str] = SocketAddress()
+    """Address of the gRPC server for other entries."""
+
     control: Option[list] = ListOf(SocketAddress(), least=1)
     """Addresses of the control instances."""
 
