--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: install demo test bench check docs
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $@
+
+install: $(VENV)/.installed
+
+demo: install
+	$(BIN)/python -m demo
+
+test: install
+	$(BIN)/python -m pytest -q
+
+bench: install
+	$(BIN)/python -m benchmarks
+
+check: install
+	$(BIN)/black --check --quiet pollenlb fakes demo tests benchmarks
+	$(BIN)/isort --check --quiet pollenlb fakes demo tests benchmarks
+	$(BIN)/flake8 pollenlb fakes demo tests benchmarks
+	$(BIN)/pydocstyle --convention=numpy --add-ignore=D105,D107,D202,D413 pollenlb
+	$(BIN)/mypy
+
+docs: install
+	$(BIN)/python -m pollenlb.settings.reference > docs/user-guide/settings.md
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, as ratios within one run."""
--- a/pollenlb/__main__.py
+++ b/pollenlb/__main__.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import sys
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import singledispatch
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import cappa
 
 from .exceptions import PollenError
+from .ids import CommandId
+from .settings.ctl import CtlSettings
 
 SettingsFile = Annotated[
     Path, cappa.Arg(long="--settings", help="Settings file in TOML.")
@@ -44,6 +48,113 @@
     action: cappa.Subcommands[Check | None] = None
 
 
+@dataclass
+class Running:
+    """Show what is running. Example: pollenctl --settings desk.toml running"""
+
+
+@dataclass
+class Late:
+    """Show what is late; exit code 1 if anything is. Example: pollenctl late"""
+
+    step_s: Annotated[
+        float, cappa.Arg(long="--step-s", help="Age at which an open step is late.")
+    ] = 780.0
+
+
+@dataclass
+class Changes:
+    """Show accepted changes. Example: pollenctl changes --most 5"""
+
+    most: Annotated[int, cappa.Arg(long="--most", help="Number of changes.")] = 20
+
+
+@dataclass
+class Status:
+    """Show latencies over all entries. Example: pollenctl status"""
+
+
+@dataclass
+class Timeline:
+    """Show events of all processes. Example: pollenctl timeline --about mostrador-1"""
+
+    folders: Annotated[
+        list[Path], cappa.Arg(help="Folders instead of those in the settings.")
+    ] = field(default_factory=list)
+    about: Annotated[
+        str | None, cappa.Arg(long="--about", help="Only events that name this.")
+    ] = None
+    last_s: Annotated[
+        float | None, cappa.Arg(long="--last-s", help="Only the last seconds.")
+    ] = None
+
+
+@cappa.command(name="set")
+@dataclass
+class Set:
+    """Set keys. Example: pollenctl set services.mostrador.kind=plain"""
+
+    assignments: Annotated[
+        list[str], cappa.Arg(help="KEY=VALUE; the value none removes the key.")
+    ] = field(default_factory=list)
+    file: Annotated[
+        Path | None, cappa.Arg(long="--file", help="TOML file with values to set.")
+    ] = None
+    based_on: Annotated[
+        int | None, cappa.Arg(long="--based-on", help="Revision that you saw.")
+    ] = None
+    command_id: Annotated[
+        str | None, cappa.Arg(long="--command-id", help="Id of an earlier attempt.")
+    ] = None
+
+
+@dataclass
+class Drain:
+    """Give a server no new work. Example: pollenctl drain mostrador-1"""
+
+    server: Annotated[str, cappa.Arg(help="Name of the backend server.")]
+    undo: Annotated[bool, cappa.Arg(long="--undo", help="Give it work again.")] = False
+
+
+@dataclass
+class Release:
+    """Release weights. Example: pollenctl release afilador-lm 7"""
+
+    service: Annotated[str, cappa.Arg(help="Name of the service.")]
+    version: Annotated[int, cappa.Arg(help="Number of the weight version.")]
+
+
+@dataclass
+class Job:
+    """Show a job, or create it. Example: pollenctl job bevel service=afilador-lm"""
+
+    name: Annotated[str, cappa.Arg(help="Name of the job.")]
+    assignments: Annotated[
+        list[str], cappa.Arg(help="KEY=VALUE for each setting of a new job.")
+    ] = field(default_factory=list)
+
+
+@cappa.command(name="pollenctl")
+@dataclass
+class Ctl:
+    """Ask what is running, late or changed, and change it, in one line."""
+
+    settings: SettingsFile
+    action: cappa.Subcommands[
+        Running
+        | Late
+        | Changes
+        | Status
+        | Timeline
+        | Set
+        | Drain
+        | Release
+        | Job
+        | Check
+    ]
+    json: Annotated[bool, cappa.Arg(long="--json", help="Print JSON.")] = False
+
+
 def run_control() -> None:
     """Start ``pollen-control``."""
     arguments = cappa.parse(Control)
@@ -68,7 +179,95 @@
         _end(entry.entry, arguments.settings)
 
 
-def _end(command, *arguments) -> None:
+def run_ctl() -> None:
+    """Start ``pollenctl``."""
+    arguments = cappa.parse(Ctl)
+    _end(_run_ctl, arguments)
+
+
+def _run_ctl(arguments: Ctl) -> None:
+    from .commands import check
+
+    if isinstance(arguments.action, Check):
+        check.check_ctl(arguments.settings)
+        return
+    settings = CtlSettings.load(arguments.settings)
+    carry_out(arguments.action, settings, arguments.json)
+
+
+@singledispatch
+def carry_out(action: Any, settings: CtlSettings, is_json: bool) -> None:
+    """Carry out one action of ``pollenctl``."""
+    raise TypeError(f"unknown action {action}")
+
+
+@carry_out.register
+def _(action: Running, settings: CtlSettings, is_json: bool) -> None:
+    from .commands.running import running
+
+    running(settings, is_json)
+
+
+@carry_out.register
+def _(action: Late, settings: CtlSettings, is_json: bool) -> None:
+    from .commands.late import late
+
+    if late(settings, is_json, action.step_s):
+        sys.exit(1)
+
+
+@carry_out.register
+def _(action: Changes, settings: CtlSettings, is_json: bool) -> None:
+    from .commands.changes import changes
+
+    changes(settings, is_json, action.most)
+
+
+@carry_out.register
+def _(action: Status, settings: CtlSettings, is_json: bool) -> None:
+    from .commands.status import status
+
+    status(settings, is_json)
+
+
+@carry_out.register
+def _(action: Timeline, settings: CtlSettings, is_json: bool) -> None:
+    from .commands.timeline import timeline
+
+    folders = action.folders or [Path(each) for each in settings.event_folders]
+    timeline(folders, action.about, action.last_s, is_json)
+
+
+@carry_out.register
+def _(action: Set, settings: CtlSettings, is_json: bool) -> None:
+    from .commands.change import set_keys
+
+    command_id = CommandId(action.command_id) if action.command_id else None
+    set_keys(settings, action.assignments, action.file, action.based_on, command_id)
+
+
+@carry_out.register
+def _(action: Drain, settings: CtlSettings, is_json: bool) -> None:
+    from .commands.change import drain
+
+    drain(settings, action.server, action.undo)
+
+
+@carry_out.register
+def _(action: Release, settings: CtlSettings, is_json: bool) -> None:
+    from .commands.change import release
+
+    release(settings, action.service, action.version)
+
+
+@carry_out.register
+def _(action: Job, settings: CtlSettings, is_json: bool) -> None:
+    from .commands.job import job
+
+    job(settings, action.name, action.assignments, is_json)
+
+
+def _end(command: Callable[..., None], *arguments: Any) -> None:
     try:
         command(*arguments)
     except PollenError as error:
--- a/pollenlb/commands/check.py
+++ b/pollenlb/commands/check.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from ..settings.control import ControlSettings
+from ..settings.ctl import CtlSettings
 from ..settings.entry import EntrySettings
 from ..settings.options import Settings
 
@@ -19,6 +20,11 @@
     _check(EntrySettings, settings_file)
 
 
+def check_ctl(settings_file: Path) -> None:
+    """Print every problem of a ``pollenctl`` settings file."""
+    _check(CtlSettings, settings_file)
+
+
 def _check(settings_class: type[Settings], settings_file: Path) -> None:
     settings = settings_class.load(settings_file)
     for problem in settings.further_problems():
--- a/pollenlb/commands/control.py
+++ b/pollenlb/commands/control.py
@@ -47,10 +47,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     await process.start()
-    waiting = asyncio.create_task(stopped.wait())
-    await asyncio.wait(
-        {waiting, process.replica.failure}, return_when=asyncio.FIRST_COMPLETED
-    )
+    process.replica.failure.add_done_callback(lambda _: stopped.set())
+    await stopped.wait()
     if process.replica.failure.done():
         process.replica.failure.result()
     await process.stop()
--- /dev/null
+++ b/pollenlb/commands/output.py
@@ -0,0 +1,44 @@
+"""Tables and JSON for the operator."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from ..connection.operator import Unreachable
+
+
+def print_json(value: Any) -> None:
+    """Print a value as indented JSON."""
+    print(msgspec.json.format(msgspec.json.encode(value), indent=2).decode())
+
+
+def print_table(title: str, header: Sequence[str], rows: Sequence[Sequence]) -> None:
+    """Print rows in columns under a title; nothing but "none" without rows."""
+    print(f"{title}:" if rows else f"{title}: none")
+    if not rows:
+        return
+    lines = [list(header), *[[_cell(each) for each in row] for row in rows]]
+    widths = [max(len(line[at]) for line in lines) for at in range(len(header))]
+    for line in lines:
+        cells = [cell.ljust(width) for cell, width in zip(line, widths)]
+        print("  " + "  ".join(cells).rstrip())
+
+
+def print_unreachable(answers: dict[str, Any]) -> None:
+    """Print the addresses that did not answer."""
+    for answer in answers.values():
+        if isinstance(answer, Unreachable):
+            print(f"not reached: {answer.address} ({answer.reason})")
+
+
+def _cell(value: Any) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.2f}"
+    return str(value)
--- a/pollenlb/connection/control.py
+++ b/pollenlb/connection/control.py
@@ -13,8 +13,15 @@
 from ..process.clock import Deadline, deadline_in, remaining, sleep_until
 from ..process.events import EventLog
 from .control_api import (
-    PROPOSE, RENEW, STATUS, CallStatus, ProposeRequest, RenewAnswer, RenewRequest,
-    StatusAnswer, StatusRequest,
+    PROPOSE,
+    RENEW,
+    STATUS,
+    CallStatus,
+    ProposeRequest,
+    RenewAnswer,
+    RenewRequest,
+    StatusAnswer,
+    StatusRequest,
 )
 from .rpc import RpcChannel
 
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -11,8 +11,17 @@
 from ..durable.leases import EntryInfo
 from ..durable.records import Member
 from ..ids import (
-    Address, BackendServerName, CommandId, JobName, LogIndex, ReplicaId, Revision,
-    ServiceName, StepNumber, Term, WeightVersion,
+    Address,
+    BackendServerName,
+    CommandId,
+    JobName,
+    LogIndex,
+    ReplicaId,
+    Revision,
+    ServiceName,
+    StepNumber,
+    Term,
+    WeightVersion,
 )
 from .rpc import Method
 
@@ -58,12 +67,20 @@
 
 
 class JobView(msgspec.Struct, frozen=True):
-    """What an entry needs to know of a job."""
+    """What an entry needs to know of a job.
+
+    Attributes
+    ----------
+    oldest_step_at_ms : int
+        Wall time at which the oldest open step was submitted, milliseconds
+        since the epoch; 0 without one.
+    """
 
     settings: JobSettings
     trainer_version: WeightVersion
     open_groups: int
     oldest_step: StepNumber
+    oldest_step_at_ms: int
     steps: int
     accepted: int
     delivered: int
--- a/pollenlb/durable/commands.py
+++ b/pollenlb/durable/commands.py
@@ -8,9 +8,22 @@
 import msgspec
 
 from ..ids import (
-    Address, BackendServerName, BatchNumber, BodyDigest, BootId, CommandId,
-    FailureDomain, Fingerprint, GroupIndex, InstanceName, JobName, RequestKey, Revision,
-    ServiceName, StepNumber, WeightVersion,
+    Address,
+    BackendServerName,
+    BatchNumber,
+    BodyDigest,
+    BootId,
+    CommandId,
+    FailureDomain,
+    Fingerprint,
+    GroupIndex,
+    InstanceName,
+    JobName,
+    RequestKey,
+    Revision,
+    ServiceName,
+    StepNumber,
+    WeightVersion,
 )
 
 
--- a/pollenlb/durable/configuration.py
+++ b/pollenlb/durable/configuration.py
@@ -11,7 +11,11 @@
 from ..ids import Revision
 from ..settings.cluster import ClusterSettings
 from .commands import (
-    AnyResult, Change, ChangeConfiguration, ConfigurationChanged, ConfigurationConflict,
+    AnyResult,
+    Change,
+    ChangeConfiguration,
+    ConfigurationChanged,
+    ConfigurationConflict,
     ConfigurationInvalid,
 )
 
--- a/pollenlb/durable/directory.py
+++ b/pollenlb/durable/directory.py
@@ -6,7 +6,12 @@
 
 from ..ids import BackendServerName, ServiceName, WeightVersion
 from .commands import (
-    Announcement, AnnounceServer, AnyResult, Done, ForgetServer, Refused,
+    Announcement,
+    AnnounceServer,
+    AnyResult,
+    Done,
+    ForgetServer,
+    Refused,
     ReleaseVersion,
 )
 
--- a/pollenlb/durable/keys.py
+++ b/pollenlb/durable/keys.py
@@ -6,7 +6,14 @@
 
 from ..ids import BootId, RequestKey
 from .commands import (
-    AnyResult, ClaimKey, Done, KeyClaimed, KeyHeld, KeyRecord, KeyState, Refused,
+    AnyResult,
+    ClaimKey,
+    Done,
+    KeyClaimed,
+    KeyHeld,
+    KeyRecord,
+    KeyState,
+    Refused,
     SettleKey,
 )
 
--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -13,8 +13,16 @@
 from ..ids import Address, LogIndex, ReplicaId, Term
 from ..process.clock import deadline_in, now, remaining, sleep_until
 from .records import (
-    APPEND, SNAPSHOT, AppendAnswer, AppendRequest, EntryKind, JoinRequest, LogEntry,
-    Member, SnapshotRequest, encode_members,
+    APPEND,
+    SNAPSHOT,
+    AppendAnswer,
+    AppendRequest,
+    EntryKind,
+    JoinRequest,
+    LogEntry,
+    Member,
+    SnapshotRequest,
+    encode_members,
 )
 
 if TYPE_CHECKING:
--- a/pollenlb/durable/ledger.py
+++ b/pollenlb/durable/ledger.py
@@ -5,13 +5,36 @@
 import msgspec
 
 from ..ids import (
-    BatchNumber, BodyDigest, BootId, GroupIndex, JobName, StepNumber, WeightVersion,
+    BatchNumber,
+    BodyDigest,
+    BootId,
+    GroupIndex,
+    JobName,
+    StepNumber,
+    WeightVersion,
 )
 from .commands import (
-    AddHolder, AnyResult, Batch, BatchNotReady, BatchSealed, BodyHolder, ClaimedGroup,
-    ClaimGroups, CommitSamples, CreateJob, Done, GroupsClaimed, JobSettings, PullBatch,
-    Refused, ReportMissing, SampleFate, SampleRecord, SamplesCommitted,
-    SetTrainerVersion, SubmitStep,
+    AddHolder,
+    AnyResult,
+    Batch,
+    BatchNotReady,
+    BatchSealed,
+    BodyHolder,
+    ClaimedGroup,
+    ClaimGroups,
+    CommitSamples,
+    CreateJob,
+    Done,
+    GroupsClaimed,
+    JobSettings,
+    PullBatch,
+    Refused,
+    ReportMissing,
+    SampleFate,
+    SampleRecord,
+    SamplesCommitted,
+    SetTrainerVersion,
+    SubmitStep,
 )
 
 
@@ -48,8 +71,15 @@
 
 
 class Step(msgspec.Struct):
-    """Groups of a step that the trainer has not acknowledged."""
+    """Groups of a step that the trainer has not acknowledged.
 
+    Attributes
+    ----------
+    at_ms : int
+        Wall time of the submission, milliseconds since the epoch.
+    """
+
+    at_ms: int
     prompts: BodyDigest
     prompt_holders: list[BodyHolder]
     groups: dict[GroupIndex, Group]
@@ -121,7 +151,7 @@
         job.trainer_version = command.version
         return Done()
 
-    def submit(self, command: SubmitStep) -> AnyResult:
+    def submit(self, command: SubmitStep, at_ms: int) -> AnyResult:
         """Add a step; the same prompts again add holders only."""
         job = self.jobs.get(command.job)
         if job is None:
@@ -136,7 +166,9 @@
             GroupIndex(index): Group([None] * size)
             for index in range(command.group_count)
         }
-        job.steps[command.step] = Step(command.prompts, list(command.holders), groups)
+        job.steps[command.step] = Step(
+            at_ms, command.prompts, list(command.holders), groups
+        )
         job.next_step = StepNumber(command.step + 1)
         return Done()
 
--- a/pollenlb/durable/machine.py
+++ b/pollenlb/durable/machine.py
@@ -9,9 +9,24 @@
 
 from ..ids import LogIndex
 from .commands import (
-    AddHolder, AnnounceServer, AnyResult, ChangeConfiguration, ClaimGroups, ClaimKey,
-    CommitSamples, CreateJob, Done, ForgetServer, LoseHolders, Proposal, PullBatch,
-    ReleaseVersion, ReportMissing, SettleKey, SetTrainerVersion, SubmitStep,
+    AddHolder,
+    AnnounceServer,
+    AnyResult,
+    ChangeConfiguration,
+    ClaimGroups,
+    ClaimKey,
+    CommitSamples,
+    CreateJob,
+    Done,
+    ForgetServer,
+    LoseHolders,
+    Proposal,
+    PullBatch,
+    ReleaseVersion,
+    ReportMissing,
+    SettleKey,
+    SetTrainerVersion,
+    SubmitStep,
 )
 from .configuration import ConfigurationTable
 from .deduplication import CommandTable
@@ -158,7 +173,7 @@
 
 @apply_command.register
 def _(command: SubmitStep, state: State, position: Position) -> AnyResult:
-    return state.ledger.submit(command)
+    return state.ledger.submit(command, position.at_ms)
 
 
 @apply_command.register
--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -20,8 +20,21 @@
 from .election import hold_election
 from .leadership import Leadership
 from .records import (
-    APPEND, JOIN, SNAPSHOT, VOTE, AppendAnswer, AppendRequest, EntryKind, JoinAnswer,
-    JoinRequest, LogEntry, Member, Snapshot, SnapshotRequest, VoteAnswer, VoteRequest,
+    APPEND,
+    JOIN,
+    SNAPSHOT,
+    VOTE,
+    AppendAnswer,
+    AppendRequest,
+    EntryKind,
+    JoinAnswer,
+    JoinRequest,
+    LogEntry,
+    Member,
+    Snapshot,
+    SnapshotRequest,
+    VoteAnswer,
+    VoteRequest,
 )
 from .storage import Storage, first_hard_state
 
--- a/pollenlb/durable/views.py
+++ b/pollenlb/durable/views.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from ..connection.control_api import (
-    ConfigurationView, DirectoryView, JobView, LedgerView,
+    ConfigurationView,
+    DirectoryView,
+    JobView,
+    LedgerView,
 )
 from .ledger import Job
 from .machine import Machine
@@ -40,6 +43,7 @@
         trainer_version=job.trainer_version,
         open_groups=job.open_groups(),
         oldest_step=min(job.steps, default=job.next_step),
+        oldest_step_at_ms=min((step.at_ms for step in job.steps.values()), default=0),
         steps=len(job.steps),
         accepted=job.accepted,
         delivered=job.delivered,
--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -6,12 +6,26 @@
 import time
 
 from ..connection.control_api import (
-    PROPOSE, RENEW, STATUS, CallStatus, EntriesView, ProposeAnswer, ProposeRequest,
-    RenewAnswer, RenewRequest, StatusAnswer, StatusRequest,
+    PROPOSE,
+    RENEW,
+    STATUS,
+    CallStatus,
+    EntriesView,
+    ProposeAnswer,
+    ProposeRequest,
+    RenewAnswer,
+    RenewRequest,
+    StatusAnswer,
+    StatusRequest,
 )
 from ..connection.rpc import RpcServer
 from ..durable.commands import (
-    AnyCommand, AnyResult, ConfigurationChanged, ForgetServer, LoseHolders, Proposal,
+    AnyCommand,
+    AnyResult,
+    ConfigurationChanged,
+    ForgetServer,
+    LoseHolders,
+    Proposal,
 )
 from ..durable.leadership import Leadership
 from ..durable.leases import LeaseTable
--- a/pollenlb/process/events.py
+++ b/pollenlb/process/events.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+import uuid
 from pathlib import Path
 from typing import Any, TextIO
 
@@ -27,14 +29,14 @@
         self._process = process
         self._clock = HybridClock()
         self._file: TextIO | None = None
-        if data_folder is not None:
-            data_folder.mkdir(parents=True, exist_ok=True)
-            path = data_folder / EVENT_FILE
-            self._file = path.open("a", buffering=1, encoding="utf-8")
-        self._logger = eliot.Logger()
-        self._logger._destinations = eliot._output.Destinations()
-        if self._file is not None:
-            self._logger._destinations.add(eliot.FileDestination(file=self._file))
+        if data_folder is None:
+            return
+        data_folder.mkdir(parents=True, exist_ok=True)
+        path = data_folder / EVENT_FILE
+        self._file = path.open("a", buffering=1, encoding="utf-8")
+        self._destination = eliot.FileDestination(file=self._file)
+        self._task = str(uuid.uuid4())
+        self._count = 0
 
     @property
     def clock(self) -> HybridClock:
@@ -53,10 +55,17 @@
         """
         if self._file is None:
             return
-        timestamp = self._clock.tick()
-        message = {"process": self._process, "hlc": str(timestamp), **fields}
-        eliot.Message.new(_serializer=None, message_type=kind, **message).write(
-            self._logger
+        self._count += 1
+        self._destination(
+            {
+                **fields,
+                "message_type": kind,
+                "process": self._process,
+                "hlc": str(self._clock.tick()),
+                "timestamp": time.time(),
+                "task_uuid": self._task,
+                "task_level": [self._count],
+            }
         )
 
     def observe(self, text: str) -> None:
--- a/pollenlb/process/metrics.py
+++ b/pollenlb/process/metrics.py
@@ -48,6 +48,13 @@
         value_us = int(seconds * _MICROSECONDS_PER_SECOND)
         histogram.record_value(max(LEAST_LATENCY_US, min(value_us, MOST_LATENCY_US)))
 
+    def encoded_latencies(self) -> dict[str, str]:
+        """Return the histograms in the HdrHistogram exchange format."""
+        return {
+            name: histogram.encode().decode()
+            for name, histogram in self._latencies.items()
+        }
+
     def exposition(self) -> bytes:
         """Return all counters in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/pollenlb/process/rollouts.py
+++ b/pollenlb/process/rollouts.py
@@ -11,8 +11,16 @@
 
 from ..connection.control_api import JobView
 from ..durable.commands import (
-    AnyCommand, AnyResult, ClaimedGroup, ClaimGroups, CommitSamples, GroupsClaimed,
-    ReportMissing, SampleFate, SampleRecord, SamplesCommitted,
+    AnyCommand,
+    AnyResult,
+    ClaimedGroup,
+    ClaimGroups,
+    CommitSamples,
+    GroupsClaimed,
+    ReportMissing,
+    SampleFate,
+    SampleRecord,
+    SamplesCommitted,
 )
 from ..exceptions import ControlError
 from ..ids import BodyDigest, CommandId, JobName, new_id
--- a/pollenlb/request/api.py
+++ b/pollenlb/request/api.py
@@ -15,7 +15,12 @@
 from ..process.context import EntryContext
 from .caller_request import request_id_of
 from .outcome import (
-    Outcome, Refusal, RefusedError, bad_request, refusal_response, unavailable,
+    Outcome,
+    Refusal,
+    RefusedError,
+    bad_request,
+    refusal_response,
+    unavailable,
 )
 
 T = TypeVar("T")
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -11,7 +11,11 @@
 
 from ..connection.backend import BackendServer
 from ..connection.backend_api import (
-    BOOT_HEADER, DEADLINE_HEADER, LOAD_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER,
+    BOOT_HEADER,
+    DEADLINE_HEADER,
+    LOAD_HEADER,
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
 )
 from ..connection.sessions import ConnectionLostError, SendTracker
 from ..ids import BootId, RequestId
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -14,7 +14,12 @@
 from ..connection.backend import BackendServer
 from ..connection.backend_api import BOOT_HEADER
 from ..connection.engine_api import (
-    COMPLETIONS_PATH, END_MARK, Resume, StreamEvent, completion_body, decode_event,
+    COMPLETIONS_PATH,
+    END_MARK,
+    Resume,
+    StreamEvent,
+    completion_body,
+    decode_event,
 )
 from ..durable.commands import Span
 from ..ids import BackendServerName, BootId, RequestId, ServiceName, WeightVersion
--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -9,13 +9,23 @@
 from ..process.clock import now
 from ..process.context import EntryContext
 from .caller_request import (
-    CallerRequest, RequestBody, read_class, read_deadline, read_key, read_repeatable,
+    CallerRequest,
+    RequestBody,
+    read_class,
+    read_deadline,
+    read_key,
+    read_repeatable,
     request_id_of,
 )
 from .completion import answer_completion
 from .once import run_once
 from .outcome import (
-    Outcome, Refusal, RefusedError, bad_request, refusal_response, unavailable,
+    Outcome,
+    Refusal,
+    RefusedError,
+    bad_request,
+    refusal_response,
+    unavailable,
 )
 from .passthrough import pass_through
 
--- a/pollenlb/request/once.py
+++ b/pollenlb/request/once.py
@@ -7,7 +7,14 @@
 from result import Err, Ok
 
 from ..durable.commands import (
-    ClaimKey, KeyClaimed, KeyHeld, KeyRecord, KeyState, Refused, SettleKey,
+    BodyHolder,
+    ClaimKey,
+    KeyClaimed,
+    KeyHeld,
+    KeyRecord,
+    KeyState,
+    Refused,
+    SettleKey,
 )
 from ..durable.keys import KEY_LIFETIME_MS
 from ..exceptions import CommandInDoubtError, ControlError
@@ -92,7 +99,7 @@
 ) -> None:
     body = _encode(answer)
     digest: BodyDigest | None = None
-    holders = []
+    holders: list[BodyHolder] = []
     if len(body) <= _MOST_ANSWER_BYTES:
         try:
             label = BodyLabel(None, lifetime_s=_LIFETIME_S)
@@ -107,7 +114,7 @@
     context: EntryContext,
     state: KeyState | None,
     answer: BodyDigest | None = None,
-    holders: list | None = None,
+    holders: list[BodyHolder] | None = None,
 ) -> None:
     assert caller.key is not None
     command = SettleKey(caller.key, context.peers.holder, state, answer, holders or [])
--- a/pollenlb/request/operator_api.py
+++ b/pollenlb/request/operator_api.py
@@ -9,8 +9,11 @@
 
 from ..connection.control_api import CallStatus, StatusAnswer
 from ..durable.commands import (
-    ChangeConfiguration, ConfigurationChanged, ConfigurationConflict,
-    ConfigurationInvalid, ReleaseVersion,
+    ChangeConfiguration,
+    ConfigurationChanged,
+    ConfigurationConflict,
+    ConfigurationInvalid,
+    ReleaseVersion,
 )
 from ..ids import Revision, ServiceName, WeightVersion
 from ..process.context import EntryContext
@@ -58,13 +61,20 @@
 
 
 class EntryStatus(msgspec.Struct):
-    """State of this entry."""
+    """State of this entry.
+
+    Attributes
+    ----------
+    latencies : dict
+        Encoded HdrHistogram in microseconds by ``service/class``.
+    """
 
     name: str
     revision: int
     is_leased: bool
     is_draining: bool
     servers: list[ServerStatus]
+    latencies: dict[str, str]
 
 
 class OperatorApi:
@@ -138,6 +148,7 @@
                 context.in_force.is_leased,
                 context.is_draining,
                 servers,
+                context.metrics.encoded_latencies(),
             )
         )
 
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -16,7 +16,11 @@
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailed, send
 from .caller_request import (
-    CLASS_HEADER, KEY_HEADER, REPEATABLE_HEADER, TIMEOUT_HEADER, CallerRequest,
+    CLASS_HEADER,
+    KEY_HEADER,
+    REPEATABLE_HEADER,
+    TIMEOUT_HEADER,
+    CallerRequest,
 )
 from .choice import choose_server
 from .outcome import SERVER_HEADER, Outcome, Refusal, RefusedError
--- a/pollenlb/request/trainer_api.py
+++ b/pollenlb/request/trainer_api.py
@@ -10,8 +10,15 @@
 from result import Err, Ok
 
 from ..durable.commands import (
-    BatchNotReady, BatchSealed, CreateJob, JobSettings, PullBatch, ReportMissing,
-    SampleRecord, SetTrainerVersion, SubmitStep,
+    BatchNotReady,
+    BatchSealed,
+    CreateJob,
+    JobSettings,
+    PullBatch,
+    ReportMissing,
+    SampleRecord,
+    SetTrainerVersion,
+    SubmitStep,
 )
 from ..exceptions import ControlError
 from ..ids import BatchNumber, JobName, ServiceName, StepNumber, WeightVersion
--- a/pollenlb/settings/cluster.py
+++ b/pollenlb/settings/cluster.py
@@ -5,8 +5,18 @@
 import fnmatch
 
 from .options import (
-    Choice, Flag, Integer, ListOf, Name, Number, Option, PathPrefix, Problem, Settings,
-    TableOf, Text,
+    Choice,
+    Flag,
+    Integer,
+    ListOf,
+    Name,
+    Number,
+    Option,
+    PathPrefix,
+    Problem,
+    Settings,
+    TableOf,
+    Text,
 )
 
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
--- a/pollenlb/settings/control.py
+++ b/pollenlb/settings/control.py
@@ -3,7 +3,15 @@
 from __future__ import annotations
 
 from .options import (
-    Folder, Integer, Name, Number, Option, Problem, Settings, SocketAddress, TableOf,
+    Folder,
+    Integer,
+    Name,
+    Number,
+    Option,
+    Problem,
+    Settings,
+    SocketAddress,
+    TableOf,
 )
 
 
--- a/pollenlb/settings/entry.py
+++ b/pollenlb/settings/entry.py
@@ -3,7 +3,15 @@
 from __future__ import annotations
 
 from .options import (
-    Folder, Integer, ListOf, Name, Number, Option, Problem, Settings, SocketAddress,
+    Folder,
+    Integer,
+    ListOf,
+    Name,
+    Number,
+    Option,
+    Problem,
+    Settings,
+    SocketAddress,
 )
 
 
--- a/pollenlb/settings/options.py
+++ b/pollenlb/settings/options.py
@@ -164,15 +164,20 @@
         return value
 
 
-class Number(Integer):
+class Number(Option[float]):
     """A number within bounds, with or without a fraction."""
 
+    def __init__(self, least: float, most: float, default: Any = _REQUIRED) -> None:
+        super().__init__(default)
+        self.least = least
+        self.most = most
+
     @property
     def allowed(self) -> str:  # type: ignore[override]
         """The bounds, for the reference page."""
-        return f"number from {self.least} to {self.most}"
+        return f"number from {self.least:g} to {self.most:g}"
 
-    def check(self, value: Any) -> float:  # type: ignore[override]
+    def check(self, value: Any) -> float:
         """Return the number as a float."""
         is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
         if not is_number or not self.least <= value <= self.most:
--- a/pollenlb/version/orders.py
+++ b/pollenlb/version/orders.py
@@ -79,9 +79,9 @@
 
     async def _give_orders(self, leadership: Leadership) -> None:
         state = self._machine.state
-        checked = ClusterSettings.check(state.configuration.document)
+        services = ClusterSettings.check(state.configuration.document).unwrap().services
         for name, version in list(state.directory.releases.items()):
-            service = checked.ok_value.services.get(name) if checked.is_ok() else None
+            service = services.get(name)
             if service is None or service.kind != "engine":
                 continue
             if self._may_order(service, leadership):
--- /dev/null
+++ b/tests/local_system.py
@@ -0,0 +1,223 @@
+"""A small system within one process, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from pathlib import Path
+
+import aiohttp
+
+from fakes.engine import FakeEngine
+from fakes.plain_service import FakePlainService
+from pollenlb.commands.control import _format
+from pollenlb.process.control import ControlProcess
+from pollenlb.process.entry import EntryProcess
+from pollenlb.settings.control import ControlSettings
+from pollenlb.settings.entry import EntrySettings
+
+DOMAINS = ("north", "centre", "south")
+WAIT_S = 30.0
+POLL_S = 0.01
+
+CONTROL_OPTIONS = {
+    "heartbeat_s": 0.05,
+    "election_timeout_s": 0.3,
+    "lease_s": 1.5,
+    "order_lifetime_s": 0.5,
+}
+ENTRY_OPTIONS = {
+    "probe_interval_s": 0.2,
+    "usable_s": 1.5,
+    "balancer_delay_s": 0.1,
+    "progress_timeout_s": 5.0,
+}
+SERVICES = {
+    "model": {"kind": "engine", "checks_fencing": True, "max_swaps": 10},
+    "shop": {"kind": "plain"},
+}
+ROUTES = {
+    "model": {"service": "model", "path_prefix": "/v1", "repeatable": True},
+    "shop": {"service": "shop", "path_prefix": "/shop", "repeatable": True},
+    "billing": {"service": "shop", "path_prefix": "/billing"},
+}
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    taken = [socket.socket() for _ in range(count)]
+    for each in taken:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in taken]
+    for each in taken:
+        each.close()
+    return ports
+
+
+async def until(condition: Callable[[], object], timeout_s: float = WAIT_S) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(POLL_S)
+
+
+def control_settings(folder: Path, count: int, **options) -> list[ControlSettings]:
+    """Return the settings of the control instances of a new cluster."""
+    ports = free_ports(count)
+    members = {
+        f"control-{i}": {
+            "address": f"127.0.0.1:{ports[i]}",
+            "failure_domain": DOMAINS[i % 3],
+        }
+        for i in range(count)
+    }
+    return [
+        ControlSettings.check(
+            {
+                "name": name,
+                "failure_domain": member["failure_domain"],
+                "listen": member["address"],
+                "data_folder": str(folder / name),
+                "members": members,
+                **CONTROL_OPTIONS,
+                **options,
+            }
+        ).unwrap()
+        for name, member in members.items()
+    ]
+
+
+class LocalSystem:
+    """Control instances, entries and fake backend servers in one event loop.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder of all data folders.
+    controls, entries, engines, plains : int
+        How many of each to start.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        controls: int = 1,
+        entries: int = 2,
+        engines: int = 0,
+        plains: int = 0,
+        engine_options: dict | None = None,
+        entry_options: dict | None = None,
+        services: dict | None = None,
+    ) -> None:
+        self.folder = folder
+        self.counts = (controls, entries, engines, plains)
+        self.engine_options = engine_options or {}
+        self.entry_options = entry_options or {}
+        self.services = services or SERVICES
+        self.controls: list[ControlProcess] = []
+        self.entries: list[EntryProcess] = []
+        self.engines: list[FakeEngine] = []
+        self.plains: list[FakePlainService] = []
+        self.session: aiohttp.ClientSession
+
+    @property
+    def leader(self) -> ControlProcess:
+        """The control process that leads."""
+        return next(each for each in self.controls if each.replica.leadership)
+
+    def url(self, number: int, path: str = "") -> str:
+        """Return a URL of an entry."""
+        return f"http://{self.entries[number].context.own.http}{path}"
+
+    async def start(self) -> None:
+        """Start everything and wait until all backend servers are usable."""
+        controls, entries, engines, plains = self.counts
+        self.session = aiohttp.ClientSession()
+        for settings in control_settings(self.folder, controls):
+            await _format(settings)
+            process = ControlProcess(settings)
+            await process.start()
+            self.controls.append(process)
+        for number in range(entries):
+            await self.add_entry(number)
+        await until(lambda: all(e.context.in_force.is_leased for e in self.entries))
+        await self.set({**_flat("services", self.services), **_flat("routes", ROUTES)})
+        for number in range(engines):
+            await self.add_engine(f"engine-{number}", **self.engine_options)
+        for number in range(plains):
+            await self.add_plain(f"plain-{number}")
+        names = [each.name for each in (*self.engines, *self.plains)]
+        await self.until_usable(names)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await self.session.close()
+        for backend in (*self.engines, *self.plains):
+            await backend.stop()
+        await asyncio.gather(*(each.stop() for each in self.entries))
+        for control in self.controls:
+            await control.stop()
+
+    async def add_entry(self, number: int) -> EntryProcess:
+        """Start an entry."""
+        port, peer_port = free_ports(2)
+        settings = EntrySettings.check(
+            {
+                "name": f"entry-{number}",
+                "failure_domain": DOMAINS[number % 3],
+                "listen": f"127.0.0.1:{port}",
+                "peer_listen": f"127.0.0.1:{peer_port}",
+                "control": [each.replica.settings.listen for each in self.controls],
+                "data_folder": str(self.folder / f"entry-{number}"),
+                **ENTRY_OPTIONS,
+                **self.entry_options,
+            }
+        ).unwrap()
+        process = EntryProcess(settings)
+        await process.start()
+        self.entries.append(process)
+        return process
+
+    async def add_engine(self, name: str, **options) -> FakeEngine:
+        """Start a fake engine."""
+        engine = FakeEngine(name, "model", "north", 0, self._urls(), slots=8, **options)
+        await engine.start()
+        self.engines.append(engine)
+        return engine
+
+    async def add_plain(self, name: str) -> FakePlainService:
+        """Start a fake plain service."""
+        plain = FakePlainService(name, "shop", "north", 0, self._urls(), slots=8)
+        await plain.start()
+        self.plains.append(plain)
+        return plain
+
+    async def until_usable(self, names: list[str]) -> None:
+        """Wait until every entry may use some backend servers."""
+        await until(
+            lambda: all(
+                name in entry.context.directory.servers
+                and entry.context.directory.servers[name].is_usable
+                for entry in self.entries
+                for name in names
+            )
+        )
+
+    async def set(self, changes: dict) -> dict:
+        """Change the configuration."""
+        url = self.url(0, "/pollenlb/v1/operator/configuration")
+        async with self.session.post(url, json={"changes": changes}) as response:
+            assert response.status == 200, await response.text()
+            return await response.json()
+
+    def _urls(self) -> list[str]:
+        return [self.url(number) for number in range(len(self.entries))]
+
+
+def _flat(name: str, tables: dict) -> dict:
+    return {
+        f"{name}.{table}.{key}": value
+        for table, options in tables.items()
+        for key, value in options.items()
+    }
--- /dev/null
+++ b/tests/system/test_bad_input.py
@@ -0,0 +1,92 @@
+"""Bad input gets a clear error and changes nothing."""
+
+from __future__ import annotations
+
+import pytest
+
+JOBS = "/pollenlb/v1/jobs"
+JOB = {
+    "name": "job",
+    "service": "model",
+    "group_size": 2,
+    "batch_groups": 1,
+    "staleness_bound": 1,
+    "max_tokens": 4,
+}
+ANNOUNCE = {
+    "server": "new",
+    "service": "shop",
+    "address": "127.0.0.1:9",
+    "failure_domain": "north",
+    "boot": "b",
+    "slots": 1,
+}
+
+
+@pytest.fixture
+async def system(local_system):
+    return await local_system(entries=2, engines=1, plains=1)
+
+
+async def _post(system, path, headers=None, **options):
+    url = system.url(0, path)
+    async with system.session.post(url, headers=headers, **options) as response:
+        return response.status, (await response.json())["error"]
+
+
+async def test_each_wrong_field_is_named(system):
+    wrong = [
+        (JOBS, {**JOB, "group_size": 0}, "group_size"),
+        (JOBS, {**JOB, "service": "nothing"}, "service"),
+        (JOBS, {**JOB, "scorer": "nothing"}, "scorer"),
+        (JOBS, {**JOB, "surprise": 1}, "body"),
+        ("/pollenlb/v1/announce", {**ANNOUNCE, "address": "here"}, "address"),
+        ("/pollenlb/v1/announce", {**ANNOUNCE, "slots": 0}, "slots"),
+        ("/pollenlb/v1/announce", {**ANNOUNCE, "state": "gone"}, "state"),
+        ("/v1/completions", {"prompt": 3}, "prompt"),
+        ("/v1/completions", {"prompt": "x", "max_tokens": 0}, "max_tokens"),
+        ("/v1/completions", {"prompt": "x", "n": 2}, "n"),
+    ]
+    for path, body, field in wrong:
+        status, error = await _post(system, path, json=body)
+        assert 400 <= status < 500, (path, body, error)
+        assert error["field"] == field, (path, body, error)
+        assert error["outcome"] == "not-run"
+
+
+async def test_wrong_headers_are_named(system):
+    wrong = [
+        ({"Pollenlb-Timeout": "soon"}, "Pollenlb-Timeout"),
+        ({"Pollenlb-Timeout": "-1"}, "Pollenlb-Timeout"),
+        ({"Pollenlb-Timeout": "nan"}, "Pollenlb-Timeout"),
+        ({"Pollenlb-Class": "urgent"}, "Pollenlb-Class"),
+        ({"Pollenlb-Repeatable": "maybe"}, "Pollenlb-Repeatable"),
+        ({"Idempotency-Key": ""}, "Idempotency-Key"),
+    ]
+    for headers, field in wrong:
+        status, error = await _post(system, "/shop", headers=headers)
+        assert (status, error["field"]) == (400, field)
+    assert system.plains[0].executions == {}
+
+
+async def test_an_unknown_path_is_not_run(system):
+    status, error = await _post(system, "/nowhere")
+    assert (status, error["outcome"]) == (404, "not-run")
+
+
+async def test_too_large_a_body_is_refused(local_system):
+    options = {"max_body_bytes": 2048, "replay_body_bytes": 1024}
+    system = await local_system(plains=1, entry_options=options)
+    status, error = await _post(system, "/shop", data=b"x" * 4096)
+    assert (status, error["field"]) == (413, "body")
+    assert system.plains[0].executions == {}
+
+
+async def test_wrong_configuration_changes_nothing(system):
+    before = system.entries[0].context.in_force.revision
+    url = "/pollenlb/v1/operator/configuration"
+    changes = {"routes.shop.timeout_s": -1, "routes.shop.colour": "red"}
+    status, error = await _post(system, url, json={"changes": changes})
+    assert status == 422
+    assert "timeout_s" in error["message"] and "colour" in error["message"]
+    assert system.entries[0].context.in_force.revision == before
