--- a/pollenlb/__main__.py
+++ b/pollenlb/__main__.py
@@ -50,12 +50,18 @@
 
 @dataclass
 class Running:
-    """Show what is running. Example: pollenctl --settings desk.toml running"""
+    """Show what is running.
+
+    Example: pollenctl --settings desk.toml running
+    """
 
 
 @dataclass
 class Late:
-    """Show what is late; exit code 1 if anything is. Example: pollenctl late"""
+    """Show what is late; exit code 1 if anything is.
+
+    Example: pollenctl late
+    """
 
     step_s: Annotated[
         float, cappa.Arg(long="--step-s", help="Age at which an open step is late.")
@@ -64,19 +70,28 @@
 
 @dataclass
 class Changes:
-    """Show accepted changes. Example: pollenctl changes --most 5"""
+    """Show accepted changes.
+
+    Example: pollenctl changes --most 5
+    """
 
     most: Annotated[int, cappa.Arg(long="--most", help="Number of changes.")] = 20
 
 
 @dataclass
 class Status:
-    """Show latencies over all entries. Example: pollenctl status"""
+    """Show latencies over all entries.
+
+    Example: pollenctl status
+    """
 
 
 @dataclass
 class Timeline:
-    """Show events of all processes. Example: pollenctl timeline --about mostrador-1"""
+    """Show events of all processes.
+
+    Example: pollenctl timeline --about mostrador-1
+    """
 
     folders: Annotated[
         list[Path], cappa.Arg(help="Folders instead of those in the settings.")
@@ -92,7 +107,10 @@
 @cappa.command(name="set")
 @dataclass
 class Set:
-    """Set keys. Example: pollenctl set services.mostrador.kind=plain"""
+    """Set keys.
+
+    Example: pollenctl set services.mostrador.kind=plain
+    """
 
     assignments: Annotated[
         list[str], cappa.Arg(help="KEY=VALUE; the value none removes the key.")
@@ -110,7 +128,10 @@
 
 @dataclass
 class Drain:
-    """Give a server no new work. Example: pollenctl drain mostrador-1"""
+    """Give a server no new work.
+
+    Example: pollenctl drain mostrador-1
+    """
 
     server: Annotated[str, cappa.Arg(help="Name of the backend server.")]
     undo: Annotated[bool, cappa.Arg(long="--undo", help="Give it work again.")] = False
@@ -118,7 +139,10 @@
 
 @dataclass
 class Release:
-    """Release weights. Example: pollenctl release afilador-lm 7"""
+    """Release weights.
+
+    Example: pollenctl release afilador-lm 7
+    """
 
     service: Annotated[str, cappa.Arg(help="Name of the service.")]
     version: Annotated[int, cappa.Arg(help="Number of the weight version.")]
@@ -126,7 +150,10 @@
 
 @dataclass
 class Job:
-    """Show a job, or create it. Example: pollenctl job bevel service=afilador-lm"""
+    """Show a job, or create it.
+
+    Example: pollenctl job bevel service=afilador-lm
+    """
 
     name: Annotated[str, cappa.Arg(help="Name of the job.")]
     assignments: Annotated[
--- a/pollenlb/connection/peers.py
+++ b/pollenlb/connection/peers.py
@@ -91,7 +91,7 @@
 
     @property
     def holder(self) -> BodyHolder:
-        """This entry process as a holder of bodies."""
+        """The entry process itself as a holder of bodies."""
         return BodyHolder(self._own.instance, self._own.boot)
 
     @property
--- a/pollenlb/exceptions.py
+++ b/pollenlb/exceptions.py
@@ -30,7 +30,7 @@
 
 
 class NotLeaderError(LogError):
-    """This replica does not lead.
+    """The replica that was asked does not lead.
 
     Parameters
     ----------
