--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from enum import Enum
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 import msgspec
 from result import Err, Ok
@@ -38,6 +38,9 @@
 )
 from .storage import Storage, first_hard_state
 
+Q = TypeVar("Q")
+A = TypeVar("A")
+
 _JOIN_TIMEOUT_S = 5.0
 
 
@@ -171,10 +174,10 @@
 
     def offer(self, server: RpcServer) -> None:
         """Answer the other replicas' calls on a server."""
-        server.offer(VOTE, self._answer_vote)
-        server.offer(APPEND, self._answer_append)
-        server.offer(SNAPSHOT, self._answer_snapshot)
-        server.offer(JOIN, self._answer_join)
+        server.offer(VOTE, self._ending_on_error(self._answer_vote))
+        server.offer(APPEND, self._ending_on_error(self._answer_append))
+        server.offer(SNAPSHOT, self._ending_on_error(self._answer_snapshot))
+        server.offer(JOIN, self._ending_on_error(self._answer_join))
 
     def start(self) -> None:
         """Restore the state and begin to take part."""
@@ -296,6 +299,18 @@
         ):
             self._start_snapshot()
 
+    def _ending_on_error(
+        self, handler: Callable[[Q], Awaitable[A]]
+    ) -> Callable[[Q], Awaitable[A]]:
+        async def answer(request: Q) -> A:
+            try:
+                return await handler(request)
+            except Exception as error:
+                self.fail(error)
+                raise
+
+        return answer
+
     def _restore(self) -> None:
         snapshot = self._storage.snapshot
         if snapshot.index:
