--- /dev/null
+++ b/tests/durable/test_storage.py
@@ -0,0 +1,173 @@
+"""The log of one replica over restarts, torn writes and damage."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import tempfile
+from pathlib import Path
+
+import pytest
+from hypothesis import given, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from pollenlb.durable.records import EntryKind, LogEntry, Snapshot
+from pollenlb.durable.storage import Storage, first_hard_state
+from pollenlb.exceptions import StorageDamagedError, StorageError
+
+
+def _entry(term: int, index: int) -> LogEntry:
+    payload = b"%d/%d" % (term, index)
+    return LogEntry(term, index, EntryKind.COMMAND, payload)
+
+
+def _filled(folder: Path, batches: list[int]) -> None:
+    storage = Storage(folder)
+    storage.open()
+    index = 0
+    for size in batches:
+        entries = [_entry(1, index + 1 + each) for each in range(size)]
+        asyncio.run(storage.append(entries))
+        index += size
+    storage.close()
+
+
+def _opened(folder: Path) -> Storage:
+    storage = Storage(folder)
+    storage.open()
+    return storage
+
+
+@given(batches=st.lists(st.integers(1, 4), min_size=1, max_size=5), data=st.data())
+def test_a_torn_tail_is_cut_and_no_more(batches, data):
+    with tempfile.TemporaryDirectory() as folder:
+        _filled(Path(folder), batches)
+        log = Path(folder) / "log"
+        content = log.read_bytes()
+        _filled(Path(folder) / "shorter", batches[:-1])
+        kept_bytes = len((Path(folder) / "shorter" / "log").read_bytes())
+        log.write_bytes(content[: data.draw(st.integers(kept_bytes, len(content) - 1))])
+        storage = _opened(Path(folder))
+        assert storage.last_index == sum(batches[:-1])
+        asyncio.run(storage.append([_entry(2, storage.last_index + 1)]))
+        storage.close()
+        assert _opened(Path(folder)).last_term == 2
+
+
+@given(batches=st.lists(st.integers(1, 4), min_size=2, max_size=5), data=st.data())
+def test_damage_before_the_last_record_stops(batches, data):
+    with tempfile.TemporaryDirectory() as folder:
+        _filled(Path(folder), batches)
+        _filled(Path(folder) / "shorter", batches[:-1])
+        most = len((Path(folder) / "shorter" / "log").read_bytes()) - 1
+        log = Path(folder) / "log"
+        content = bytearray(log.read_bytes())
+        content[data.draw(st.integers(0, most))] ^= 0xFF
+        log.write_bytes(bytes(content))
+        with pytest.raises(StorageDamagedError, match="damaged"):
+            _opened(Path(folder))
+
+
+@pytest.mark.parametrize("name", ["replica", "snapshot"])
+def test_a_damaged_file_stops_with_its_name(tmp_path, name):
+    storage = _opened(tmp_path)
+    asyncio.run(storage.save_hard_state(first_hard_state("r", "c")))
+    asyncio.run(storage.append([_entry(1, 1)]))
+    asyncio.run(storage.save_snapshot(Snapshot(1, 1, [], b"state")))
+    storage.close()
+    path = tmp_path / name
+    content = bytearray(path.read_bytes())
+    content[-1] ^= 0xFF
+    path.write_bytes(bytes(content))
+    with pytest.raises(StorageDamagedError, match=name):
+        _opened(tmp_path)
+
+
+def test_nothing_is_written_after_a_failed_sync(tmp_path):
+    is_failing = False
+
+    def sync(descriptor: int) -> None:
+        if is_failing:
+            raise OSError("no space left")
+
+    storage = Storage(tmp_path, sync)
+    storage.open()
+    asyncio.run(storage.append([_entry(1, 1)]))
+    is_failing = True
+    with pytest.raises(StorageError, match="no space left"):
+        asyncio.run(storage.append([_entry(1, 2)]))
+    is_failing = False
+    with pytest.raises(StorageError, match="no space left"):
+        asyncio.run(storage.append([_entry(1, 2)]))
+    assert storage.last_index == 1
+
+
+class StorageComparison(RuleBasedStateMachine):
+    """Compares a storage with a plain list over appends, cuts and restarts."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.folder = Path(tempfile.mkdtemp())
+        self.loop = asyncio.new_event_loop()
+        self.entries: list[LogEntry] = []
+        self.base = 0
+        self.term = 1
+
+    @initialize()
+    def open(self) -> None:
+        self.storage = _opened(self.folder)
+
+    @rule(size=st.integers(1, 3))
+    def append(self, size: int) -> None:
+        first = self.base + len(self.entries) + 1
+        new = [_entry(self.term, first + each) for each in range(size)]
+        self.loop.run_until_complete(self.storage.append(new))
+        self.entries += new
+
+    @rule(back=st.integers(0, 3))
+    def truncate(self, back: int) -> None:
+        kept = max(0, len(self.entries) - back)
+        index = self.base + kept + 1
+        self.loop.run_until_complete(self.storage.truncate_from(index))
+        del self.entries[kept:]
+        self.term += 1
+
+    @rule(back=st.integers(0, 3))
+    def snapshot(self, back: int) -> None:
+        position = len(self.entries) - back
+        if position <= 0:
+            return
+        last = self.entries[position - 1]
+        snapshot = Snapshot(last.term, last.index, [], b"state")
+        self.loop.run_until_complete(self.storage.save_snapshot(snapshot))
+        del self.entries[:position]
+        self.base = last.index
+
+    @rule(ahead=st.integers(1, 5))
+    def receive_snapshot(self, ahead: int) -> None:
+        index = self.base + len(self.entries) + ahead
+        snapshot = Snapshot(self.term, index, [], b"received")
+        self.loop.run_until_complete(self.storage.save_snapshot(snapshot))
+        self.entries.clear()
+        self.base = index
+
+    @rule()
+    def restart(self) -> None:
+        self.storage.close()
+        self.storage = _opened(self.folder)
+
+    @invariant()
+    def same(self) -> None:
+        if not hasattr(self, "storage"):
+            return
+        assert self.storage.first_index == self.base + 1
+        found = self.storage.entries_from(self.storage.first_index, 1000)
+        assert found == self.entries
+
+    def teardown(self) -> None:
+        self.storage.close()
+        self.loop.close()
+        shutil.rmtree(self.folder)
+
+
+TestStorageComparison = StorageComparison.TestCase
