Calls on a closing channel fail instead of cancelling the tasks that wait

Found by test_an_isolated_entry_stops_before_a_change_is_accepted, which hung: the entry never renewed its lease again after a cut. Cause: closing a gRPC channel cancels its calls, and the await raises CancelledError in the task that waits, which ended the renewals for good; a call whose deadline passes reopens the channel and so cancelled other calls on it too. Ruled out: the relay (bytes passed again after healing). test_rpc.py failed before (hang) and passes now.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -44,6 +44,7 @@
     control_options: dict = field(default_factory=dict)
     entry_options: dict = field(default_factory=dict)
     token_s: float = 0.01
+    work_s: float = 0.005
     slots: int = 8
 
 
@@ -231,6 +232,7 @@
                         "--balancer", self.balancer,
                         "--slots", str(self.plan.slots),
                         "--token-s", str(self.plan.token_s),
+                        "--work-s", str(self.plan.work_s),
                         "--log", str(self.plan.folder / f"{name}.tokens"),
                     ]  # fmt: skip
 
--- a/fakes/__main__.py
+++ b/fakes/__main__.py
@@ -25,6 +25,7 @@
     parser.add_argument("--entries", default="")
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--token-s", type=float, default=0.01)
+    parser.add_argument("--work-s", type=float, default=0.005)
     parser.add_argument("--log", type=Path)
     asyncio.run(_run(parser.parse_args()))
 
@@ -54,7 +55,7 @@
     )
     if arguments.kind == "engine":
         return FakeEngine(*common, token_s=arguments.token_s)
-    return FakePlainService(*common)
+    return FakePlainService(*common, work_s=arguments.work_s)
 
 
 if __name__ == "__main__":
--- a/fakes/backend.py
+++ b/fakes/backend.py
@@ -39,6 +39,7 @@
         self.service = service
         self.failure_domain = failure_domain
         self.port = port
+        self.announced_port: int | None = None
         self.balancer = balancer
         self.slots = slots
         self.boot = secrets.token_hex(4)
@@ -52,7 +53,9 @@
 
     async def start(self) -> None:
         """Listen and announce."""
-        self._runner = web.AppRunner(self.application, access_log=None)
+        self._runner = web.AppRunner(
+            self.application, access_log=None, shutdown_timeout=0
+        )
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", self.port)
         await site.start()
@@ -66,6 +69,14 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def kill(self) -> None:
+        """Stop as a crash would: connections break, the port is closed."""
+        assert self._runner is not None and self._runner.server is not None
+        for connection in list(self._runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await self.stop()
+
     async def leave(self) -> None:
         """Say that it is leaving."""
         self.state = "leaving"
@@ -101,7 +112,7 @@
         body = {
             "server": self.name,
             "service": self.service,
-            "address": f"127.0.0.1:{self.port}",
+            "address": f"127.0.0.1:{self.announced_port or self.port}",
             "failure_domain": self.failure_domain,
             "boot": self.boot,
             "slots": self.slots,
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -57,12 +57,12 @@
         try:
             async with self._slots:
                 if body["prompt"] == CRASH_PROMPT:
-                    self.crash()
+                    await self.crash()
                 return await self._stream(request, body)
         finally:
             self.in_flight -= 1
 
-    def crash(self) -> None:
+    async def crash(self) -> None:
         """End the process as a crash would."""
         os._exit(1)
 
--- a/fakes/plain_service.py
+++ b/fakes/plain_service.py
@@ -23,6 +23,7 @@
         super().__init__(*args, **options)
         self.work_s = work_s
         self.executions: dict[str, int] = {}
+        self.started = asyncio.Event()
         self.gate = asyncio.Event()
         self.gate.set()
         router = self.application.router
@@ -37,6 +38,7 @@
             body = await request.read()
             key = request.headers.get("Idempotency-Key", request.path_qs)
             self.executions[key] = self.executions.get(key, 0) + 1
+            self.started.set()
             await self.gate.wait()
             await asyncio.sleep(self.work_s)
             answer = {
--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -12,7 +12,7 @@
 from ..process.clock import Deadline, deadline_in, now, sleep_until
 from ..process.events import EventLog
 from ..settings.entry import EntrySettings
-from .backend_api import PROBE_PATH, decode_probe
+from .backend_api import PROBE_PATH, ProbeAnswer, decode_probe
 from .sessions import ConnectionLostError
 
 _LATENCY_WEIGHT = 0.2
@@ -135,6 +135,17 @@
         self._usable_until = Deadline(0.0)
         self._note_usability()
 
+    async def has_crashed(self, boot: BootId) -> bool:
+        """Tell whether the process with a boot id is gone.
+
+        Parameters
+        ----------
+        boot : BootId
+            Boot id at the time the connection broke.
+        """
+        answer = await self._ask()
+        return answer is None or answer.boot != boot
+
     async def _probe(self) -> None:
         while True:
             started_at = now()
@@ -143,15 +154,9 @@
             await sleep_until(Deadline(started_at + self._settings.probe_interval_s))
 
     async def _probe_once(self) -> None:
-        timeout = aiohttp.ClientTimeout(total=self._settings.probe_interval_s)
         sent_at = now()
-        try:
-            url = self.url + PROBE_PATH
-            async with self._session.get(url, timeout=timeout) as response:
-                if response.status != 200:
-                    return
-                answer = decode_probe(await response.read())
-        except (*_PROBE_ERRORS, msgspec.MsgspecError):
+        answer = await self._ask()
+        if answer is None:
             return
         if answer.state is ServerState.LEAVING:
             self._leave()
@@ -163,6 +168,15 @@
         self._note_load(answer.in_flight)
         self._usable_until = Deadline(sent_at + self._settings.usable_s)
 
+    async def _ask(self) -> ProbeAnswer | None:
+        timeout = aiohttp.ClientTimeout(total=self._settings.probe_interval_s)
+        try:
+            url = self.url + PROBE_PATH
+            async with self._session.get(url, timeout=timeout) as response:
+                return decode_probe(await response.read())
+        except (*_PROBE_ERRORS, msgspec.MsgspecError):
+            return None
+
     def _note_load(self, reported: int) -> None:
         self._reported = reported
         self._own_at_report = self.in_flight
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -14,6 +14,7 @@
     Address,
     BackendServerName,
     CommandId,
+    Fingerprint,
     JobName,
     LogIndex,
     ReplicaId,
@@ -94,6 +95,19 @@
     jobs: dict[JobName, JobView]
 
 
+class QuarantineView(msgspec.Struct, frozen=True):
+    """Requests that crashed a backend server, or ran beside one that did.
+
+    Attributes
+    ----------
+    suspects : dict
+        Whether the request is refused, by fingerprint.
+    """
+
+    version: int
+    suspects: dict[Fingerprint, bool]
+
+
 class EntriesView(msgspec.Struct, frozen=True):
     """The entry processes with a live lease."""
 
@@ -108,7 +122,7 @@
     ----------
     revision : Revision
         Configuration revision that the entry has in force.
-    directory, ledger, entries : int
+    directory, ledger, quarantine, entries : int
         Versions of the views that the entry has.
     announced : list
         Backend servers that announced themselves since the last renewal.
@@ -120,6 +134,7 @@
     revision: Revision
     directory: int
     ledger: int
+    quarantine: int
     entries: int
     announced: list[BackendServerName]
     wait_s: float
@@ -140,6 +155,7 @@
     configuration: ConfigurationView | None = None
     directory: DirectoryView | None = None
     ledger: LedgerView | None = None
+    quarantine: QuarantineView | None = None
     entries: EntriesView | None = None
 
 
@@ -172,6 +188,7 @@
     servers: list[Announcement]
     releases: dict[ServiceName, WeightVersion]
     jobs: dict[JobName, JobView]
+    suspects: dict[Fingerprint, bool]
 
 
 PROPOSE = Method(_SERVICE, "Propose", ProposeRequest, ProposeAnswer)
--- a/pollenlb/connection/rpc.py
+++ b/pollenlb/connection/rpc.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any, Generic, TypeVar
 
@@ -125,6 +126,12 @@
             return Err(CallFailed(f"{error.code().name}: {error.details()}"))
         except grpc.aio.UsageError as error:
             return Err(CallFailed(f"channel closed: {error}"))
+        except asyncio.CancelledError:
+            # A channel that closes cancels its calls, not the tasks that wait.
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            return Err(CallFailed("channel closed"))
 
     async def close(self) -> None:
         """Close the connection."""
--- a/pollenlb/durable/commands.py
+++ b/pollenlb/durable/commands.py
@@ -26,6 +26,8 @@
     WeightVersion,
 )
 
+_NEWEST_VERSION = WeightVersion(2**62)
+
 
 class Command(msgspec.Struct, frozen=True, tag=True):
     """Base of all commands."""
@@ -317,8 +319,9 @@
 
     @property
     def oldest_version(self) -> WeightVersion:
-        """Oldest version that produced a token."""
-        return min(span.version for span in self.spans)
+        """Oldest version that produced a token; the newest there is without any."""
+        versions = (span.version for span in self.spans)
+        return min(versions, default=_NEWEST_VERSION)
 
 
 class CommitSamples(Command, frozen=True):
@@ -402,6 +405,61 @@
     holder: BodyHolder
 
 
+class ReportCrash(Command, frozen=True):
+    """Tells that a backend server crashed while a request ran there."""
+
+    fingerprint: Fingerprint
+    server: BackendServerName
+    boot: BootId
+
+
+class CrashReported(CommandResult, frozen=True):
+    """Tells whether the request is refused from now on."""
+
+    is_condemned: bool
+
+
+class StartTrial(Command, frozen=True):
+    """Asks to run a suspect at a backend server."""
+
+    fingerprint: Fingerprint
+    server: BackendServerName
+    holder: BodyHolder
+
+
+class TrialStarted(CommandResult, frozen=True):
+    """The request may run.
+
+    Attributes
+    ----------
+    is_needed : bool
+        False when it is no suspect any more.
+    """
+
+    is_needed: bool
+
+
+class TrialEnd(Enum):
+    """How a trial ended."""
+
+    CLEARED = "cleared"
+    OPEN = "open"
+
+
+class EndTrial(Command, frozen=True):
+    """Ends a trial in which the backend server did not crash."""
+
+    fingerprint: Fingerprint
+    holder: BodyHolder
+    end: TrialEnd
+
+
+class Pardon(Command, frozen=True):
+    """Forgets what a request did, by an operator's decision."""
+
+    fingerprint: Fingerprint
+
+
 AnyCommand = (
     ChangeConfiguration
     | AnnounceServer
@@ -418,6 +476,10 @@
     | LoseHolders
     | ReportMissing
     | AddHolder
+    | ReportCrash
+    | StartTrial
+    | EndTrial
+    | Pardon
 )
 AnyResult = (
     Done
@@ -431,6 +493,8 @@
     | SamplesCommitted
     | BatchSealed
     | BatchNotReady
+    | CrashReported
+    | TrialStarted
 )
 
 
--- a/pollenlb/durable/leases.py
+++ b/pollenlb/durable/leases.py
@@ -29,6 +29,25 @@
     failure_domain: FailureDomain
 
 
+class InForceAt(msgspec.Struct, frozen=True):
+    """How far an entry has put changes in force.
+
+    Attributes
+    ----------
+    revision : Revision
+        Revision of the configuration.
+    quarantine : int
+        Version of the quarantine.
+    """
+
+    revision: Revision = Revision(0)
+    quarantine: int = 0
+
+    def covers(self, other: InForceAt) -> bool:
+        """Whether all that another one has in force is in force here too."""
+        return self.revision >= other.revision and self.quarantine >= other.quarantine
+
+
 class Lease(msgspec.Struct):
     """What a leader granted to one entry process.
 
@@ -37,13 +56,13 @@
     expires_at : float
         Monotonic seconds of the leader at which no clock within the stated
         drift still counts the lease as valid.
-    revision : Revision
-        Configuration revision that the entry has in force.
+    in_force : InForceAt
+        What the entry has in force.
     """
 
     entry: EntryInfo
     expires_at: Deadline
-    revision: Revision
+    in_force: InForceAt
 
 
 class LeaseTable:
@@ -76,7 +95,7 @@
         return self._unknown_until
 
     async def renew(
-        self, entry: EntryInfo, revision: Revision, quorum_contact_at: float
+        self, entry: EntryInfo, in_force: InForceAt, quorum_contact_at: float
     ) -> float:
         """Extend an entry's lease and return its length in seconds.
 
@@ -84,8 +103,8 @@
         ----------
         entry : EntryInfo
             The entry process.
-        revision : Revision
-            Configuration revision that it has in force.
+        in_force : InForceAt
+            What it has in force.
         quorum_contact_at : float
             Monotonic time at which a quorum last followed this leader.
         """
@@ -93,7 +112,7 @@
         if left_s <= 0:
             return 0.0
         expires_at = Deadline(quorum_contact_at + self._guarded_s)
-        self._leases[entry.boot] = Lease(entry, expires_at, revision)
+        self._leases[entry.boot] = Lease(entry, expires_at, in_force)
         async with self._changed:
             self._changed.notify_all()
         return left_s
@@ -113,17 +132,17 @@
             del self._leases[entry.boot]
         return expired
 
-    async def wait_in_force(self, revision: Revision, deadline: Deadline) -> None:
-        """Return once every entry with a live lease has a revision in force.
+    async def wait_in_force(self, change: InForceAt, deadline: Deadline) -> None:
+        """Return once every entry with a live lease has a change in force.
 
         Raises
         ------
         ControlError
             When the deadline passes before.
         """
-        while (behind := self._behind(revision)) > 0:
+        while (behind := self._behind(change)) > 0:
             if not remaining(deadline):
-                raise ControlError(f"revision {revision} is not in force everywhere")
+                raise ControlError("a change is not in force everywhere in time")
             try:
                 async with asyncio.timeout(min(behind, remaining(deadline)) + 0.001):
                     async with self._changed:
@@ -131,12 +150,12 @@
             except TimeoutError:
                 continue
 
-    def _behind(self, revision: Revision) -> float:
+    def _behind(self, change: InForceAt) -> float:
         moment = now()
         waits = [self._unknown_until - moment]
         waits += [
             lease.expires_at - moment
             for lease in self._leases.values()
-            if lease.revision < revision
+            if not lease.in_force.covers(change)
         ]
         return max(waits)
--- a/pollenlb/durable/machine.py
+++ b/pollenlb/durable/machine.py
@@ -18,14 +18,18 @@
     CommitSamples,
     CreateJob,
     Done,
+    EndTrial,
     ForgetServer,
     LoseHolders,
+    Pardon,
     Proposal,
     PullBatch,
     ReleaseVersion,
+    ReportCrash,
     ReportMissing,
     SettleKey,
     SetTrainerVersion,
+    StartTrial,
     SubmitStep,
 )
 from .configuration import ConfigurationTable
@@ -33,6 +37,7 @@
 from .directory import Directory
 from .keys import KeyTable
 from .ledger import Ledger
+from .quarantine import Quarantine
 
 
 class State(msgspec.Struct):
@@ -44,6 +49,7 @@
     directory: Directory = msgspec.field(default_factory=Directory)
     keys: KeyTable = msgspec.field(default_factory=KeyTable)
     ledger: Ledger = msgspec.field(default_factory=Ledger)
+    quarantine: Quarantine = msgspec.field(default_factory=Quarantine)
     commands: CommandTable = msgspec.field(default_factory=CommandTable)
 
 
@@ -196,6 +202,7 @@
     boots = set(command.boots)
     state.keys.lose_holders(boots)
     state.ledger.lose_holders(boots)
+    state.quarantine.lose_holders(boots)
     return Done()
 
 
@@ -209,6 +216,26 @@
     return state.ledger.add_holder(command)
 
 
+@apply_command.register
+def _(command: ReportCrash, state: State, position: Position) -> AnyResult:
+    return state.quarantine.report(command, position.at_ms)
+
+
+@apply_command.register
+def _(command: StartTrial, state: State, position: Position) -> AnyResult:
+    return state.quarantine.start_trial(command)
+
+
+@apply_command.register
+def _(command: EndTrial, state: State, position: Position) -> AnyResult:
+    return state.quarantine.end_trial(command)
+
+
+@apply_command.register
+def _(command: Pardon, state: State, position: Position) -> AnyResult:
+    return state.quarantine.pardon(command)
+
+
 _TOUCHED: dict[type, tuple[str, ...]] = {
     ChangeConfiguration: ("configuration",),
     AnnounceServer: ("directory",),
@@ -222,4 +249,7 @@
     PullBatch: ("ledger",),
     LoseHolders: ("ledger",),
     ReportMissing: ("ledger",),
+    ReportCrash: ("quarantine",),
+    EndTrial: ("quarantine",),
+    Pardon: ("quarantine",),
 }
--- a/pollenlb/durable/views.py
+++ b/pollenlb/durable/views.py
@@ -7,6 +7,7 @@
     DirectoryView,
     JobView,
     LedgerView,
+    QuarantineView,
 )
 from .ledger import Job
 from .machine import Machine
@@ -37,6 +38,15 @@
     )
 
 
+def quarantine_view(machine: Machine) -> QuarantineView:
+    """Return the suspects and which of them are refused."""
+    suspects = machine.state.quarantine.suspects
+    return QuarantineView(
+        machine.version_of("quarantine"),
+        {name: suspect.is_condemned for name, suspect in suspects.items()},
+    )
+
+
 def _job_view(job: Job) -> JobView:
     return JobView(
         settings=job.settings,
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -9,7 +9,7 @@
 
 from ..connection.backend import BackendServer
 from ..connection.control import ControlConnection
-from ..connection.control_api import LedgerView
+from ..connection.control_api import LedgerView, QuarantineView
 from ..connection.directory import BackendDirectory
 from ..connection.peers import Peers
 from ..durable.leases import EntryInfo
@@ -17,6 +17,7 @@
 from ..settings.entry import EntrySettings
 from ..version.configuration import InForce
 from .bodies import BodyStore
+from .budget import RetryBudget
 from .events import EventLog
 from .metrics import Metrics
 
@@ -29,6 +30,10 @@
     ----------
     ledger : LedgerView
         Latest view of the rollout jobs.
+    quarantine : QuarantineView
+        Latest view of the requests that crashed backend servers.
+    budgets : dict
+        Retry budget by service.
     announced : set of BackendServerName
         Backend servers that announced themselves since the last renewal.
     is_draining : bool
@@ -48,6 +53,8 @@
     bodies: BodyStore
     peers: Peers
     ledger: LedgerView
+    quarantine: QuarantineView
+    budgets: dict[ServiceName, RetryBudget]
     announced: set[BackendServerName]
     is_draining: bool = False
 
@@ -57,3 +64,9 @@
         drained = settings.drained if settings is not None else ()
         servers = self.directory.usable(service)
         return [each for each in servers if each.name not in drained]
+
+    def budget(self, service: ServiceName) -> RetryBudget:
+        """Return the retry budget of a service."""
+        if service not in self.budgets:
+            self.budgets[service] = RetryBudget()
+        return self.budgets[service]
--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -23,18 +23,24 @@
     AnyCommand,
     AnyResult,
     ConfigurationChanged,
+    CrashReported,
     ForgetServer,
     LoseHolders,
     Proposal,
 )
 from ..durable.leadership import Leadership
-from ..durable.leases import LeaseTable
+from ..durable.leases import InForceAt, LeaseTable
 from ..durable.machine import Machine, encode_proposal
 from ..durable.replica import Replica
 from ..durable.storage import Storage
-from ..durable.views import configuration_view, directory_view, ledger_view
+from ..durable.views import (
+    configuration_view,
+    directory_view,
+    ledger_view,
+    quarantine_view,
+)
 from ..exceptions import CommitInDoubtError, ControlError, LogError, NotLeaderError
-from ..ids import Address, BackendServerName, CommandId, Revision, Term
+from ..ids import Address, BackendServerName, CommandId, Term
 from ..settings.control import ControlSettings
 from ..version.orders import OrderIssuer
 from .clock import deadline_in, now, sleep_until
@@ -148,19 +154,23 @@
         try:
             duties = self._current_duties()
             result = await self.execute(request.command, request.command_id)
-            if isinstance(result, ConfigurationChanged):
-                await self._wait_in_force(duties, result.revision)
+            await self._wait_in_force(duties, result)
         except NotLeaderError as error:
             return ProposeAnswer(CallStatus.NOT_LEADER, Address(error.leader))
         except (CommitInDoubtError, ControlError):
             return ProposeAnswer(CallStatus.IN_DOUBT)
         return ProposeAnswer(CallStatus.DONE, result=result)
 
-    async def _wait_in_force(self, duties: TermDuties, revision: Revision) -> None:
-        self._events.record("configuration.accepted", revision=revision)
-        deadline = deadline_in(_IN_FORCE_TIMEOUT_S)
-        await duties.leases.wait_in_force(revision, deadline)
-        self._events.record("configuration.in_force", revision=revision)
+    async def _wait_in_force(self, duties: TermDuties, result: AnyResult) -> None:
+        if isinstance(result, ConfigurationChanged):
+            change = InForceAt(revision=result.revision)
+        elif isinstance(result, CrashReported):
+            change = InForceAt(quarantine=self._machine.version_of("quarantine"))
+        else:
+            return
+        self._events.record("change.accepted", result=str(result))
+        await duties.leases.wait_in_force(change, deadline_in(_IN_FORCE_TIMEOUT_S))
+        self._events.record("change.in_force", result=str(result))
 
     async def _renew(self, request: RenewRequest) -> RenewAnswer:
         try:
@@ -175,7 +185,7 @@
     async def _note_entry(self, duties: TermDuties, request: RenewRequest) -> None:
         known = {lease.entry for lease in duties.leases.live()}
         contact_at = duties.leadership.quorum_contact_at
-        await duties.leases.renew(request.entry, request.revision, contact_at)
+        await duties.leases.renew(request.entry, _in_force_at(request), contact_at)
         for server in request.announced:
             duties.announced_at[server] = now()
         if request.entry not in known:
@@ -196,6 +206,7 @@
             request.revision < self._machine.state.configuration.revision
             or request.directory < self._machine.version_of("directory")
             or request.ledger < self._machine.version_of("ledger")
+            or request.quarantine < self._machine.version_of("quarantine")
             or request.entries < self._entries_version
         )
 
@@ -203,7 +214,8 @@
         if self._replica.leadership is not duties.leadership:
             return RenewAnswer(CallStatus.NOT_LEADER, self._replica.leader_address)
         contact_at = duties.leadership.quorum_contact_at
-        lease_s = await duties.leases.renew(request.entry, request.revision, contact_at)
+        in_force = _in_force_at(request)
+        lease_s = await duties.leases.renew(request.entry, in_force, contact_at)
         machine = self._machine
         revision = machine.state.configuration.revision
         return RenewAnswer(
@@ -223,6 +235,11 @@
                 if request.ledger < machine.version_of("ledger")
                 else None
             ),
+            quarantine=(
+                quarantine_view(machine)
+                if request.quarantine < machine.version_of("quarantine")
+                else None
+            ),
             entries=(
                 self._entries_view(duties)
                 if request.entries < self._entries_version
@@ -266,6 +283,7 @@
             servers=list(state.directory.servers.values()),
             releases=state.directory.releases,
             jobs=ledger_view(self._machine).jobs,
+            suspects=quarantine_view(self._machine).suspects,
         )
 
     async def _take_care(self) -> None:
@@ -291,7 +309,8 @@
             return
         live = {lease.entry.boot for lease in duties.leases.live()}
         state = self._machine.state
-        ended = (state.keys.boots() | state.ledger.boots()) - live
+        named = state.keys.boots() | state.ledger.boots() | state.quarantine.boots()
+        ended = named - live
         if ended:
             await self.execute(LoseHolders(sorted(ended)))
 
@@ -303,3 +322,7 @@
             if now() > last + self._settings.forget_after_s:
                 self._events.record("server.forgotten", server=announcement.server)
                 await self.execute(ForgetServer(announcement.server, announcement.boot))
+
+
+def _in_force_at(request: RenewRequest) -> InForceAt:
+    return InForceAt(request.revision, request.quarantine)
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from ..connection.control import ControlConnection
-from ..connection.control_api import LedgerView
+from ..connection.control_api import LedgerView, QuarantineView
 from ..connection.directory import BackendDirectory
 from ..connection.peers import Peers
 from ..connection.rpc import RpcServer
@@ -154,5 +154,7 @@
         bodies=bodies,
         peers=Peers(own, bodies, events, rng),
         ledger=LedgerView(-1, {}),
+        quarantine=QuarantineView(-1, {}),
+        budgets={},
         announced=set(),
     )
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -62,6 +62,7 @@
             revision=context.in_force.revision,
             directory=context.directory.version,
             ledger=context.ledger.version,
+            quarantine=context.quarantine.version,
             entries=context.peers.version,
             announced=sorted(context.announced),
             wait_s=_WAIT_S if is_current else 0.0,
@@ -76,6 +77,8 @@
                 )
         if answer.directory is not None:
             context.directory.apply(answer.directory)
+        if answer.quarantine is not None:
+            context.quarantine = answer.quarantine
         if answer.entries is not None:
             context.peers.apply(answer.entries)
         if answer.ledger is not None:
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
 
@@ -81,6 +82,7 @@
     server: BackendServer,
     session: aiohttp.ClientSession,
     settings: EntrySettings,
+    head_deadline: Deadline | None = None,
 ) -> Result[Answer, AttemptFailed]:
     """Send a request to a backend server and wait for the head of its answer.
 
@@ -94,19 +96,23 @@
         Connections to use.
     settings : EntrySettings
         Timeouts.
+    head_deadline : Deadline or None
+        When to give up waiting for the head; None for the request's deadline.
     """
     tracker = SendTracker()
+    head_s = remaining(head_deadline or attempt.deadline)
     try:
-        response = await session.request(
-            attempt.method,
-            server.url + attempt.path,
-            headers=_headers(attempt),
-            data=attempt.body,
-            allow_redirects=False,
-            timeout=_timeout(attempt, settings),
-            skip_auto_headers=("User-Agent", "Accept-Encoding"),
-            trace_request_ctx=tracker,
-        )
+        async with asyncio.timeout(head_s):
+            response = await session.request(
+                attempt.method,
+                server.url + attempt.path,
+                headers=_headers(attempt),
+                data=attempt.body,
+                allow_redirects=False,
+                timeout=_timeout(attempt, settings),
+                skip_auto_headers=("User-Agent", "Accept-Encoding"),
+                trace_request_ctx=tracker,
+            )
     except SEND_ERRORS as error:
         return Err(failed(error, tracker))
     return _check_head(attempt, server, response)
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from typing import Any
@@ -22,21 +23,19 @@
     decode_event,
 )
 from ..durable.commands import Span
-from ..ids import BackendServerName, BootId, RequestId, ServiceName, WeightVersion
-from ..process.clock import Deadline, deadline_in, now, remaining, sleep_until
+from ..ids import BootId, Fingerprint, RequestId, ServiceName, WeightVersion
+from ..process.clock import Deadline, deadline_in, now
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailed, send
 from .caller_request import RequestClass
-from .choice import choose_server
 from .outcome import Outcome, Refusal, RefusedError
+from .retries import Retries, RetryPolicy
 
 _PRIORITIES = {
     RequestClass.INTERACTIVE: 0,
     RequestClass.SHORT: 10,
     RequestClass.LONG: 20,
 }
-_MOST_ATTEMPTS = 4
-_PATIENT_PAUSE_S = 0.2
 _MOST_EVENT_BYTES = 1_048_576
 
 
@@ -75,6 +74,12 @@
     attempts: int = 0
     server: BackendServer | None = None
 
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Digest of the prompt, the same for all samples of a group."""
+        text = f"{self.service}\n{self.asked['prompt']}"
+        return Fingerprint(hashlib.sha256(text.encode()).hexdigest()[:32])
+
     @property
     def whole_text(self) -> str:
         """Text generated so far."""
@@ -119,22 +124,35 @@
     RefusedError
         When the completion cannot be finished.
     """
-    tried: set[BackendServerName] = set()
-    was_sent = False
+    retries = Retries(
+        context,
+        generation.service,
+        generation.request_id,
+        generation.fingerprint,
+        RetryPolicy(
+            generation.deadline,
+            generation.is_repeatable,
+            generation.is_patient,
+            generation.least_version,
+        ),
+    )
     while True:
-        server = await _choose(generation, context, tried, was_sent)
+        server = await retries.next_server()
         generation.attempts += 1
         generation.server = server
+        is_over = False
         try:
             async for event in _attempt(generation, server, context):
                 yield event
-            return
+            is_over = True
         except _AttemptError as error:
-            failed = error.failed
-        tried.add(server.name)
-        was_sent = was_sent or failed.outcome is not Outcome.NOT_RUN
-        _note_failure(context, generation, server, failed)
-        _check_retry(generation, failed, was_sent)
+            await retries.failed(server, error.failed)
+        except (GeneratorExit, asyncio.CancelledError, RefusedError):
+            await retries.abandoned()
+            raise
+        if is_over:
+            await retries.succeeded(server)
+            return
 
 
 class _AttemptError(Exception):
@@ -143,59 +161,6 @@
         self.failed = failed
 
 
-async def _choose(
-    generation: Generation,
-    context: EntryContext,
-    tried: set[BackendServerName],
-    was_sent: bool,
-) -> BackendServer:
-    while True:
-        servers = [
-            each
-            for each in context.usable(generation.service)
-            if each.version is not None and each.version >= generation.least_version
-        ]
-        server = choose_server(servers, tried, context.rng)
-        if server is not None:
-            return server
-        if tried:
-            tried.clear()
-        elif not generation.is_patient or not remaining(generation.deadline):
-            outcome = Outcome.UNKNOWN if was_sent else Outcome.NOT_RUN
-            raise RefusedError(
-                Refusal(503, outcome, f"no engine of {generation.service} is usable", 1)
-            )
-        await sleep_until(deadline_in(_PATIENT_PAUSE_S))
-
-
-def _note_failure(
-    context: EntryContext,
-    generation: Generation,
-    server: BackendServer,
-    failed: AttemptFailed,
-) -> None:
-    context.metrics.attempts.labels(generation.service, "failed").inc()
-    context.events.record(
-        "attempt.failed",
-        request=generation.request_id,
-        server=server.name,
-        outcome=failed.outcome.value,
-        reason=failed.reason,
-    )
-    if failed.is_connection_lost:
-        server.note_failure()
-
-
-def _check_retry(generation: Generation, failed: AttemptFailed, was_sent: bool) -> None:
-    is_over = not remaining(generation.deadline)
-    is_spent = generation.attempts >= _MOST_ATTEMPTS and not generation.is_patient
-    may_not = was_sent and not generation.is_repeatable
-    if is_over or is_spent or may_not:
-        outcome = Outcome.UNKNOWN if was_sent else Outcome.NOT_RUN
-        status = 504 if failed.is_timeout else 502
-        raise RefusedError(Refusal(status, outcome, failed.reason, 1))
-
-
 async def _attempt(
     generation: Generation, server: BackendServer, context: EntryContext
 ) -> AsyncIterator[StreamEvent]:
@@ -224,7 +189,6 @@
         finally:
             answer.response.close()
         server.note_answer(now() - started_at, None)
-        context.metrics.attempts.labels(generation.service, "whole").inc()
     finally:
         server.in_flight -= 1
 
@@ -233,14 +197,10 @@
     attempt: Attempt, server: BackendServer, context: EntryContext
 ) -> Answer:
     progress_s = context.settings.progress_timeout_s
-    try:
-        async with asyncio.timeout(progress_s):
-            result = await send(attempt, server, context.session, context.settings)
-    except TimeoutError:
-        failed = AttemptFailed(
-            Outcome.UNKNOWN, f"{server.name} is silent", is_timeout=True
-        )
-        raise _AttemptError(failed) from None
+    head_deadline = Deadline(min(attempt.deadline, deadline_in(progress_s)))
+    result = await send(
+        attempt, server, context.session, context.settings, head_deadline
+    )
     match result:
         case Err(failed):
             raise _AttemptError(failed)
--- a/pollenlb/request/operator_api.py
+++ b/pollenlb/request/operator_api.py
@@ -13,9 +13,10 @@
     ConfigurationChanged,
     ConfigurationConflict,
     ConfigurationInvalid,
+    Pardon,
     ReleaseVersion,
 )
-from ..ids import Revision, ServiceName, WeightVersion
+from ..ids import Fingerprint, Revision, ServiceName, WeightVersion
 from ..process.context import EntryContext
 from .api import command_id_of, execute, json_response, read_json, refusing
 from .outcome import Outcome, Refusal, RefusedError, unavailable
@@ -45,6 +46,12 @@
     version: Number
 
 
+class PardonBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a request that lets a condemned request run again."""
+
+    fingerprint: str
+
+
 class ServerStatus(msgspec.Struct):
     """What this entry knows of a backend server."""
 
@@ -94,6 +101,7 @@
         base = "/pollenlb/v1/operator"
         router.add_post(base + "/configuration", refusing(self.change))
         router.add_post(base + "/releases", refusing(self.release))
+        router.add_post(base + "/pardons", refusing(self.pardon))
         router.add_get(base + "/entry", refusing(self.entry))
         router.add_get(base + "/control", refusing(self.control))
 
@@ -123,6 +131,13 @@
         await execute(self._context, command, command_id_of(request))
         return json_response({"service": body.service, "version": body.version})
 
+    async def pardon(self, request: web.Request) -> web.Response:
+        """Let a request run again that crashed backend servers."""
+        body = await read_json(request, PardonBody)
+        command = Pardon(Fingerprint(body.fingerprint))
+        await execute(self._context, command, command_id_of(request))
+        return json_response({"fingerprint": body.fingerprint})
+
     async def entry(self, request: web.Request) -> web.Response:
         """Tell the state of this entry."""
         context = self._context
--- a/pollenlb/request/outcome.py
+++ b/pollenlb/request/outcome.py
@@ -12,6 +12,7 @@
 from ..ids import RequestId
 
 VERSIONS_HEADER = "Pollenlb-Weight-Versions"
+CONDEMNED_STATUS = 422
 SERVER_HEADER = "Pollenlb-Backend-Server"
 
 
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -12,7 +12,7 @@
 from ..connection.backend import BackendServer
 from ..connection.backend_api import BOOT_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER
 from ..ids import BackendServerName
-from ..process.clock import now, remaining
+from ..process.clock import Deadline, deadline_in, now, remaining
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailed, send
 from .caller_request import (
@@ -22,8 +22,8 @@
     TIMEOUT_HEADER,
     CallerRequest,
 )
-from .choice import choose_server
 from .outcome import SERVER_HEADER, Outcome, Refusal, RefusedError
+from .retries import Retries, RetryPolicy
 
 _HOP_BY_HOP = frozenset(
     (
@@ -51,7 +51,6 @@
         SERVER_HEADER,
     )
 )
-_MOST_ATTEMPTS = 3
 _MOST_CHUNK_BYTES = 65_536
 
 
@@ -93,20 +92,28 @@
     RefusedError
         When no attempt led to an answer.
     """
-    tried: set[BackendServerName] = set()
-    was_sent = False
+    policy = RetryPolicy(
+        caller.deadline,
+        caller.is_repeatable,
+        retry_share=caller.route.retry_share,
+    )
+    retries = Retries(
+        context, caller.service_name, caller.request_id, caller.fingerprint, policy
+    )
     while True:
-        server = _choose(caller, context, tried, was_sent)
-        result = await _attempt(caller, server, context)
+        server = await retries.next_server()
+        try:
+            result = await _attempt(caller, server, context)
+        except asyncio.CancelledError:
+            await retries.abandoned()
+            raise
         match result:
             case Ok(answer):
-                context.metrics.attempts.labels(caller.service_name, "whole").inc()
+                await retries.succeeded(server)
                 return answer
             case Err(failed):
-                tried.add(server.name)
-                was_sent = was_sent or failed.outcome is not Outcome.NOT_RUN
-                _note_failure(caller, server, failed, context)
-                _check_retry(caller, failed, was_sent, len(tried))
+                await retries.failed(server, failed)
+                _check_replayable(caller, failed)
 
 
 def whole_response(caller: CallerRequest, answer: WholeAnswer) -> web.Response:
@@ -119,50 +126,10 @@
     return response
 
 
-def _choose(
-    caller: CallerRequest,
-    context: EntryContext,
-    tried: set[BackendServerName],
-    was_sent: bool,
-) -> BackendServer:
-    servers = context.usable(caller.service_name)
-    server = choose_server(servers, tried, context.rng)
-    if server is None:
-        outcome = Outcome.UNKNOWN if was_sent else Outcome.NOT_RUN
-        reason = f"no backend server of {caller.service_name} is usable"
-        raise RefusedError(Refusal(503, outcome, reason, 1))
-    return server
-
-
-def _check_retry(
-    caller: CallerRequest, failed: AttemptFailed, was_sent: bool, attempts: int
-) -> None:
-    may_repeat = caller.is_repeatable or not was_sent
-    is_left = attempts < _MOST_ATTEMPTS and remaining(caller.deadline) > 0
-    if may_repeat and is_left and caller.body.is_replayable:
+def _check_replayable(caller: CallerRequest, failed: AttemptFailed) -> None:
+    if caller.body.is_replayable:
         return
-    outcome = Outcome.UNKNOWN if was_sent else Outcome.NOT_RUN
-    status = 504 if failed.is_timeout else 503 if not was_sent else 502
-    retry_after_s = failed.retry_after_s or 1
-    raise RefusedError(Refusal(status, outcome, failed.reason, retry_after_s))
-
-
-def _note_failure(
-    caller: CallerRequest,
-    server: BackendServer,
-    failed: AttemptFailed,
-    context: EntryContext,
-) -> None:
-    context.metrics.attempts.labels(caller.service_name, "failed").inc()
-    context.events.record(
-        "attempt.failed",
-        request=caller.request_id,
-        server=server.name,
-        outcome=failed.outcome.value,
-        reason=failed.reason,
-    )
-    if failed.is_connection_lost:
-        server.note_failure()
+    raise RefusedError(Refusal(502, Outcome.UNKNOWN, failed.reason, 1))
 
 
 async def _attempt(
@@ -181,7 +148,9 @@
     started_at = now()
     server.in_flight += 1
     try:
-        match await send(attempt, server, session, context.settings):
+        match await send(
+            attempt, server, session, context.settings, _head_deadline(caller, context)
+        ):
             case Err(failed):
                 return Err(failed)
             case Ok(answer):
@@ -194,6 +163,14 @@
     raise AssertionError
 
 
+def _head_deadline(caller: CallerRequest, context: EntryContext) -> Deadline:
+    # A repeatable request does not wait for a connection that may be silent.
+    if not caller.is_repeatable:
+        return caller.deadline
+    progress_s = context.settings.progress_timeout_s
+    return Deadline(min(caller.deadline, deadline_in(progress_s)))
+
+
 async def _read_if_small(
     caller: CallerRequest, answer: Answer, context: EntryContext
 ) -> Result[WholeAnswer | Answer, AttemptFailed]:
--- /dev/null
+++ b/pollenlb/request/retries.py
@@ -0,0 +1,253 @@
+"""The attempts of one request: which server next, and when to give up."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..connection.backend import BackendServer
+from ..durable.commands import (
+    CrashReported,
+    EndTrial,
+    Refused,
+    ReportCrash,
+    StartTrial,
+    TrialEnd,
+    TrialStarted,
+)
+from ..exceptions import ControlError
+from ..ids import (
+    BackendServerName,
+    BootId,
+    CommandId,
+    Fingerprint,
+    RequestId,
+    ServiceName,
+    WeightVersion,
+    new_id,
+)
+from ..process.clock import Deadline, deadline_in, remaining, sleep_until
+from ..process.context import EntryContext
+from .attempt import AttemptFailed
+from .choice import choose_server
+from .outcome import CONDEMNED_STATUS, Outcome, Refusal, RefusedError
+
+_MOST_ATTEMPTS = 4
+_PAUSE_S = 0.1
+_REPORT_TIMEOUT_S = 10.0
+_RETRY_AFTER_S = 1.0
+
+
+@dataclass
+class RetryPolicy:
+    """How a request may be tried again.
+
+    Attributes
+    ----------
+    is_repeatable : bool
+        Whether it may run more than once.
+    is_patient : bool
+        Whether to wait for a backend server until the deadline and to try as
+        often as needed, as samples do.
+    least_version : WeightVersion or None
+        Oldest weights that will do; None for a plain service.
+    retry_share : float
+        Retries that each request of the service allows, as a share.
+    """
+
+    deadline: Deadline
+    is_repeatable: bool
+    is_patient: bool = False
+    least_version: WeightVersion | None = None
+    retry_share: float = 0.1
+
+
+class Retries:
+    """Chooses a backend server for each attempt of one request.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Parts of the entry process.
+    service : ServiceName
+        The service that is asked.
+    request_id : RequestId
+        The request.
+    fingerprint : Fingerprint
+        What the request asks, the same for each resend.
+    policy : RetryPolicy
+        How it may be tried again.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        service: ServiceName,
+        request_id: RequestId,
+        fingerprint: Fingerprint,
+        policy: RetryPolicy,
+    ) -> None:
+        self._context = context
+        self._service = service
+        self._request_id = request_id
+        self._fingerprint = fingerprint
+        self._policy = policy
+        self._tried: set[BackendServerName] = set()
+        self._attempts = 0
+        self._was_sent = False
+        self._is_on_trial = False
+        context.budget(service).add_request(policy.retry_share)
+
+    @property
+    def attempts(self) -> int:
+        """Attempts so far."""
+        return self._attempts
+
+    async def next_server(self) -> BackendServer:
+        """Return the backend server for the next attempt.
+
+        Raises
+        ------
+        RefusedError
+            When there is none in time, or when the request is refused for
+            having crashed backend servers.
+        """
+        while True:
+            server = self._choose()
+            if server is not None and await self._may_run(server):
+                self._attempts += 1
+                return server
+            if server is None and self._tried and self._policy.is_patient:
+                self._tried.clear()
+            elif server is None and not self._policy.is_patient:
+                raise self._refusal(
+                    503, f"no backend server of {self._service} is usable"
+                )
+            if not remaining(self._policy.deadline):
+                raise self._refusal(
+                    503, "the deadline passed before the request could run"
+                )
+            pause_s = min(_PAUSE_S, remaining(self._policy.deadline))
+            await sleep_until(deadline_in(pause_s))
+
+    async def succeeded(self, server: BackendServer) -> None:
+        """Take note that an attempt led to a whole answer."""
+        self._context.metrics.attempts.labels(self._service, "whole").inc()
+        await self._end_trial(TrialEnd.CLEARED)
+
+    async def abandoned(self) -> None:
+        """Take note that nobody waits for the answer any more."""
+        await self._end_trial(TrialEnd.OPEN)
+
+    async def failed(self, server: BackendServer, failed: AttemptFailed) -> None:
+        """Take note of a failed attempt; return if another may follow.
+
+        Raises
+        ------
+        RefusedError
+            When the request is given up.
+        """
+        self._tried.add(server.name)
+        is_sent = failed.outcome is not Outcome.NOT_RUN
+        self._was_sent = self._was_sent or is_sent
+        self._record(server, failed)
+        if failed.is_connection_lost:
+            boot = server.boot
+            server.note_failure()
+            if is_sent and await server.has_crashed(boot):
+                await self._report_crash(server, boot)
+        await self._end_trial(TrialEnd.OPEN)
+        self._check_may_retry(failed)
+
+    def _choose(self) -> BackendServer | None:
+        servers = self._context.usable(self._service)
+        least = self._policy.least_version
+        if least is not None:
+            servers = [
+                each
+                for each in servers
+                if each.version is not None and each.version >= least
+            ]
+        return choose_server(servers, self._tried, self._context.rng)
+
+    async def _may_run(self, server: BackendServer) -> bool:
+        is_condemned = self._context.quarantine.suspects.get(self._fingerprint)
+        if is_condemned is None:
+            return True
+        if is_condemned:
+            raise self._condemned()
+        command = StartTrial(self._fingerprint, server.name, self._context.peers.holder)
+        match await self._propose(command):
+            case TrialStarted(is_needed=is_needed):
+                self._is_on_trial = is_needed
+                return True
+            case Refused():
+                return False
+        raise self._refusal(503, "the control instances cannot be reached")
+
+    async def _end_trial(self, end: TrialEnd) -> None:
+        if not self._is_on_trial:
+            return
+        self._is_on_trial = False
+        command = EndTrial(self._fingerprint, self._context.peers.holder, end)
+        await self._propose(command)
+
+    async def _report_crash(self, server: BackendServer, boot: BootId) -> None:
+        self._context.events.record(
+            "server.crashed", server=server.name, boot=boot, request=self._request_id
+        )
+        command = ReportCrash(self._fingerprint, server.name, boot)
+        match await self._propose(command):
+            case CrashReported(is_condemned=is_condemned):
+                self._is_on_trial = self._is_on_trial and not is_condemned
+                if is_condemned:
+                    self._context.events.record(
+                        "request.condemned", request=self._request_id
+                    )
+                    raise self._condemned()
+            case None:
+                raise self._refusal(503, "a crash could not be reported")
+
+    async def _propose(self, command: ReportCrash | StartTrial | EndTrial):
+        command_id = CommandId(new_id("trial"))
+        deadline = deadline_in(_REPORT_TIMEOUT_S)
+        try:
+            return await self._context.control.propose(command, command_id, deadline)
+        except ControlError:
+            return None
+
+    def _check_may_retry(self, failed: AttemptFailed) -> None:
+        policy = self._policy
+        status = 504 if failed.is_timeout else 502 if self._was_sent else 503
+        if not remaining(policy.deadline):
+            raise self._refusal(status, failed.reason)
+        if self._was_sent and not policy.is_repeatable:
+            raise self._refusal(status, failed.reason)
+        if policy.is_patient:
+            return
+        is_spent = self._attempts >= _MOST_ATTEMPTS
+        if is_spent or not self._context.budget(self._service).try_spend():
+            raise self._refusal(status, failed.reason, failed.retry_after_s)
+        self._context.metrics.retries.labels(self._service).inc()
+
+    def _record(self, server: BackendServer, failed: AttemptFailed) -> None:
+        self._context.metrics.attempts.labels(self._service, "failed").inc()
+        self._context.events.record(
+            "attempt.failed",
+            request=self._request_id,
+            server=server.name,
+            outcome=failed.outcome.value,
+            reason=failed.reason,
+        )
+
+    def _refusal(
+        self, status: int, reason: str, retry_after_s: float | None = None
+    ) -> RefusedError:
+        outcome = Outcome.UNKNOWN if self._was_sent else Outcome.NOT_RUN
+        return RefusedError(
+            Refusal(status, outcome, reason, retry_after_s or _RETRY_AFTER_S)
+        )
+
+    def _condemned(self) -> RefusedError:
+        outcome = Outcome.UNKNOWN if self._was_sent else Outcome.NOT_RUN
+        reason = "the request crashed backend servers and is not run again"
+        return RefusedError(Refusal(CONDEMNED_STATUS, outcome, reason))
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -18,9 +18,10 @@
 from .caller_request import RequestClass
 from .choice import choose_server
 from .generation import Generation, generate
-from .outcome import RefusedError
+from .outcome import CONDEMNED_STATUS, RefusedError
 
 SAMPLE_TIMEOUT_S = 600.0
+REFUSED_FINISH = "refused"
 _SCORE_TIMEOUT_S = 30.0
 _SCORE_PATH = "/score"
 _SCORE_ATTEMPTS = 5
@@ -88,7 +89,9 @@
         async for _ in generate(generation, context):
             pass
     except RefusedError as error:
-        return Err(error.refusal.reason)
+        if error.refusal.status != CONDEMNED_STATUS:
+            return Err(error.refusal.reason)
+        return await _store(slot, prompt, _without_output(generation), None, context)
     score = None
     if job.settings.scorer is not None:
         score = await _score(generation, prompt, job, context)
@@ -118,6 +121,15 @@
     )
 
 
+def _without_output(generation: Generation) -> Generation:
+    # A sample without tokens names no version; the trainer can leave it out.
+    generation.text.clear()
+    generation.spans.clear()
+    generation.tokens = 0
+    generation.finish_reason = REFUSED_FINISH
+    return generation
+
+
 async def _score(
     generation: Generation, prompt: str, job: JobView, context: EntryContext
 ) -> float | None:
--- a/tests/local_system.py
+++ b/tests/local_system.py
@@ -12,11 +12,14 @@
 from fakes.engine import FakeEngine
 from fakes.plain_service import FakePlainService
 from pollenlb.commands.control import _format
+from pollenlb.connection.rpc import RpcChannel
 from pollenlb.process.control import ControlProcess
 from pollenlb.process.entry import EntryProcess
 from pollenlb.settings.control import ControlSettings
 from pollenlb.settings.entry import EntrySettings
 
+from .relay import Relay
+
 DOMAINS = ("north", "centre", "south")
 WAIT_S = 30.0
 POLL_S = 0.01
@@ -106,12 +109,14 @@
         entries: int = 2,
         engines: int = 0,
         plains: int = 0,
+        control_options: dict | None = None,
         engine_options: dict | None = None,
         entry_options: dict | None = None,
         services: dict | None = None,
     ) -> None:
         self.folder = folder
         self.counts = (controls, entries, engines, plains)
+        self.control_options = control_options or {}
         self.engine_options = engine_options or {}
         self.entry_options = entry_options or {}
         self.services = services or SERVICES
@@ -119,6 +124,7 @@
         self.entries: list[EntryProcess] = []
         self.engines: list[FakeEngine] = []
         self.plains: list[FakePlainService] = []
+        self.relays: list[Relay] = []
         self.session: aiohttp.ClientSession
 
     @property
@@ -134,7 +140,7 @@
         """Start everything and wait until all backend servers are usable."""
         controls, entries, engines, plains = self.counts
         self.session = aiohttp.ClientSession()
-        for settings in control_settings(self.folder, controls):
+        for settings in control_settings(self.folder, controls, **self.control_options):
             await _format(settings)
             process = ControlProcess(settings)
             await process.start()
@@ -158,6 +164,55 @@
         await asyncio.gather(*(each.stop() for each in self.entries))
         for control in self.controls:
             await control.stop()
+        for relay in self.relays:
+            await relay.stop()
+
+    async def relay_control(self, number: int) -> list[Relay]:
+        """Put a relay before each control instance for one entry."""
+        context = self.entries[number].context
+        relays = []
+        for control in self.controls:
+            address = control.replica.settings.listen
+            relay = await self.relay(int(address.rpartition(":")[2]))
+            channel = RpcChannel(f"127.0.0.1:{relay.port}", context.events)
+            await context.control._channels[address].close()
+            context.control._channels[address] = channel
+            relays.append(relay)
+        return relays
+
+    async def relay(self, port: int) -> Relay:
+        """Start a relay to a port."""
+        relay = Relay(port)
+        await relay.start()
+        self.relays.append(relay)
+        return relay
+
+    async def crash_entry(self, number: int) -> None:
+        """End an entry as a crash would, and leave it out from now on."""
+        entry = self.entries.pop(number)
+        await entry._renewals.stop()
+        await entry._peer_server.stop(0)
+        for connection in list(entry._runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        entry._settings.values["shutdown_grace_s"] = 0.0
+        entry._settings.values["balancer_delay_s"] = 0.0
+        entry._runner._shutdown_timeout = 0
+        await entry.stop()
+
+    async def get(self, number: int, path: str, **headers: str) -> tuple:
+        """Ask an entry and return status, outcome and body."""
+        return await self.ask("GET", number, path, headers)
+
+    async def ask(
+        self, method: str, number: int, path: str, headers: dict, **options
+    ) -> tuple:
+        """Ask an entry and return status, outcome and body."""
+        async with self.session.request(
+            method, self.url(number, path), headers=headers, **options
+        ) as response:
+            outcome = response.headers.get("Pollenlb-Outcome")
+            return response.status, outcome, await response.json()
 
     async def add_entry(self, number: int) -> EntryProcess:
         """Start an entry."""
