--- a/fakes/backend.py
+++ b/fakes/backend.py
@@ -54,7 +54,7 @@
     async def start(self) -> None:
         """Listen and announce."""
         self._runner = web.AppRunner(
-            self.application, access_log=None, shutdown_timeout=0
+            self.application, access_log=None, shutdown_timeout=0.01
         )
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", self.port)
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -30,6 +30,7 @@
 from .rollouts import Rollouts
 
 _BACKLOG = 1024
+_LEAST_GRACE_S = 0.01  # the HTTP server takes 0 as no limit
 
 
 class EntryProcess:
@@ -53,7 +54,7 @@
             self._application(),
             access_log=None,
             handle_signals=False,
-            shutdown_timeout=settings.shutdown_grace_s,
+            shutdown_timeout=max(_LEAST_GRACE_S, settings.shutdown_grace_s),
             max_line_size=settings.max_header_bytes,
             max_field_size=settings.max_header_bytes,
             handler_cancellation=False,
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -251,7 +251,7 @@
 def _answer_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
     dropped = _HOP_BY_HOP | _OWN
     return [
-        (name, value)
+        (str(name), value)
         for name, value in response.headers.items()
         if name.lower() not in dropped
     ]
--- a/tests/local_system.py
+++ b/tests/local_system.py
@@ -197,7 +197,7 @@
                 connection.transport.abort()
         entry._settings.values["shutdown_grace_s"] = 0.0
         entry._settings.values["balancer_delay_s"] = 0.0
-        entry._runner._shutdown_timeout = 0
+        entry._runner._shutdown_timeout = 0.01
         await entry.stop()
 
     async def get(self, number: int, path: str, **headers: str) -> tuple:
@@ -241,9 +241,12 @@
         self.engines.append(engine)
         return engine
 
-    async def add_plain(self, name: str) -> FakePlainService:
-        """Start a fake plain service."""
-        plain = FakePlainService(name, "shop", "north", 0, self._urls(), slots=8)
+    async def add_plain(self, name: str, is_relayed: bool = False) -> FakePlainService:
+        """Start a fake plain service, behind a relay if asked for."""
+        (port,) = free_ports(1)
+        plain = FakePlainService(name, "shop", "north", port, self._urls(), slots=8)
+        if is_relayed:
+            plain.announced_port = (await self.relay(port)).port
         await plain.start()
         self.plains.append(plain)
         return plain
--- a/tests/system/test_at_most_once.py
+++ b/tests/system/test_at_most_once.py
@@ -99,9 +99,8 @@
 
 async def test_the_answer_of_the_service_is_lost(local_system):
     system = await local_system(entries=2)
-    plain = await system.add_plain("plain-0")
-    relay = await system.relay(plain.port)
-    plain.announced_port = relay.port
+    plain = await system.add_plain("plain-0", is_relayed=True)
+    (relay,) = system.relays
     await system.until_usable(["plain-0"])
     plain.gate.clear()
     first = asyncio.create_task(_bill(system, 0))
