--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -142,7 +142,7 @@
         generation.server = server
         is_over = False
         try:
-            async for event in _attempt(generation, server, context):
+            async for event in _attempt(generation, server, retries.session, context):
                 yield event
             is_over = True
         except _AttemptError as error:
@@ -162,7 +162,10 @@
 
 
 async def _attempt(
-    generation: Generation, server: BackendServer, context: EntryContext
+    generation: Generation,
+    server: BackendServer,
+    session: aiohttp.ClientSession,
+    context: EntryContext,
 ) -> AsyncIterator[StreamEvent]:
     attempt_id = RequestId(f"{generation.request_id}/{generation.attempts}")
     attempt = Attempt(
@@ -181,7 +184,7 @@
     server.in_flight += 1
     started_at = now()
     try:
-        answer = await _open(attempt, server, context)
+        answer = await _open(attempt, server, session, context)
         try:
             async for event in _events(answer, attempt_id, context):
                 generation.add(event)
@@ -194,13 +197,14 @@
 
 
 async def _open(
-    attempt: Attempt, server: BackendServer, context: EntryContext
+    attempt: Attempt,
+    server: BackendServer,
+    session: aiohttp.ClientSession,
+    context: EntryContext,
 ) -> Answer:
     progress_s = context.settings.progress_timeout_s
     head_deadline = Deadline(min(attempt.deadline, deadline_in(progress_s)))
-    result = await send(
-        attempt, server, context.session, context.settings, head_deadline
-    )
+    result = await send(attempt, server, session, context.settings, head_deadline)
     match result:
         case Err(failed):
             raise _AttemptError(failed)
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -103,7 +103,7 @@
     while True:
         server = await retries.next_server()
         try:
-            result = await _attempt(caller, server, context)
+            result = await _attempt(caller, server, retries.session, context)
         except asyncio.CancelledError:
             await retries.abandoned()
             raise
@@ -133,7 +133,10 @@
 
 
 async def _attempt(
-    caller: CallerRequest, server: BackendServer, context: EntryContext
+    caller: CallerRequest,
+    server: BackendServer,
+    session: aiohttp.ClientSession,
+    context: EntryContext,
 ) -> Result[WholeAnswer | Answer, AttemptFailed]:
     attempt = Attempt(
         request_id=caller.request_id,
@@ -144,7 +147,6 @@
         deadline=caller.deadline,
         is_repeatable=caller.is_repeatable,
     )
-    session = context.session if caller.is_repeatable else context.single_use_session
     started_at = now()
     server.in_flight += 1
     try:
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+import aiohttp
+
 from ..connection.backend import BackendServer
 from ..durable.commands import (
     CrashReported,
@@ -92,6 +94,7 @@
         self._fingerprint = fingerprint
         self._policy = policy
         self._tried: set[BackendServerName] = set()
+        self._silent: set[BackendServerName] = set()
         self._attempts = 0
         self._was_sent = False
         self._is_on_trial = False
@@ -102,6 +105,13 @@
         """Attempts so far."""
         return self._attempts
 
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Connections for the next attempt; new ones after a silent one."""
+        if self._silent or not self._policy.is_repeatable:
+            return self._context.single_use_session
+        return self._context.session
+
     async def next_server(self) -> BackendServer:
         """Return the backend server for the next attempt.
 
@@ -147,6 +157,8 @@
             When the request is given up.
         """
         self._tried.add(server.name)
+        if failed.is_timeout:
+            self._silent.add(server.name)
         is_sent = failed.outcome is not Outcome.NOT_RUN
         self._was_sent = self._was_sent or is_sent
         self._record(server, failed)
@@ -167,7 +179,11 @@
                 for each in servers
                 if each.version is not None and each.version >= least
             ]
-        return choose_server(servers, self._tried, self._context.rng)
+        server = choose_server(servers, self._tried, self._context.rng)
+        if server is not None or not self._silent:
+            return server
+        # The connection may have been silent while the server is well.
+        return choose_server(servers, self._tried - self._silent, self._context.rng)
 
     async def _may_run(self, server: BackendServer) -> bool:
         is_condemned = self._context.quarantine.suspects.get(self._fingerprint)
--- a/tests/local_system.py
+++ b/tests/local_system.py
@@ -35,6 +35,7 @@
     "usable_s": 1.5,
     "balancer_delay_s": 0.1,
     "progress_timeout_s": 5.0,
+    "shutdown_grace_s": 5.0,
 }
 SERVICES = {
     "model": {"kind": "engine", "checks_fencing": True, "max_swaps": 10},
@@ -159,9 +160,9 @@
     async def stop(self) -> None:
         """Stop everything."""
         await self.session.close()
+        await asyncio.gather(*(each.stop() for each in self.entries))
         for backend in (*self.engines, *self.plains):
             await backend.stop()
-        await asyncio.gather(*(each.stop() for each in self.entries))
         for control in self.controls:
             await control.stop()
         for relay in self.relays:
@@ -234,9 +235,15 @@
         self.entries.append(process)
         return process
 
-    async def add_engine(self, name: str, **options) -> FakeEngine:
-        """Start a fake engine."""
-        engine = FakeEngine(name, "model", "north", 0, self._urls(), slots=8, **options)
+    async def add_engine(
+        self, name: str, is_relayed: bool = False, port: int = 0, **options
+    ) -> FakeEngine:
+        """Start a fake engine, behind a relay if asked for."""
+        port = port or free_ports(1)[0]
+        urls = self._urls()
+        engine = FakeEngine(name, "model", "north", port, urls, slots=8, **options)
+        if is_relayed:
+            engine.announced_port = (await self.relay(port)).port
         await engine.start()
         self.engines.append(engine)
         return engine
