Choice, admission and hedges by what an entry sees itself; a bench in virtual time

Change: load is the entry's own requests in flight, admission an entry's share of the queue, slowness the decaying latency or an overdue request, hedges at p95 whose lost races count as evidence.

--- /dev/null
+++ b/benchmarks/entries.py
@@ -0,0 +1,116 @@
+"""Entries with real decisions and fake connections, in virtual time."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+from benchmarks.fake_servers import FakeServer, FakeSession
+from benchmarks.policies import Policy
+from pollenlb.connection.control_api import (
+    ConfigurationView,
+    DirectoryView,
+    EntriesView,
+    LedgerView,
+    QuarantineView,
+)
+from pollenlb.connection.directory import BackendDirectory
+from pollenlb.connection.peers import Peers
+from pollenlb.durable.commands import Announcement
+from pollenlb.durable.leases import EntryInfo
+from pollenlb.process.bodies import BodyStore
+from pollenlb.process.context import EntryContext
+from pollenlb.process.events import EventLog
+from pollenlb.process.metrics import Metrics
+from pollenlb.settings.entry import EntrySettings
+from pollenlb.version.configuration import InForce
+
+ENTRIES = 8
+
+
+def make_entries(
+    servers: list[FakeServer],
+    services: dict,
+    policy: Policy,
+    seed: int,
+    count: int = ENTRIES,
+    control=None,
+) -> list[EntryContext]:
+    """Return the contexts of some entries before the same servers."""
+    infos = [
+        EntryInfo(f"entry-{n}", f"boot-{n}", f"p{n}", f"h{n}", f"domain-{n % 3}")
+        for n in range(count)
+    ]
+    return [
+        _make_entry(number, infos, servers, services, policy, seed, control)
+        for number in range(count)
+    ]
+
+
+def _make_entry(
+    number: int,
+    infos: list[EntryInfo],
+    servers: list[FakeServer],
+    services: dict,
+    policy: Policy,
+    seed: int,
+    control,
+) -> EntryContext:
+    settings = EntrySettings.check(
+        {
+            "name": f"entry-{number}",
+            "failure_domain": "here",
+            "listen": "127.0.0.1:1",
+            "peer_listen": "127.0.0.1:2",
+            "control": ["127.0.0.1:3"],
+            "data_folder": str(Path("unused")),
+        }
+    ).unwrap()
+    events = EventLog(settings.name, None)
+    rng = random.Random(seed * 1000 + number)
+    session = FakeSession({f"{each.name}:1": each for each in servers})
+    in_force = InForce()
+    in_force.apply(ConfigurationView(1, {"services": services}))
+    in_force.extend_lease(1e12)
+    directory = BackendDirectory(settings, session, events)
+    directory.apply(
+        DirectoryView(
+            1,
+            [
+                Announcement(
+                    each.name,
+                    each.service,
+                    f"{each.name}:1",
+                    "d",
+                    each.name,
+                    each.slots,
+                )
+                for each in servers
+            ],
+            {},
+        )
+    )
+    bodies = BodyStore(1 << 30)
+    peers = Peers(infos[number], bodies, events, rng)
+    peers.apply(EntriesView(1, infos))
+    return EntryContext(
+        settings=settings,
+        own=infos[number],
+        events=events,
+        metrics=Metrics(),
+        rng=rng,
+        session=session,
+        single_use_session=session,
+        control=control,
+        in_force=in_force,
+        directory=directory,
+        bodies=bodies,
+        peers=peers,
+        ledger=LedgerView(-1, {}),
+        quarantine=QuarantineView(-1, {}),
+        budgets={},
+        latencies={},
+        announced=set(),
+        choose=policy.choose,
+        admit=policy.admit,
+    )
--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -13,9 +13,9 @@
 from ..process.events import EventLog
 from ..settings.entry import EntrySettings
 from .backend_api import PROBE_PATH, ProbeAnswer, decode_probe
+from .load import ServerLoad
 from .sessions import ConnectionLostError
 
-_LATENCY_WEIGHT = 0.2
 _PROBE_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
 
 
@@ -49,12 +49,9 @@
         self._usable_until = Deadline(0.0)
         self._is_leaving = announcement.state is ServerState.LEAVING
         self._version: WeightVersion | None = None
-        self._reported = 0
-        self._own_at_report = 0
-        self._latency_s = 0.0
+        self._load = ServerLoad(announcement.slots)
         self._was_usable = False
         self._task: asyncio.Task | None = None
-        self.in_flight = 0
 
     @property
     def name(self) -> BackendServerName:
@@ -92,16 +89,9 @@
         return self._is_leaving
 
     @property
-    def load(self) -> float:
-        """Estimated requests at the backend server for each of its slots."""
-        own_since = self.in_flight - self._own_at_report
-        estimate = max(self.in_flight, self._reported + own_since)
-        return estimate / self._announcement.slots
-
-    @property
-    def latency_s(self) -> float:
-        """Smoothed latency of its answers to this entry, in seconds."""
-        return self._latency_s
+    def load(self) -> ServerLoad:
+        """Its load and speed, as this entry sees them."""
+        return self._load
 
     def start(self) -> None:
         """Start to probe."""
@@ -121,14 +111,10 @@
             self._is_leaving = False
         self._announcement = announcement
 
-    def note_answer(self, latency_s: float, reported: int | None) -> None:
-        """Take note of a whole answer and of the load that came with it."""
+    def note_answer(self, latency_s: float) -> None:
+        """Take note of a whole answer."""
         self._usable_until = deadline_in(self._settings.usable_s)
-        if not self._latency_s:
-            self._latency_s = latency_s
-        self._latency_s += _LATENCY_WEIGHT * (latency_s - self._latency_s)
-        if reported is not None:
-            self._note_load(reported)
+        self._load.note_latency(latency_s)
 
     def note_failure(self) -> None:
         """Give no new work until the next answer to a probe."""
@@ -165,7 +151,7 @@
             self._events.record("server.rebooted", server=self.name, boot=answer.boot)
         self._boot = answer.boot
         self._version = answer.version
-        self._note_load(answer.in_flight)
+        self._load.note_report(answer.in_flight)
         self._usable_until = Deadline(sent_at + self._settings.usable_s)
 
     async def _ask(self) -> ProbeAnswer | None:
@@ -177,10 +163,6 @@
         except (*_PROBE_ERRORS, msgspec.MsgspecError):
             return None
 
-    def _note_load(self, reported: int) -> None:
-        self._reported = reported
-        self._own_at_report = self.in_flight
-
     def _leave(self) -> None:
         if not self._is_leaving:
             self._is_leaving = True
--- a/pollenlb/process/budget.py
+++ b/pollenlb/process/budget.py
@@ -24,6 +24,10 @@
         """Count a request that allows a share of a retry."""
         self._tokens = min(_MOST_TOKENS, self._tokens + share)
 
+    def empty(self) -> None:
+        """Allow no retry until requests have added to the budget."""
+        self._tokens = 0.0
+
     def try_spend(self) -> bool:
         """Take a token for a retry, if there is one."""
         if self._tokens < 1:
--- a/pollenlb/process/clock.py
+++ b/pollenlb/process/clock.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import NewType
 
 import msgspec
@@ -13,9 +14,22 @@
 _NANOSECONDS_PER_MICROSECOND = 1000
 
 
+def _boot_time() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+_source: Callable[[], float] = _boot_time
+
+
 def now() -> float:
     """Return monotonic seconds that also count while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+    return _source()
+
+
+def use_source(source: Callable[[], float] | None) -> None:
+    """Take the time from elsewhere, as benchmarks do; None for the real clock."""
+    global _source
+    _source = source or _boot_time
 
 
 def deadline_in(seconds: float) -> Deadline:
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -11,16 +11,22 @@
 from ..connection.control import ControlConnection
 from ..connection.control_api import LedgerView, QuarantineView
 from ..connection.directory import BackendDirectory
+from ..connection.long_slots import deal_long_slots
 from ..connection.peers import Peers
 from ..durable.leases import EntryInfo
 from ..ids import BackendServerName, ServiceName
+from ..request.admission import AdmissionPolicy, admitted
+from ..request.choice import ChoicePolicy, choose_server
 from ..settings.entry import EntrySettings
 from ..version.configuration import InForce
 from .bodies import BodyStore
 from .budget import RetryBudget
 from .events import EventLog
+from .latencies import RecentLatencies
 from .metrics import Metrics
 
+HEDGE_QUANTILE = 0.95
+
 
 @dataclass
 class EntryContext:
@@ -34,6 +40,12 @@
         Latest view of the requests that crashed backend servers.
     budgets : dict
         Retry budget by service.
+    latencies : dict
+        Recent latencies by service.
+    choose : ChoicePolicy
+        Chooses among the backend servers that may get a request.
+    admit : AdmissionPolicy
+        Leaves out the backend servers that cannot serve a request in time.
     announced : set of BackendServerName
         Backend servers that announced themselves since the last renewal.
     is_draining : bool
@@ -55,7 +67,10 @@
     ledger: LedgerView
     quarantine: QuarantineView
     budgets: dict[ServiceName, RetryBudget]
+    latencies: dict[ServiceName, RecentLatencies]
     announced: set[BackendServerName]
+    choose: ChoicePolicy = choose_server
+    admit: AdmissionPolicy = admitted
     is_draining: bool = False
 
     def usable(self, service: ServiceName) -> list[BackendServer]:
@@ -70,3 +85,40 @@
         if service not in self.budgets:
             self.budgets[service] = RetryBudget()
         return self.budgets[service]
+
+    def recent_latencies(self, service: ServiceName) -> RecentLatencies:
+        """Return the recent latencies of a service."""
+        if service not in self.latencies:
+            self.latencies[service] = RecentLatencies(HEDGE_QUANTILE)
+        return self.latencies[service]
+
+    def with_long_slot(self, service: ServiceName) -> list[BackendServer]:
+        """Return the usable backend servers that may get long work from here."""
+        settings = self.in_force.settings.services.get(service)
+        if settings is None:
+            return []
+        usable = self.usable(service)
+        dealt = deal_long_slots(
+            [server.announcement for server in usable],
+            [entry.boot for entry in self.peers.entries],
+            self.own.boot,
+            settings.long_share,
+        )
+        return [
+            server
+            for server in usable
+            if server.load.long_in_flight < dealt.get(server.name, 0)
+        ]
+
+    def long_slots(self, service: ServiceName) -> int:
+        """Return how much long work this entry may have at a service."""
+        settings = self.in_force.settings.services.get(service)
+        if settings is None:
+            return 0
+        dealt = deal_long_slots(
+            [server.announcement for server in self.usable(service)],
+            [entry.boot for entry in self.peers.entries],
+            self.own.boot,
+            settings.long_share,
+        )
+        return sum(dealt.values())
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -157,5 +157,6 @@
         ledger=LedgerView(-1, {}),
         quarantine=QuarantineView(-1, {}),
         budgets={},
+        latencies={},
         announced=set(),
     )
--- a/pollenlb/process/metrics.py
+++ b/pollenlb/process/metrics.py
@@ -26,6 +26,7 @@
             "attempts", "Attempts by service and result", "service result"
         )
         self.retries = self._counter("retries", "Second attempts", "service")
+        self.hedges = self._counter("hedges", "Hedged attempts", "service")
         self.samples = self._counter("samples", "Samples by job and fate", "job fate")
         self.in_flight = Gauge(
             "pollenlb_in_flight", "Requests in flight", registry=self._registry
--- a/pollenlb/process/rollouts.py
+++ b/pollenlb/process/rollouts.py
@@ -116,16 +116,11 @@
     def _may_claim(self, job: JobView) -> bool:
         if self._context.is_draining or not self._context.in_force.is_leased:
             return False
+        most = self._context.settings.max_samples_in_flight
         return self._in_flight < min(
-            self._context.settings.max_samples_in_flight, self._share_of_slots(job)
+            most, self._context.long_slots(job.settings.service)
         )
 
-    def _share_of_slots(self, job: JobView) -> int:
-        servers = self._context.usable(job.settings.service)
-        slots = sum(server.announcement.slots for server in servers)
-        entries = max(1, len(self._context.peers.entries))
-        return max(job.settings.group_size, -(-slots // entries))
-
     async def _generate_group(self, name: JobName, group: ClaimedGroup) -> None:
         prompts = await self._prompts(name, group)
         samples = [
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -179,5 +179,5 @@
         )
     reported = headers.get(LOAD_HEADER, "")
     if reported.isdigit():
-        server.note_answer(server.latency_s, int(reported))
+        server.load.note_report(int(reported))
     return Ok(Answer(server, response, BootId(headers.get(BOOT_HEADER, server.boot))))
--- a/pollenlb/request/choice.py
+++ b/pollenlb/request/choice.py
@@ -3,32 +3,54 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+import statistics
+from collections.abc import Callable, Sequence
 
 from ..connection.backend import BackendServer
-from ..ids import BackendServerName
 
+ChoicePolicy = Callable[[Sequence[BackendServer], random.Random], BackendServer]
+
+SLOW_RATIO = 2.5
+OVERDUE_RATIO = 4.0
 _CHOICES = 2
 
 
 def choose_server(
-    servers: Sequence[BackendServer],
-    tried: set[BackendServerName],
-    rng: random.Random,
-) -> BackendServer | None:
-    """Return the less loaded of two backend servers drawn at random.
+    servers: Sequence[BackendServer], rng: random.Random
+) -> BackendServer:
+    """Return the less loaded of two backend servers that are not slow.
+
+    Two are drawn at random: entries that all took the best one would overload
+    it before they learn of each other's requests. Load is the entry's own
+    requests in flight, which are few but known at once.
 
     Parameters
     ----------
     servers : sequence of BackendServer
-        Those that may get new work.
-    tried : set of BackendServerName
-        Those that failed the request before; never chosen.
+        Those that may get the request; at least one.
     rng : random.Random
         Draws the two.
     """
-    fresh = [each for each in servers if each.name not in tried]
-    if not fresh:
-        return None
-    drawn = rng.sample(fresh, min(_CHOICES, len(fresh)))
-    return min(drawn, key=lambda each: (each.load, each.latency_s))
+    typical_s = typical_latency_s(servers)
+    steady = [each for each in servers if not is_slow(each, typical_s)]
+    fit = steady or servers
+    drawn = rng.sample(fit, min(_CHOICES, len(fit)))
+    return min(drawn, key=lambda each: each.load.in_flight)
+
+
+def typical_latency_s(servers: Sequence[BackendServer]) -> float:
+    """Return the lower median of the latencies seen, in seconds."""
+    seen = [each.load.latency_s for each in servers if each.load.latency_s]
+    return statistics.median_low(seen) if seen else 0.0
+
+
+def is_slow(server: BackendServer, typical_s: float) -> bool:
+    """Tell whether a backend server is much slower than is typical.
+
+    Either its latest answers were slow, or one is overdue.
+    """
+    if typical_s <= 0:
+        return False
+    load = server.load
+    is_overdue = load.oldest_s > OVERDUE_RATIO * typical_s
+    return is_overdue or load.expected_s(typical_s) > SLOW_RATIO * typical_s
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -131,6 +131,7 @@
         generation.fingerprint,
         RetryPolicy(
             generation.deadline,
+            generation.request_class,
             generation.is_repeatable,
             generation.is_patient,
             generation.least_version,
@@ -181,9 +182,9 @@
         deadline=generation.deadline,
         is_repeatable=generation.is_repeatable,
     )
-    server.in_flight += 1
     started_at = now()
-    try:
+    is_long = generation.request_class is RequestClass.LONG
+    with server.load.running(is_long):
         answer = await _open(attempt, server, session, context)
         try:
             async for event in _events(answer, attempt_id, context):
@@ -191,9 +192,7 @@
                 yield event
         finally:
             answer.response.close()
-        server.note_answer(now() - started_at, None)
-    finally:
-        server.in_flight -= 1
+        server.note_answer(now() - started_at)
 
 
 async def _open(
--- a/pollenlb/request/operator_api.py
+++ b/pollenlb/request/operator_api.py
@@ -150,9 +150,9 @@
                 server.is_usable,
                 server.is_leaving,
                 server.version,
-                server.in_flight,
-                round(server.load, 3),
-                round(1000 * server.latency_s, 3),
+                server.load.in_flight,
+                round(server.load.per_slot, 3),
+                round(1000 * server.load.latency_s, 3),
             )
             for server in context.directory.servers.values()
         ]
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -21,7 +21,9 @@
     REPEATABLE_HEADER,
     TIMEOUT_HEADER,
     CallerRequest,
+    RequestClass,
 )
+from .hedging import send_hedged
 from .outcome import SERVER_HEADER, Outcome, Refusal, RefusedError
 from .retries import Retries, RetryPolicy
 
@@ -94,6 +96,7 @@
     """
     policy = RetryPolicy(
         caller.deadline,
+        caller.request_class,
         caller.is_repeatable,
         retry_share=caller.route.retry_share,
     )
@@ -102,8 +105,14 @@
     )
     while True:
         server = await retries.next_server()
+
+        def send_to(target: BackendServer):
+            return _attempt(caller, target, retries.session, context)
+
         try:
-            result = await _attempt(caller, server, retries.session, context)
+            server, result = await send_hedged(
+                caller, context, retries, server, send_to
+            )
         except asyncio.CancelledError:
             await retries.abandoned()
             raise
@@ -148,8 +157,8 @@
         is_repeatable=caller.is_repeatable,
     )
     started_at = now()
-    server.in_flight += 1
-    try:
+    is_long = caller.request_class is RequestClass.LONG
+    with server.load.running(is_long):
         match await send(
             attempt, server, session, context.settings, _head_deadline(caller, context)
         ):
@@ -158,10 +167,10 @@
             case Ok(answer):
                 result = await _read_if_small(caller, answer, context)
                 if result.is_ok():
-                    server.note_answer(now() - started_at, None)
+                    latency_s = now() - started_at
+                    server.note_answer(latency_s)
+                    context.recent_latencies(caller.service_name).add(latency_s)
                 return result
-    finally:
-        server.in_flight -= 1
     raise AssertionError
 
 
@@ -209,9 +218,10 @@
         response.headers.add(name, value)
     _add_own_headers(caller, response, answer.server.name)
     await response.prepare(caller.http)
-    answer.server.in_flight += 1
+    is_long = caller.request_class is RequestClass.LONG
     try:
-        await _copy(answer.response, response, context)
+        with answer.server.load.running(is_long):
+            await _copy(answer.response, response, context)
         await response.write_eof()
     except SEND_ERRORS as error:
         context.events.record(
@@ -220,7 +230,6 @@
         if caller.http.transport is not None:
             caller.http.transport.close()
     finally:
-        answer.server.in_flight -= 1
         answer.response.close()
     return response
 
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -29,8 +29,10 @@
 )
 from ..process.clock import Deadline, deadline_in, remaining, sleep_until
 from ..process.context import EntryContext
+from .admission import retry_after_s
 from .attempt import AttemptFailed
-from .choice import choose_server
+from .caller_request import RequestClass
+from .choice import is_slow, typical_latency_s
 from .outcome import CONDEMNED_STATUS, Outcome, Refusal, RefusedError
 
 _MOST_ATTEMPTS = 4
@@ -57,6 +59,7 @@
     """
 
     deadline: Deadline
+    request_class: RequestClass
     is_repeatable: bool
     is_patient: bool = False
     least_version: WeightVersion | None = None
@@ -105,6 +108,11 @@
         """Attempts so far."""
         return self._attempts
 
+    @property
+    def is_on_trial(self) -> bool:
+        """Whether the request runs as a suspect."""
+        return self._is_on_trial
+
     @property
     def session(self) -> aiohttp.ClientSession:
         """Connections for the next attempt; new ones after a silent one."""
@@ -128,7 +136,7 @@
                 return server
             if server is None and self._tried and self._policy.is_patient:
                 self._tried.clear()
-            elif server is None and not self._policy.is_patient:
+            elif server is None and not self._may_wait():
                 raise self._refusal(
                     503, f"no backend server of {self._service} is usable"
                 )
@@ -156,6 +164,18 @@
         RefusedError
             When the request is given up.
         """
+        await self.note_failure(server, failed)
+        await self._end_trial(TrialEnd.OPEN)
+        self._check_may_retry(failed)
+
+    async def note_failure(self, server: BackendServer, failed: AttemptFailed) -> None:
+        """Take note of a failed attempt beside which another one goes on.
+
+        Raises
+        ------
+        RefusedError
+            When the request is refused for having crashed backend servers.
+        """
         self._tried.add(server.name)
         if failed.is_timeout:
             self._silent.add(server.name)
@@ -167,23 +187,63 @@
             server.note_failure()
             if is_sent and await server.has_crashed(boot):
                 await self._report_crash(server, boot)
-        await self._end_trial(TrialEnd.OPEN)
-        self._check_may_retry(failed)
+
+    def hedge_server(self, first: BackendServer) -> BackendServer | None:
+        """Return the backend server for a hedge, or None without budget."""
+        typical_s = typical_latency_s(self._context.usable(self._service))
+        servers = [
+            each
+            for each in self._candidates()
+            if each.name != first.name
+            and each.name not in self._tried
+            and not is_slow(each, typical_s)
+        ]
+        entries = len(self._context.peers.entries)
+        servers = self._context.admit(servers, entries, self._policy.deadline)
+        if not servers or not self._context.budget(self._service).try_spend():
+            return None
+        self._context.metrics.hedges.labels(self._service).inc()
+        return self._context.choose(servers, self._context.rng)
 
     def _choose(self) -> BackendServer | None:
-        servers = self._context.usable(self._service)
-        least = self._policy.least_version
-        if least is not None:
-            servers = [
-                each
-                for each in servers
-                if each.version is not None and each.version >= least
+        servers = self._candidates()
+        fresh = [each for each in servers if each.name not in self._tried]
+        if not fresh:
+            # The connection may have been silent while the server is well.
+            fresh = [
+                each for each in servers if each.name not in self._tried - self._silent
             ]
-        server = choose_server(servers, self._tried, self._context.rng)
-        if server is not None or not self._silent:
-            return server
-        # The connection may have been silent while the server is well.
-        return choose_server(servers, self._tried - self._silent, self._context.rng)
+        if not fresh:
+            return None
+        if not self._policy.is_patient:
+            entries = len(self._context.peers.entries)
+            admissible = self._context.admit(fresh, entries, self._policy.deadline)
+            if not admissible:
+                raise self._refusal(
+                    503, f"{self._service} is overloaded", retry_after_s(fresh)
+                )
+            fresh = admissible
+        return self._context.choose(fresh, self._context.rng)
+
+    def _may_wait(self) -> bool:
+        if self._policy.is_patient:
+            return True
+        is_long = self._policy.request_class is RequestClass.LONG
+        return is_long and not self._tried and bool(self._context.usable(self._service))
+
+    def _candidates(self) -> list[BackendServer]:
+        if self._policy.request_class is RequestClass.LONG:
+            servers = self._context.with_long_slot(self._service)
+        else:
+            servers = self._context.usable(self._service)
+        least = self._policy.least_version
+        if least is None:
+            return servers
+        return [
+            each
+            for each in servers
+            if each.version is not None and each.version >= least
+        ]
 
     async def _may_run(self, server: BackendServer) -> bool:
         is_condemned = self._context.quarantine.suspects.get(self._fingerprint)
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -16,7 +16,6 @@
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Attempt, send
 from .caller_request import RequestClass
-from .choice import choose_server
 from .generation import Generation, generate
 from .outcome import CONDEMNED_STATUS, RefusedError
 
@@ -157,9 +156,9 @@
 ) -> float | None:
     assert job.settings.scorer is not None
     servers = context.usable(job.settings.scorer)
-    server = choose_server(servers, set(), context.rng)
-    if server is None:
+    if not servers:
         return None
+    server = context.choose(servers, context.rng)
     match await send(attempt, server, context.session, context.settings):
         case Ok(answer) if answer.response.status == 200:
             try:
--- a/pollenlb/settings/cluster.py
+++ b/pollenlb/settings/cluster.py
@@ -32,7 +32,7 @@
     checks_fencing = Flag(False)
     """Whether its backend servers refuse an order with an old fencing number."""
 
-    long_share = Number(0, 1, 0.75)
+    long_share = Number(0, 1, 0.875)
     """Greatest share of a backend server's slots that long work may take."""
 
     max_swaps = Integer(1, 1000, 1)
