--- a/pollenlb/connection/load.py
+++ b/pollenlb/connection/load.py
@@ -9,8 +9,8 @@
 from ..process.clock import now
 
 _LATENCY_WEIGHT = 0.2
-_RACE_WEIGHT = 0.5
-_FORGET_S = 2.0
+_RACE_WEIGHT = 1.0
+_FORGET_S = 4.0
 
 
 class ServerLoad:
--- a/pollenlb/request/choice.py
+++ b/pollenlb/request/choice.py
@@ -10,9 +10,9 @@
 
 ChoicePolicy = Callable[[Sequence[BackendServer], random.Random], BackendServer]
 
-SLOW_RATIO = 2.5
+SLOW_RATIO = 2.0
 OVERDUE_RATIO = 4.0
-_CHOICES = 2
+_CHOICES = 3
 
 
 def choose_server(
