--- a/benchmarks/fake_servers.py
+++ b/benchmarks/fake_servers.py
@@ -47,7 +47,7 @@
         self._waiting: list = []
         self._order = itertools.count()
         self._history: deque = deque([(0.0, 0)])
-        self.running: set[asyncio.Task] = set()
+        self.running: set[asyncio.Future] = set()
 
     def slowdown(self) -> float:
         """Return how much slower than usual it is now."""
@@ -89,19 +89,43 @@
                 return
         self.busy -= 1
 
+    def crash(self) -> None:
+        """Break all connections and take no new ones."""
+        self.is_down = True
+        for work in list(self.running):
+            if not work.done():
+                work.set_exception(aiohttp.ServerDisconnectedError())
+
     async def work(self, work_s: float) -> None:
         """Work for some seconds at full speed, longer in a slow spell."""
         while work_s > 1e-9:
             factor = self.slowdown()
             step_s = min(work_s * factor, self._until_change())
-            await asyncio.sleep(step_s)
+            await self._sleep_or_crash(step_s)
             work_s -= step_s / factor
 
+    async def _sleep_or_crash(self, step_s: float) -> None:
+        if self.is_down:
+            raise aiohttp.ServerDisconnectedError()
+        future: asyncio.Future = asyncio.get_running_loop().create_future()
+        handle = asyncio.get_running_loop().call_later(step_s, _finish, future)
+        self.running.add(future)
+        try:
+            await future
+        finally:
+            handle.cancel()
+            self.running.discard(future)
+
     def _until_change(self) -> float:
         edges = [edge for each in self.spells for edge in each[:2] if edge > now()]
         return min((edge - now() for edge in edges), default=1e9)
 
 
+def _finish(future: asyncio.Future) -> None:
+    if not future.done():
+        future.set_result(None)
+
+
 class FakeResponse:
     """What the entry reads of an answer."""
 
@@ -194,11 +218,8 @@
         """Send a request and return the head of its answer."""
         await asyncio.sleep(NETWORK_S)
         server = self.server_at(url)
-        task = asyncio.current_task()
-        assert task is not None
         if url.endswith("/v1/completions"):
             return self._stream(server, headers, json.loads(data))
-        server.running.add(task)
         server.note_load(1)
         try:
             await server.acquire(int(headers.get("X-Priority", 0)))
@@ -207,10 +228,7 @@
             finally:
                 server.release()
         finally:
-            server.running.discard(task)
             server.note_load(-1)
-        if server.is_down:
-            raise aiohttp.ServerDisconnectedError()
         server.served += 1
         await asyncio.sleep(NETWORK_S)
         return FakeResponse(self._headers(server, headers), b"answer")
@@ -240,8 +258,6 @@
             while at < length:
                 count = min(TOKENS_PER_EVENT, length - at)
                 await server.work(count * body["token_s"])
-                if server.is_down:
-                    raise aiohttp.ServerDisconnectedError()
                 while server.version is None:
                     await asyncio.sleep(0.05)
                 at += count
--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -9,6 +9,7 @@
 import aiohttp
 from hdrh.histogram import HdrHistogram
 
+from benchmarks.control import FakeControl
 from benchmarks.entries import make_entries
 from benchmarks.fake_servers import FakeServer
 from benchmarks.policies import Policy
@@ -118,7 +119,9 @@
     servers[0].spells = load.spells
     policy: Policy = make_policy(servers)
     services = {SERVICE: {"kind": "plain", "long_share": load.long_share}}
-    entries = make_entries(servers, services, policy, seed)
+    control = FakeControl()
+    entries = make_entries(servers, services, policy, seed, control=control)
+    control.entries = entries
     if not policy.retry_share:
         for entry in entries:
             entry.budget(SERVICE).empty()
@@ -152,9 +155,7 @@
 
 
 def _crash(server: FakeServer) -> None:
-    server.is_down = True
-    for task in list(server.running):
-        task.get_loop().call_soon(task.cancel)
+    server.crash()
 
 
 def _counted(entry: EntryContext) -> int:
--- a/pollenlb/request/admission.py
+++ b/pollenlb/request/admission.py
@@ -15,7 +15,7 @@
 
 MOST_PER_SLOT = 2.0
 LIGHT_PER_SLOT = 0.7
-_LEAST_SHARE = 2
+_LEAST_SHARE = 3
 _LIGHT_FACTOR = 4
 _LEAST_RETRY_S = 1.0
 
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -215,7 +215,7 @@
             ]
         if not fresh:
             return None
-        if not self._policy.is_patient:
+        if self._policy.request_class is not RequestClass.LONG:
             entries = len(self._context.peers.entries)
             admissible = self._context.admit(fresh, entries, self._policy.deadline)
             if not admissible:
