Samples are claimed one by one as slots come free

Cause of the trainer's step time (trial, 1,024 samples on 6 engines of 8 slots, lower bound the larger of work by capacity and the longest sample): an entry claimed two whole groups, 16 samples for its 6 slots, and kept them waiting while other entries were idle at the end of the step.

--- a/benchmarks/trainer.py
+++ b/benchmarks/trainer.py
@@ -45,15 +45,15 @@
 
     engines: int = 6
     slots: int = 8
-    prompts: int = 32
+    prompts: int = 128
     group_size: int = 8
-    steps: int = 3
+    steps: int = 2
     median_tokens: int = 150
     sigma: float = 0.6
     spells: list[tuple[float, float, float]] = field(default_factory=list)
     crashes: bool = False
     swaps: bool = False
-    long_share: float = 0.875
+    long_share: float = 1.0
     bound: int = 1
 
 
--- a/pollenlb/commands/running.py
+++ b/pollenlb/commands/running.py
@@ -95,7 +95,7 @@
             job["settings"]["service"],
             job["trainer_version"],
             job["steps"],
-            job["open_groups"],
+            job["open_samples"],
             job["accepted"],
             job["delivered"],
             job["wasted"],
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -79,7 +79,7 @@
 
     settings: JobSettings
     trainer_version: WeightVersion
-    open_groups: int
+    open_samples: int
     oldest_step: StepNumber
     oldest_step_at_ms: int
     steps: int
--- a/pollenlb/durable/commands.py
+++ b/pollenlb/durable/commands.py
@@ -263,7 +263,13 @@
 
 
 class ClaimGroups(Command, frozen=True):
-    """Asks for groups of a job to generate."""
+    """Asks for samples of a job to generate.
+
+    Attributes
+    ----------
+    most : int
+        Greatest number of samples.
+    """
 
     job: JobName
     holder: BodyHolder
@@ -271,12 +277,12 @@
 
 
 class ClaimedGroup(msgspec.Struct, frozen=True):
-    """A group to generate.
+    """Samples of a group to generate.
 
     Attributes
     ----------
     missing : list of int
-        Positions of the samples that are still to be generated.
+        Positions of the samples that are claimed.
     """
 
     step: StepNumber
@@ -287,7 +293,7 @@
 
 
 class GroupsClaimed(CommandResult, frozen=True):
-    """Groups that the claimant should generate; empty when none is open."""
+    """Samples that the claimant should generate; empty when none is open."""
 
     groups: list[ClaimedGroup]
 
--- a/pollenlb/durable/ledger.py
+++ b/pollenlb/durable/ledger.py
@@ -45,28 +45,41 @@
     ----------
     samples : list
         One record a position, None while it is missing.
-    claimant : BodyHolder or None
-        Entry process that generates the missing samples.
+    claimants : list
+        Entry process that generates each missing sample, or None.
     """
 
     samples: list[SampleRecord | None]
-    claimant: BodyHolder | None = None
+    claimants: list[BodyHolder | None]
     batch: BatchNumber | None = None
 
     @property
-    def missing(self) -> list[int]:
-        """Positions without a sample."""
-        return [at for at, sample in enumerate(self.samples) if sample is None]
-
-    @property
-    def is_open(self) -> bool:
-        """Whether samples are missing that nobody generates."""
-        return self.claimant is None and None in self.samples
+    def open_positions(self) -> list[int]:
+        """Positions whose sample is missing and that nobody generates."""
+        return [
+            at
+            for at, sample in enumerate(self.samples)
+            if sample is None and self.claimants[at] is None
+        ]
+
+    def claim(self, holder: BodyHolder, most: int) -> list[int]:
+        """Let a process generate some open samples; return their positions."""
+        positions = self.open_positions[:most]
+        for at in positions:
+            self.claimants[at] = holder
+        return positions
+
+    def drop_claims(self, boots: set[BootId]) -> None:
+        """Open the samples that ended processes were to generate."""
+        self.claimants = [
+            None if each is not None and each.boot in boots else each
+            for each in self.claimants
+        ]
 
     def reopen(self, position: int) -> None:
         """Give up the sample at a position so that it is generated again."""
         self.samples[position] = None
-        self.claimant = None
+        self.claimants[position] = None
         self.batch = None
 
 
@@ -117,10 +130,10 @@
         age = self.trainer_version - sample.oldest_version
         return age <= self.settings.staleness_bound
 
-    def open_groups(self) -> int:
-        """Return the number of groups that nobody generates."""
+    def open_samples(self) -> int:
+        """Return the number of samples that nobody generates."""
         return sum(
-            group.is_open
+            len(group.open_positions)
             for step in self.steps.values()
             for group in step.groups.values()
         )
@@ -163,7 +176,7 @@
             return Refused(f"step {command.step} ended; the next is {job.next_step}")
         size = job.settings.group_size
         groups = {
-            GroupIndex(index): Group([None] * size)
+            GroupIndex(index): Group([None] * size, [None] * size)
             for index in range(command.group_count)
         }
         job.steps[command.step] = Step(
@@ -173,18 +186,20 @@
         return Done()
 
     def claim(self, command: ClaimGroups) -> AnyResult:
-        """Hand out open groups, oldest step first."""
+        """Hand out open samples, oldest step first."""
         job = self.jobs.get(command.job)
         if job is None:
             return _no_job(command.job)
         claimed: list[ClaimedGroup] = []
+        left = command.most
         for number, step in job.steps.items():
             for index, group in step.groups.items():
-                if len(claimed) >= command.most:
+                if left <= 0:
                     return GroupsClaimed(claimed)
-                if group.is_open:
-                    group.claimant = command.holder
-                    claimed.append(_claimed(number, step, index, group))
+                positions = group.claim(command.holder, left)
+                if positions:
+                    left -= len(positions)
+                    claimed.append(_claimed(number, step, index, positions))
         return GroupsClaimed(claimed)
 
     def commit(self, command: CommitSamples) -> AnyResult:
@@ -222,8 +237,7 @@
             for step in job.steps.values():
                 step.prompt_holders = _without(step.prompt_holders, boots)
                 for group in step.groups.values():
-                    if group.claimant is not None and group.claimant.boot in boots:
-                        group.claimant = None
+                    group.drop_claims(boots)
             _drop_bodies(job, None, boots)
 
     def report_missing(self, command: ReportMissing) -> AnyResult:
@@ -291,10 +305,10 @@
 
 
 def _claimed(
-    number: StepNumber, step: Step, index: GroupIndex, group: Group
+    number: StepNumber, step: Step, index: GroupIndex, positions: list[int]
 ) -> ClaimedGroup:
     return ClaimedGroup(
-        number, index, group.missing, step.prompts, list(step.prompt_holders)
+        number, index, positions, step.prompts, list(step.prompt_holders)
     )
 
 
@@ -384,6 +398,9 @@
         if sample is not None
         for holder in sample.holders
     }
-    if group.claimant is not None and None in group.samples:
-        found.add(group.claimant.boot)
+    found.update(
+        claimant.boot
+        for claimant, sample in zip(group.claimants, group.samples)
+        if claimant is not None and sample is None
+    )
     return found
--- a/pollenlb/durable/views.py
+++ b/pollenlb/durable/views.py
@@ -51,7 +51,7 @@
     return JobView(
         settings=job.settings,
         trainer_version=job.trainer_version,
-        open_groups=job.open_groups(),
+        open_samples=job.open_samples(),
         oldest_step=min(job.steps, default=job.next_step),
         oldest_step_at_ms=min((step.at_ms for step in job.steps.values()), default=0),
         steps=len(job.steps),
--- a/pollenlb/process/rollouts.py
+++ b/pollenlb/process/rollouts.py
@@ -28,7 +28,7 @@
 from .clock import deadline_in, sleep_until
 from .context import EntryContext
 
-_GROUPS_PER_CLAIM = 2
+_SAMPLES_PER_CLAIM = 4
 _COMMIT_PAUSE_S = 0.02
 _SAMPLES_PER_COMMIT = 256
 _ATTEMPT_TIMEOUT_S = 5.0
@@ -102,9 +102,10 @@
 
     async def _claim(self, name: JobName) -> int:
         job = self._context.ledger.jobs[name]
-        if not job.open_groups or not self._may_claim(job):
+        most = self._claimable(job)
+        if not job.open_samples or most <= 0:
             return 0
-        command = ClaimGroups(name, self._context.peers.holder, _GROUPS_PER_CLAIM)
+        command = ClaimGroups(name, self._context.peers.holder, most)
         match await self._execute(command):
             case GroupsClaimed(groups=groups):
                 for group in groups:
@@ -113,13 +114,14 @@
                 return len(groups)
         return 0
 
-    def _may_claim(self, job: JobView) -> bool:
+    def _claimable(self, job: JobView) -> int:
         if self._context.is_draining or not self._context.in_force.is_leased:
-            return False
-        most = self._context.settings.max_samples_in_flight
-        return self._in_flight < min(
-            most, self._context.long_slots(job.settings.service)
+            return 0
+        most = min(
+            self._context.settings.max_samples_in_flight,
+            self._context.long_slots(job.settings.service),
         )
+        return min(_SAMPLES_PER_CLAIM, most - self._in_flight)
 
     async def _generate_group(self, name: JobName, group: ClaimedGroup) -> None:
         prompts = await self._prompts(name, group)
--- a/tests/system/test_samples.py
+++ b/tests/system/test_samples.py
@@ -196,7 +196,7 @@
     (relay,) = await system.relay_control(0)
     await _submit(client)
     job = system.leader.machine.state.ledger.jobs["job"]
-    await until(lambda: job.open_groups() == 0)
+    await until(lambda: job.open_samples() == 0)
     relay.cut()
     pulling = asyncio.create_task((await client_of(system)).pull("job", 1))
     await until(lambda: not system.entries[0].context.in_force.is_leased)
