--- a/pollenlb/settings/entry.py
+++ b/pollenlb/settings/entry.py
@@ -48,9 +48,6 @@
     body_store_bytes = Integer(1024, 4_294_967_296, 33_554_432)
     """Memory for prompts and samples, in bytes."""
 
-    default_timeout_s = Number(0.1, 86_400, 30.0)
-    """Seconds until the deadline of a request that names none."""
-
     max_timeout_s = Number(0.1, 86_400, 3600.0)
     """Greatest timeout, in seconds, that a caller may ask for."""
 
--- /dev/null
+++ b/pollenlb/settings/reference.py
@@ -0,0 +1,84 @@
+"""Writes the reference page of all settings from the settings classes."""
+
+from __future__ import annotations
+
+import ast
+import inspect
+import json
+import textwrap
+from typing import Any
+
+from .cluster import ClusterSettings, RouteSettings, ServiceSettings
+from .control import ControlSettings, MemberSettings
+from .ctl import CtlSettings
+from .entry import EntrySettings
+from .options import Option, Settings
+
+_CLASSES: tuple[type[Settings], ...] = (
+    EntrySettings,
+    ControlSettings,
+    MemberSettings,
+    CtlSettings,
+    ClusterSettings,
+    ServiceSettings,
+    RouteSettings,
+)
+
+
+def reference() -> str:
+    """Return the page in Markdown."""
+    parts = [
+        "# Settings",
+        "Made from the settings classes by `make docs`. Unknown keys are errors. The "
+        "cluster's settings are set with `pollenctl set`, as `services.NAME.KEY` and "
+        "`routes.NAME.KEY`; all others stand in a TOML file.",
+    ]
+    parts += [_section(each) for each in _CLASSES]
+    return "\n\n".join(parts) + "\n"
+
+
+def _section(settings: type[Settings]) -> str:
+    texts = _docstrings(settings)
+    lines = [
+        f"## {settings.__name__}",
+        "",
+        inspect.getdoc(settings) or "",
+        "",
+        "| key | allowed | default | meaning |",
+        "| --- | --- | --- | --- |",
+    ]
+    for key, option in settings.options().items():
+        text = " ".join(texts.get(key, "").split())
+        lines.append(f"| `{key}` | {option.allowed} | {_default(option)} | {text} |")
+    return "\n".join(lines)
+
+
+def _default(option: Option[Any]) -> str:
+    return "required" if option.is_required else f"`{json.dumps(option.default)}`"
+
+
+def _docstrings(settings: type[Settings]) -> dict[str, str]:
+    tree = ast.parse(textwrap.dedent(inspect.getsource(settings)))
+    definition = tree.body[0]
+    assert isinstance(definition, ast.ClassDef)
+    found: dict[str, str] = {}
+    for statement, following in zip(definition.body, definition.body[1:]):
+        name = _assigned_name(statement)
+        is_text = isinstance(following, ast.Expr) and isinstance(
+            following.value, ast.Constant
+        )
+        if name and is_text:
+            found[name] = str(following.value.value)  # type: ignore[attr-defined]
+    return found
+
+
+def _assigned_name(statement: ast.stmt) -> str | None:
+    if isinstance(statement, ast.AnnAssign) and isinstance(statement.target, ast.Name):
+        return statement.target.id
+    if isinstance(statement, ast.Assign) and isinstance(statement.targets[0], ast.Name):
+        return statement.targets[0].id
+    return None
+
+
+if __name__ == "__main__":
+    print(reference(), end="")
--- a/tests/system/test_at_most_once.py
+++ b/tests/system/test_at_most_once.py
@@ -114,11 +114,12 @@
     assert _executions(system) == 1
 
 
-async def test_without_a_key_it_is_not_sent_a_second_time(local_system):
+@pytest.mark.parametrize("method", ["POST", "PUT", "GET"])
+async def test_without_a_key_it_is_not_sent_a_second_time(local_system, method):
     system = await local_system(entries=2, plains=2)
     for plain in system.plains:
         plain.gate.clear()
-    ask = asyncio.create_task(system.ask("POST", 0, "/billing", {}, data=b"x"))
+    ask = asyncio.create_task(system.ask(method, 0, "/billing", {}, data=b"x"))
     await until(lambda: any(plain.executions for plain in system.plains))
     for plain in system.plains:
         if plain.executions:
