Promises and measurements; tests that catch their mechanism's absence

With a mechanism taken out, six tests still passed in a trial: reads without a quorum (the check of histories cannot see them, since an old leader steps down as early as a new one can be elected), the HTTP library's hidden retry, use of an engine without a whole version, a later commit for a filled slot, ids of events not compared, and SIGTERM closing at once (work was shorter than the balancer's delay). Each has a sharper test now that fails without its mechanism and passes with it. The 'old identity' mechanism is shown by the naive test itself.

--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -17,9 +17,12 @@
 from aiohttp import web
 
 from demo.cluster import Cluster, ClusterPlan
+from pollenlb.connection.control import ControlConnection
 from pollenlb.connection.control_api import RENEW, RenewRequest
 from pollenlb.connection.rpc import RpcChannel
+from pollenlb.durable.commands import CreateJob, JobSettings
 from pollenlb.durable.leases import EntryInfo
+from pollenlb.process.clock import deadline_in
 from pollenlb.process.events import EventLog
 
 OUTPUT = Path("build/cost.json")
@@ -27,6 +30,7 @@
 RENEWER_COUNTS = (0, 40, 120)
 _MEASURE_S = 6.0
 _REQUESTS = 1500
+_COMMANDS = 500
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -120,6 +124,7 @@
             figures["servers"][count] = await _idle(cluster, servers)
             if count == SERVER_COUNTS[0]:
                 figures["request_ms"] = await _request_ms(cluster, session)
+    figures["commands"] = await _commands(cluster)
     for count in RENEWER_COUNTS:
         figures["renewers"][count] = await _renewals(cluster, count)
     return figures
@@ -162,6 +167,32 @@
     return 1000 * used_s / _REQUESTS
 
 
+async def _commands(cluster: Cluster) -> dict:
+    """Measure all control instances while commands come a few at a time."""
+    addresses = [f"127.0.0.1:{cluster.ports[f'control-{n}']}" for n in range(3)]
+    connection = ControlConnection(addresses, EventLog("cost", None))
+    limit = asyncio.Semaphore(4)
+
+    async def propose(number: int) -> None:
+        settings = JobSettings(f"job-{number}", "shop", 1, 1, 1, 1)
+        async with limit:
+            await connection.propose(CreateJob(settings), None, deadline_in(10))
+
+    await propose(-1)
+    pids = [cluster.processes[f"control-{n}"].pid for n in range(3)]
+    before = [processor_s(pid) for pid in pids]
+    started_at = time.perf_counter()
+    await asyncio.gather(*(propose(number) for number in range(_COMMANDS)))
+    took_s = time.perf_counter() - started_at
+    used_s = [processor_s(pid) - was for pid, was in zip(pids, before)]
+    await connection.close()
+    return {
+        "commands_per_s": _COMMANDS / took_s,
+        "leader_ms": 1000 * max(used_s) / _COMMANDS,
+        "follower_ms": 1000 * min(used_s) / _COMMANDS,
+    }
+
+
 async def _renewals(cluster: Cluster, count: int) -> dict:
     """Measure the control instances while stand-ins renew each 0.8 s."""
     events = EventLog("cost", None)
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -42,6 +42,7 @@
         self.checks_fencing = checks_fencing
         self.version = version
         self.does_next_swap_fail = False
+        self.received = 0
         self.log: list[dict] = []
         self.orders: list[dict] = []
         self.highest_fencing = [0, 0]
@@ -54,6 +55,7 @@
         """Stream a completion; each piece names its weight version."""
         body = await request.json()
         self.in_flight += 1
+        self.received += 1
         try:
             async with self._slots:
                 if body["prompt"] == CRASH_PROMPT:
--- a/fakes/plain_service.py
+++ b/fakes/plain_service.py
@@ -23,6 +23,7 @@
         super().__init__(*args, **options)
         self.work_s = work_s
         self.executions: dict[str, int] = {}
+        self.breaks_connections = False
         self.started = asyncio.Event()
         self.gate = asyncio.Event()
         self.gate.set()
@@ -39,6 +40,8 @@
             key = request.headers.get("Idempotency-Key", request.path_qs)
             self.executions[key] = self.executions.get(key, 0) + 1
             self.started.set()
+            if self.breaks_connections and request.transport is not None:
+                request.transport.abort()
             await self.gate.wait()
             await asyncio.sleep(self.work_s)
             answer = {
--- a/tests/durable/test_machine.py
+++ b/tests/durable/test_machine.py
@@ -115,6 +115,52 @@
     assert list(log.machine.state.keys.records) == ["k2"]
 
 
+class CommandRules(RuleBasedStateMachine):
+    """Operators that race with changes and resend them after any delay."""
+
+    sent = Bundle("sent")
+
+    @initialize()
+    def start(self) -> None:
+        self.log = Log()
+        self.first_answers: dict = {}
+        self.accepted: list = []
+
+    @rule(target=sent, behind=st.integers(0, 2), value=st.integers(0, 100))
+    def send(self, behind: int, value: int):
+        command_id = f"c{len(self.first_answers)}"
+        revision = self.log.machine.state.configuration.revision
+        command = _set(value, max(0, revision - behind))
+        answer = self.log.do(command, command_id)
+        self.first_answers[command_id] = answer
+        if isinstance(answer, ConfigurationChanged):
+            assert command.based_on == revision
+            self.accepted.append(value)
+        return command_id, command
+
+    @rule(earlier=sent)
+    def resend(self, earlier) -> None:
+        command_id, command = earlier
+        assert self.log.do(command, command_id) == self.first_answers[command_id]
+
+    @rule()
+    def restart(self) -> None:
+        self.log.restart()
+
+    @invariant()
+    def each_accepted_change_counts_once(self) -> None:
+        if not hasattr(self, "log"):
+            return
+        table = self.log.machine.state.configuration
+        assert table.revision == len(self.accepted)
+        if self.accepted:
+            share = table.document["services"]["s"]["long_share"]
+            assert share == self.accepted[-1] / 100
+
+
+TestCommandRules = CommandRules.TestCase
+
+
 class LedgerRules(RuleBasedStateMachine):
     """A trainer that counts each slot once, whatever is lost or comes late."""
 
@@ -155,11 +201,21 @@
 
     @rule(made=samples)
     def commit(self, made: list) -> None:
-        """Commit, also late and again."""
+        """Commit, also late and again; a filled slot stays as it is."""
+        filled = [self._sample_at(record) for record in made]
         fates = self.log.do(CommitSamples(made)).fates
         for record, fate in zip(made, fates):
             if fate is SampleFate.ACCEPTED:
                 assert self.version - record.oldest_version <= JOB.staleness_bound
+        for record, before in zip(made, filled):
+            if before is not None:
+                assert self._sample_at(record) == before
+
+    def _sample_at(self, record: SampleRecord):
+        steps = self.log.machine.state.ledger.jobs["job"].steps
+        if record.step not in steps or record.group not in steps[record.step].groups:
+            return None
+        return steps[record.step].groups[record.group].samples[record.position]
 
     @rule()
     def raise_version(self) -> None:
@@ -186,6 +242,10 @@
             assert record.holders
         again = self.log.do(PullBatch("job", self.next_batch))
         assert again.batch == result.batch and again.samples == result.samples
+        if self.held is not None and self.held.batch.seal == result.batch.seal:
+            bodies = [each.body for each in result.samples]
+            assert bodies == [each.body for each in self.held.samples]
+        self.held = result
         if is_answer_lost:
             return
         slots = {(each.step, each.group, each.position) for each in result.samples}
--- a/tests/durable/test_replica.py
+++ b/tests/durable/test_replica.py
@@ -46,6 +46,17 @@
         assert new.registers.values["x"] == 3
 
 
+async def test_a_leader_answers_no_read_without_its_quorum(tmp_path):
+    options = {"election_timeout_s": 3.0}
+    async with ReplicaSet(tmp_path, seed=9, **options) as replicas:
+        leader = await replicas.write("x", 1)
+        replicas.cut(leader)
+        with pytest.raises((NotLeaderError, TimeoutError)):
+            async with asyncio.timeout(1.0):
+                await leader.replica.confirm_reads()
+        assert leader.replica.leadership is not None
+
+
 async def test_a_returned_leader_does_not_disturb_the_new_one(tmp_path):
     async with ReplicaSet(tmp_path, seed=2) as replicas:
         old = await replicas.write("x", 1)
--- a/tests/system/test_at_most_once.py
+++ b/tests/system/test_at_most_once.py
@@ -129,6 +129,16 @@
     assert sum(plain.executions.get("/billing", 0) for plain in system.plains) == 1
 
 
+@pytest.mark.parametrize("method", ["POST", "PUT", "GET", "DELETE"])
+async def test_a_server_that_lives_breaks_the_connection(local_system, method):
+    system = await local_system(entries=1, plains=1)
+    (plain,) = system.plains
+    plain.breaks_connections = True
+    answer = await system.ask(method, 0, "/billing", {}, data=b"x")
+    assert answer[1] == "unknown"
+    assert plain.executions == {"/billing": 1}
+
+
 async def test_a_request_that_reached_no_server_is_tried_elsewhere(local_system):
     system = await local_system(entries=1, plains=2)
     await system.plains[0].kill()
--- a/tests/system/test_leaving.py
+++ b/tests/system/test_leaving.py
@@ -77,7 +77,7 @@
         services={"shop": {"kind": "plain"}},
         routes={"shop": {"service": "shop", "path_prefix": "/shop"}},
         plains={"shop": 2},
-        work_s=0.3,
+        work_s=2.0,  # longer than the balancer's delay
     )
 
 
--- a/tests/system/test_samples.py
+++ b/tests/system/test_samples.py
@@ -91,7 +91,7 @@
     )
     await _submit(client)
     _check(await client.pull("job", 1), system, 1)
-    assert failing.log == []
+    assert failing.received == 0
     assert sound.log
 
 
--- a/tests/system/test_whole_answers.py
+++ b/tests/system/test_whole_answers.py
@@ -8,6 +8,8 @@
 import pytest
 from aiohttp import web
 
+from fakes.engine import token_count
+
 from ..local_system import LocalSystem
 
 _BODY = {"model": "model", "prompt": "hello", "max_tokens": 30}
@@ -41,7 +43,8 @@
     choice = answer["choices"][0]
     assert choice["finish_reason"] == "stop"
     tokens = choice["text"].split()
-    assert [int(each.split(":")[0]) for each in tokens] == list(range(len(tokens)))
+    positions = [int(each.split(":")[0]) for each in tokens]
+    assert positions == list(range(token_count(_BODY)))
 
 
 async def test_an_answer_to_another_request_is_thrown_away(local_system):
