--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -7,50 +7,16 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from result import Err, Ok
 
 from ..exceptions import CommitInDoubtError, LogError, NotLeaderError
-from ..ids import Address, LogIndex, ReplicaId, Term
+from ..ids import LogIndex, ReplicaId, Term
 from ..process.clock import deadline_in, now, remaining, sleep_until
-from .records import (
-    APPEND,
-    SNAPSHOT,
-    AppendAnswer,
-    AppendRequest,
-    EntryKind,
-    JoinRequest,
-    LogEntry,
-    Member,
-    SnapshotRequest,
-    encode_members,
-)
+from .follower import Follower
+from .records import EntryKind, JoinRequest, LogEntry, Member, encode_members
 
 if TYPE_CHECKING:
     from .replica import Replica
 
-_ENTRIES_PER_MESSAGE = 256
-_SNAPSHOT_TIMEOUT_S = 30.0
-
-
-class Progress:
-    """How far one other replica's log is known to match.
-
-    Parameters
-    ----------
-    member : Member
-        The replica.
-    next_index : LogIndex
-        First index to send.
-    """
-
-    def __init__(self, member: Member, next_index: LogIndex) -> None:
-        self.member = member
-        self.next_index = next_index
-        self.match_index = LogIndex(0)
-        self.answered_at = float("-inf")
-        self.wake = asyncio.Event()
-        self.task: asyncio.Task | None = None
-
 
 class Leadership:
     """One term as leader: writes entries, replicates and commits them.
@@ -70,7 +36,7 @@
         self._term = term
         self._started_at = asked_at
         self._is_ended = False
-        self._peers: dict[ReplicaId, Progress] = {}
+        self._peers: dict[ReplicaId, Follower] = {}
         self._queue: deque[tuple[EntryKind, bytes, asyncio.Future]] = deque()
         self._queued = asyncio.Event()
         self._pending: dict[LogIndex, asyncio.Future] = {}
@@ -117,9 +83,8 @@
         """Cancel the tasks and give up what is not committed."""
         self._is_ended = True
         current = asyncio.current_task()
-        for progress in self._peers.values():
-            if progress.task is not None and progress.task is not current:
-                progress.task.cancel()
+        for follower in self._peers.values():
+            follower.end()
         for task in self._tasks:
             if task is not current:
                 task.cancel()
@@ -218,8 +183,8 @@
         return [each for each in self._replica.storage.members if each.is_voter]
 
     def _answered_at(self, replica: ReplicaId) -> float:
-        progress = self._peers.get(replica)
-        return progress.answered_at if progress else float("-inf")
+        follower = self._peers.get(replica)
+        return follower.answered_at if follower else float("-inf")
 
     def _is_answering(self, member: Member) -> bool:
         patience_s = 2 * self._replica.settings.election_timeout_s
@@ -276,100 +241,23 @@
         }
         for replica in [each for each in self._peers if each not in others]:
             removed = self._peers.pop(replica)
-            if removed.task is not None:
-                removed.task.cancel()
+            removed.end()
         for replica, member in others.items():
             if replica in self._peers:
                 self._peers[replica].member = member
                 continue
-            progress = Progress(member, LogIndex(storage.last_index + 1))
-            self._peers[replica] = progress
-            progress.task = self._replica.spawn(self._replicate(progress))
+            follower = Follower(self._replica, self._term, member, self._note_answer)
+            self._peers[replica] = follower
+            follower.task = self._replica.spawn(follower.run())
 
     def _wake_peers(self) -> None:
-        for progress in self._peers.values():
-            progress.wake.set()
-
-    async def _replicate(self, progress: Progress) -> None:
-        heartbeat_s = self._replica.settings.heartbeat_s
-        while not self._is_ended:
-            progress.wake.clear()
-            if await self._send_next(progress):
-                behind = progress.next_index <= self._replica.storage.last_index
-                if behind or progress.wake.is_set():
-                    continue
-                await _wait_event(progress.wake, heartbeat_s)
-            else:
-                await sleep_until(deadline_in(heartbeat_s))
-
-    async def _send_next(self, progress: Progress) -> bool:
-        sent_at = now()
-        snapshot = self._replica.storage.snapshot
-        if progress.next_index <= snapshot.index:
-            request: Any = self._snapshot_request(progress)
-            method: Any = SNAPSHOT
-            timeout_s = _SNAPSHOT_TIMEOUT_S
-        else:
-            request = self._append_request(progress)
-            method = APPEND
-            timeout_s = self._replica.settings.election_timeout_s
-        channel = self._replica.channel(progress.member.address)
-        match await channel.call(method, request, timeout_s):
-            case Ok(answer):
-                return await self._take_answer(progress, answer, sent_at)
-            case Err(_):
-                return False
-        return False
-
-    def _snapshot_request(self, progress: Progress) -> SnapshotRequest:
-        state = self._replica.storage.hard_state
-        return SnapshotRequest(
-            cluster=state.cluster,
-            sender=state.replica,
-            receiver=progress.member.replica,
-            term=self._term,
-            leader_address=Address(self._replica.settings.listen),
-            snapshot=self._replica.storage.snapshot,
-        )
+        for follower in self._peers.values():
+            follower.wake.set()
 
-    def _append_request(self, progress: Progress) -> AppendRequest:
-        storage = self._replica.storage
-        previous = LogIndex(progress.next_index - 1)
-        previous_term = storage.term_at(previous)
-        assert previous_term is not None
-        return AppendRequest(
-            cluster=storage.hard_state.cluster,
-            sender=storage.hard_state.replica,
-            receiver=progress.member.replica,
-            term=self._term,
-            previous_term=previous_term,
-            previous_index=previous,
-            commit_index=self._replica.commit_index,
-            leader_address=Address(self._replica.settings.listen),
-            entries=storage.entries_from(progress.next_index, _ENTRIES_PER_MESSAGE),
-        )
-
-    async def _take_answer(
-        self, progress: Progress, answer: AppendAnswer, sent_at: float
-    ) -> bool:
-        if not answer.is_known:
-            return False
-        if answer.term > self._term:
-            await self._replica.observe_term(answer.term)
-            return False
-        progress.answered_at = max(progress.answered_at, sent_at)
-        if answer.is_matching:
-            progress.match_index = LogIndex(
-                max(progress.match_index, answer.last_index)
-            )
-            progress.next_index = LogIndex(progress.match_index + 1)
-            self._advance_commit()
-        else:
-            hint = answer.last_index + 1
-            progress.next_index = LogIndex(max(1, min(hint, progress.next_index)))
+    async def _note_answer(self) -> None:
+        self._advance_commit()
         async with self._contacted:
             self._contacted.notify_all()
-        return True
 
     def _advance_commit(self) -> None:
         if self._is_ended:
@@ -425,11 +313,11 @@
 
     def _caught_up_learner(self) -> Member | None:
         last_index = self._replica.storage.last_index
-        for progress in self._peers.values():
-            if progress.member.is_voter or not self._is_answering(progress.member):
+        for follower in self._peers.values():
+            if follower.member.is_voter or not self._is_answering(follower.member):
                 continue
-            if progress.match_index == last_index:
-                return progress.member
+            if follower.match_index == last_index:
+                return follower.member
         return None
 
 
@@ -438,11 +326,3 @@
         future.set_exception(error)
         # Retrieved here so that a proposer that gave up leaves no warning.
         future.exception()
-
-
-async def _wait_event(event: asyncio.Event, timeout_s: float) -> None:
-    try:
-        async with asyncio.timeout(timeout_s):
-            await event.wait()
-    except TimeoutError:
-        return
--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -4,43 +4,25 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Coroutine
 from enum import Enum
-from typing import Any, Protocol, TypeVar
+from typing import Any, Protocol
 
 import msgspec
 from result import Err, Ok
 
 from ..connection.rpc import RpcChannel, RpcServer
-from ..exceptions import LogError, NotLeaderError, StorageError
+from ..exceptions import NotLeaderError
 from ..ids import Address, ClusterId, InstanceName, LogIndex, ReplicaId, Term, new_id
 from ..process.clock import Deadline, deadline_in, now, sleep_until
 from ..process.events import EventLog
 from ..settings.control import ControlSettings
+from .answers import Answers
 from .election import hold_election
 from .leadership import Leadership
-from .records import (
-    APPEND,
-    JOIN,
-    SNAPSHOT,
-    VOTE,
-    AppendAnswer,
-    AppendRequest,
-    EntryKind,
-    JoinAnswer,
-    JoinRequest,
-    LogEntry,
-    Member,
-    Snapshot,
-    SnapshotRequest,
-    VoteAnswer,
-    VoteRequest,
-)
+from .records import JOIN, EntryKind, JoinRequest, LogEntry, Member, Snapshot
 from .storage import Storage, first_hard_state
 
-Q = TypeVar("Q")
-A = TypeVar("A")
-
 _JOIN_TIMEOUT_S = 5.0
 
 
@@ -174,10 +156,7 @@
 
     def offer(self, server: RpcServer) -> None:
         """Answer the other replicas' calls on a server."""
-        server.offer(VOTE, self._ending_on_error(self._answer_vote))
-        server.offer(APPEND, self._ending_on_error(self._answer_append))
-        server.offer(SNAPSHOT, self._ending_on_error(self._answer_snapshot))
-        server.offer(JOIN, self._ending_on_error(self._answer_join))
+        Answers(self).offer(server)
 
     def start(self) -> None:
         """Restore the state and begin to take part."""
@@ -263,6 +242,24 @@
         later = msgspec.structs.replace(state, term=term, voted_for=None)
         await self._storage.save_hard_state(later)
 
+    def follow(self, leader_address: Address) -> None:
+        """Take note of a message from the leader of the present term."""
+        if self._leader_address != leader_address:
+            self._leader_address = leader_address
+            self._events.record(
+                "leader.followed", leader=leader_address, term=self.term
+            )
+        self._leader_heard_at = now()
+        self.postpone_election()
+
+    async def receive_snapshot(self, snapshot: Snapshot) -> None:
+        """Put a snapshot in place of the state; the caller holds the lock."""
+        if snapshot.index <= self._commit_index:
+            return
+        await self._storage.save_snapshot(snapshot)
+        self._restore()
+        self._events.record("snapshot.received", index=snapshot.index)
+
     async def observe_term(self, term: Term) -> None:
         """Move to a later term that an answer told of."""
         if term > self.term:
@@ -299,18 +296,6 @@
         ):
             self._start_snapshot()
 
-    def _ending_on_error(
-        self, handler: Callable[[Q], Awaitable[A]]
-    ) -> Callable[[Q], Awaitable[A]]:
-        async def answer(request: Q) -> A:
-            try:
-                return await handler(request)
-            except Exception as error:
-                self.fail(error)
-                raise
-
-        return answer
-
     def _restore(self) -> None:
         snapshot = self._storage.snapshot
         if snapshot.index:
@@ -384,108 +369,6 @@
                 return None
         return None
 
-    async def _answer_vote(self, request: VoteRequest) -> VoteAnswer:
-        async with self._lock:
-            if not self._is_addressed(request.cluster, request.receiver):
-                return VoteAnswer(Term(0), False)
-            is_refused = self.is_leader_heard() or request.term < self.term
-            if is_refused or not self._is_up_to_date(request):
-                return VoteAnswer(self.term, False)
-            if request.is_pre_vote:
-                return VoteAnswer(self.term, True)
-            await self.adopt_term(request.term)
-            return VoteAnswer(self.term, await self._vote_for(request.sender))
-
-    async def _vote_for(self, candidate: ReplicaId) -> bool:
-        state = self._storage.hard_state
-        if state.voted_for not in (None, candidate):
-            return False
-        voted = msgspec.structs.replace(state, voted_for=candidate)
-        await self._storage.save_hard_state(voted)
-        self.postpone_election()
-        return True
-
-    def _is_up_to_date(self, request: VoteRequest) -> bool:
-        own = (self._storage.last_term, self._storage.last_index)
-        return (request.last_term, request.last_index) >= own
-
-    def _is_addressed(self, cluster: ClusterId, receiver: ReplicaId) -> bool:
-        if not self._storage.is_formatted:
-            return False
-        state = self._storage.hard_state
-        return cluster == state.cluster and receiver == state.replica
-
-    async def _answer_append(self, request: AppendRequest) -> AppendAnswer:
-        async with self._lock:
-            refusal = await self._refuse_or_follow(request)
-            if refusal is not None:
-                return refusal
-            previous = self._storage.term_at(request.previous_index)
-            if previous is None or previous != request.previous_term:
-                return self._mismatch(request.previous_index)
-            await self._store(request.entries)
-            matched = LogIndex(request.previous_index + len(request.entries))
-            self.commit_through(LogIndex(min(request.commit_index, matched)))
-            return AppendAnswer(self.term, True, True, matched)
-
-    async def _answer_snapshot(self, request: SnapshotRequest) -> AppendAnswer:
-        async with self._lock:
-            refusal = await self._refuse_or_follow(request)
-            if refusal is not None:
-                return refusal
-            snapshot = request.snapshot
-            if snapshot.index > self._commit_index:
-                await self._storage.save_snapshot(snapshot)
-                self._restore()
-                self._events.record("snapshot.received", index=snapshot.index)
-            return AppendAnswer(self.term, True, True, snapshot.index)
-
-    async def _refuse_or_follow(
-        self, request: AppendRequest | SnapshotRequest
-    ) -> AppendAnswer | None:
-        if not self._is_addressed(request.cluster, request.receiver):
-            return AppendAnswer(Term(0), False, False, LogIndex(0))
-        if request.term < self.term:
-            return AppendAnswer(self.term, True, False, self._storage.last_index)
-        await self.adopt_term(request.term)
-        if self._leader_address != request.leader_address:
-            self._leader_address = request.leader_address
-            self._events.record(
-                "leader.followed", leader=request.leader_address, term=request.term
-            )
-        self._leader_heard_at = now()
-        self.postpone_election()
-        return None
-
-    def _mismatch(self, previous_index: LogIndex) -> AppendAnswer:
-        hint = min(previous_index - 1, self._storage.last_index)
-        hint = max(hint, self._storage.snapshot.index)
-        return AppendAnswer(self.term, True, False, LogIndex(hint))
-
-    async def _store(self, entries: list[LogEntry]) -> None:
-        position = 0
-        while position < len(entries):
-            entry = entries[position]
-            if self._storage.term_at(entry.index) != entry.term:
-                break
-            position += 1
-        new = entries[position:]
-        if not new:
-            return
-        if new[0].index <= self._commit_index:
-            raise StorageError(f"committed entry {new[0].index} would be overwritten")
-        await self._storage.truncate_from(new[0].index)
-        await self._storage.append(new)
-
-    async def _answer_join(self, request: JoinRequest) -> JoinAnswer:
-        if self._leadership is None:
-            return JoinAnswer(None, self._leader_address, "this replica does not lead")
-        try:
-            await self._leadership.admit(request)
-        except LogError as error:
-            return JoinAnswer(None, self._leader_address, str(error))
-        return JoinAnswer(self._storage.hard_state.cluster, self._leader_address)
-
     def _task_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
