Trainers share the engines: the job with the fewest samples here claims next

Cause: an entry claimed for its jobs in the order in which they were created, so that the first took each slot that came free. test_fair_shares failed before: 199 of 200 samples of a large job were done before the 16 of a small one; now at most 48. Samples of jobs of other services no longer count against a service's slots.

--- a/benchmarks/entries.py
+++ b/benchmarks/entries.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from pathlib import Path
 
 from benchmarks.fake_servers import FakeServer, FakeSession
 from benchmarks.policies import Policy
@@ -56,16 +55,7 @@
     seed: int,
     control,
 ) -> EntryContext:
-    settings = EntrySettings.check(
-        {
-            "name": f"entry-{number}",
-            "failure_domain": "here",
-            "listen": "127.0.0.1:1",
-            "peer_listen": "127.0.0.1:2",
-            "control": ["127.0.0.1:3"],
-            "data_folder": str(Path("unused")),
-        }
-    ).unwrap()
+    settings = _settings(number)
     events = EventLog(settings.name, None)
     rng = random.Random(seed * 1000 + number)
     session = FakeSession({f"{each.name}:1": each for each in servers})
@@ -73,23 +63,7 @@
     in_force.apply(ConfigurationView(1, {"services": services}))
     in_force.extend_lease(1e12)
     directory = BackendDirectory(settings, session, events)
-    directory.apply(
-        DirectoryView(
-            1,
-            [
-                Announcement(
-                    each.name,
-                    each.service,
-                    f"{each.name}:1",
-                    "d",
-                    each.name,
-                    each.slots,
-                )
-                for each in servers
-            ],
-            {},
-        )
-    )
+    directory.apply(DirectoryView(1, [_announcement(each) for each in servers], {}))
     bodies = BodyStore(1 << 30)
     peers = Peers(infos[number], bodies, events, rng)
     peers.apply(EntriesView(1, infos))
@@ -114,3 +88,23 @@
         choose=policy.choose,
         admit=policy.admit,
     )
+
+
+def _settings(number: int) -> EntrySettings:
+    return EntrySettings.check(
+        {
+            "name": f"entry-{number}",
+            "failure_domain": "here",
+            "listen": "127.0.0.1:1",
+            "peer_listen": "127.0.0.1:2",
+            "control": ["127.0.0.1:3"],
+            "data_folder": "unused",
+        }
+    ).unwrap()
+
+
+def _announcement(server: FakeServer) -> Announcement:
+    address = f"{server.name}:1"
+    return Announcement(
+        server.name, server.service, address, "here", server.name, server.slots
+    )
--- a/pollenlb/process/rollouts.py
+++ b/pollenlb/process/rollouts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Coroutine
 from typing import Any
 
@@ -22,7 +23,7 @@
     SamplesCommitted,
 )
 from ..exceptions import ControlError
-from ..ids import BodyDigest, CommandId, JobName, new_id
+from ..ids import BodyDigest, CommandId, JobName, ServiceName, new_id
 from ..request.sample import Slot, make_sample
 from .clock import deadline_in, sleep_until
 from .context import EntryContext
@@ -47,7 +48,8 @@
     def __init__(self, context: EntryContext) -> None:
         self._context = context
         self._in_flight = 0
-        self._generating = 0
+        self._by_job: Counter[JobName] = Counter()
+        self._empty_at: dict[JobName, int] = {}
         self._changed = asyncio.Event()
         self._finished: list[tuple[SampleRecord, asyncio.Future[SampleFate]]] = []
         self._has_finished = asyncio.Event()
@@ -87,11 +89,23 @@
     async def _claim_all(self) -> None:
         while True:
             self._changed.clear()
-            claimed = 0
-            for name in list(self._context.ledger.jobs):
-                claimed += await self._claim(name)
-            if not claimed:
+            name = self._next_job()
+            if name is None:
                 await self._wait_for_change()
+            else:
+                await self._claim(name)
+
+    def _next_job(self) -> JobName | None:
+        """Return the job with the fewest samples here that has open ones."""
+        ledger = self._context.ledger
+        waiting = [
+            name
+            for name, job in ledger.jobs.items()
+            if job.open_samples
+            and self._empty_at.get(name) != ledger.version
+            and self._claimable(job) > 0
+        ]
+        return min(waiting, key=lambda each: self._by_job[each], default=None)
 
     async def _wait_for_change(self) -> None:
         try:
@@ -100,29 +114,35 @@
         except TimeoutError:
             return
 
-    async def _claim(self, name: JobName) -> int:
-        job = self._context.ledger.jobs[name]
-        most = self._claimable(job)
-        if not job.open_samples or most <= 0:
-            return 0
+    async def _claim(self, name: JobName) -> None:
+        ledger = self._context.ledger
+        is_alone = sum(job.open_samples > 0 for job in ledger.jobs.values()) == 1
+        most = self._claimable(ledger.jobs[name]) if is_alone else 1
         command = ClaimGroups(name, self._context.peers.holder, most)
-        match await self._execute(command):
-            case GroupsClaimed(groups=groups):
-                for group in groups:
-                    self._in_flight += len(group.missing)
-                    self._generating += len(group.missing)
-                    self._spawn(self._generate_group(name, group))
-                return len(groups)
-        return 0
+        result = await self._execute(command)
+        if not isinstance(result, GroupsClaimed) or not result.groups:
+            self._empty_at[name] = ledger.version
+            return
+        for group in result.groups:
+            self._in_flight += len(group.missing)
+            self._by_job[name] += len(group.missing)
+            self._spawn(self._generate_group(name, group))
 
     def _claimable(self, job: JobView) -> int:
         if self._context.is_draining or not self._context.in_force.is_leased:
             return 0
-        most = min(
-            self._context.settings.max_samples_in_flight,
-            self._context.long_slots(job.settings.service),
+        service = job.settings.service
+        left = self._context.long_slots(service) - self._generating_at(service)
+        room = self._context.settings.max_samples_in_flight - self._by_job.total()
+        return min(_SAMPLES_PER_CLAIM, left, room)
+
+    def _generating_at(self, service: ServiceName) -> int:
+        jobs = self._context.ledger.jobs
+        return sum(
+            count
+            for name, count in self._by_job.items()
+            if name in jobs and jobs[name].settings.service == service
         )
-        return min(_SAMPLES_PER_CLAIM, most - self._generating)
 
     async def _generate_group(self, name: JobName, group: ClaimedGroup) -> None:
         prompts = await self._prompts(name, group)
@@ -156,7 +176,7 @@
     async def _generate(self, slot: Slot, prompt: str | None) -> None:
         try:
             while await self._generate_once(slot, prompt):
-                self._generating += 1
+                self._by_job[slot.job] += 1
                 await sleep_until(deadline_in(_RETRY_PAUSE_S))
         finally:
             self._in_flight -= 1
@@ -169,7 +189,7 @@
                 return False
             made = await make_sample(slot, prompt, job, self._context)
         finally:
-            self._generating -= 1
+            self._by_job[slot.job] -= 1
             self._changed.set()
         match made:
             case Ok(record):
