--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -12,8 +12,7 @@
 import aiohttp
 from hdrh.histogram import HdrHistogram
 
-from pollenlb.client import TrainerClient
-from pollenlb.request.trainer_api import JobBody
+from pollenlb.client import JobBody, TrainerClient
 
 from .cluster import Cluster, ClusterPlan
 
--- a/pollenlb/client.py
+++ b/pollenlb/client.py
@@ -9,11 +9,12 @@
 import aiohttp
 import msgspec
 
+from .connection.trainer_messages import COMMAND_ID_HEADER, DeliveredBatch, JobBody
 from .exceptions import ControlError, RequestRefusedError
 from .ids import BatchNumber, JobName, StepNumber, WeightVersion, new_id
 from .process.clock import Deadline, deadline_in, remaining
-from .request.api import COMMAND_ID_HEADER
-from .request.trainer_api import DeliveredBatch, JobBody
+
+__all__ = ["DeliveredBatch", "JobBody", "TrainerClient"]
 
 _ATTEMPT_TIMEOUT_S = 30.0
 _PULL_WAIT_S = 10.0
--- a/pollenlb/connection/operator.py
+++ b/pollenlb/connection/operator.py
@@ -12,9 +12,9 @@
 from ..ids import CommandId, new_id
 from ..process.clock import deadline_in, remaining
 from ..settings.ctl import CtlSettings
+from .trainer_messages import COMMAND_ID_HEADER
 
 _BASE = "/pollenlb/v1"
-_COMMAND_ID_HEADER = "Pollenlb-Command-Id"
 _PAUSE_S = 0.2
 _ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
@@ -135,7 +135,7 @@
     ) -> Any | None:
         assert self._session is not None
         timeout = aiohttp.ClientTimeout(total=timeout_s)
-        headers = {_COMMAND_ID_HEADER: command_id}
+        headers = {COMMAND_ID_HEADER: command_id}
         url = f"http://{address}{_BASE}{path}"
         try:
             async with self._session.post(
--- a/pollenlb/request/announce_api.py
+++ b/pollenlb/request/announce_api.py
@@ -7,13 +7,13 @@
 import msgspec
 from aiohttp import web
 
+from ..connection.trainer_messages import Count, NameText
 from ..durable.configuration_commands import Announcement, AnnounceServer, ServerState
 from ..ids import Address, BackendServerName, BootId, FailureDomain, ServiceName
 from ..process.context import EntryContext
 from ..settings.options import SocketAddress
 from .api import execute, json_response, read_json, refusing
 from .outcome import bad_request
-from .trainer_api import Count, NameText
 
 ANNOUNCE_PATH = "/pollenlb/v1/announce"
 ANNOUNCE_INTERVAL_S = 2.0
--- a/pollenlb/request/api.py
+++ b/pollenlb/request/api.py
@@ -8,6 +8,7 @@
 import msgspec
 from aiohttp import web
 
+from ..connection.trainer_messages import COMMAND_ID_HEADER
 from ..durable.command import Refused
 from ..durable.commands import AnyCommand, AnyResult
 from ..exceptions import CommandInDoubtError, ControlError
@@ -26,7 +27,6 @@
 
 T = TypeVar("T")
 
-COMMAND_ID_HEADER = "Pollenlb-Command-Id"
 _COMMAND_TIMEOUT_S = 20.0
 _MOST_COMMAND_ID = 128
 
--- a/pollenlb/request/operator_api.py
+++ b/pollenlb/request/operator_api.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from ..connection.control_api import CallStatus, StatusAnswer
+from ..connection.trainer_messages import NameText, Number
 from ..durable.configuration_commands import (
     ChangeConfiguration,
     ConfigurationChanged,
@@ -20,7 +21,6 @@
 from ..process.context import EntryContext
 from .api import command_id_of, execute, json_response, read_json, refusing
 from .outcome import Outcome, Refusal, RefusedError, unavailable
-from .trainer_api import NameText, Number
 
 _STATUS_TIMEOUT_S = 0.7
 
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -8,7 +8,8 @@
 from result import Err, Ok, Result
 
 from ..connection.control_api import JobView
-from ..durable.job_commands import SampleRecord, Span
+from ..connection.trainer_messages import SampleBody
+from ..durable.job_commands import SampleRecord
 from ..exceptions import ControlError
 from ..ids import GroupIndex, JobName, RequestId, StepNumber, WeightVersion, new_id
 from ..process.bodies import BodyLabel
@@ -28,28 +29,6 @@
 _MOST_SCORE_BYTES = 65_536
 
 
-class SampleBody(msgspec.Struct, frozen=True):
-    """What a trainer gets for one sample.
-
-    Attributes
-    ----------
-    tokens : int
-        Number of tokens of the text.
-    spans : list of Span
-        Weight versions that produced the tokens.
-    score : float or None
-        Answer of the scoring service; None for a job without one.
-    """
-
-    prompt: str
-    text: str
-    tokens: int
-    spans: list[Span]
-    finish_reason: str
-    request_id: RequestId
-    score: float | None = None
-
-
 class Slot(msgspec.Struct, frozen=True):
     """Place of a sample in a job."""
 
--- a/pollenlb/request/trainer_api.py
+++ b/pollenlb/request/trainer_api.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Annotated
 
 import msgspec
 from aiohttp import web
 from result import Err, Ok
 
+from ..connection.trainer_messages import (
+    DeliveredBatch,
+    DeliveredSample,
+    JobBody,
+    NotReady,
+    SampleBody,
+    StepBody,
+    VersionBody,
+)
 from ..durable.job_commands import (
     BatchNotReady,
     BatchSealed,
@@ -27,69 +35,11 @@
 from ..process.context import EntryContext
 from .api import command_id_of, execute, json_response, read_json, refusing
 from .outcome import bad_request, unavailable
-from .sample import SampleBody
 
 _MOST_WAIT_S = 60.0
 _POLL_S = 0.1
 _FETCHES_AT_ONCE = 32
 
-Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
-Number = Annotated[int, msgspec.Meta(ge=0)]
-NameText = Annotated[str, msgspec.Meta(pattern="^[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?$")]
-
-
-class JobBody(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of a request that creates a job."""
-
-    name: NameText
-    service: NameText
-    group_size: Count
-    batch_groups: Count
-    staleness_bound: Number
-    max_tokens: Count
-    scorer: NameText | None = None
-
-
-class StepBody(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of a request that submits a step."""
-
-    step: Number
-    prompts: Annotated[list[str], msgspec.Meta(min_length=1, max_length=100_000)]
-
-
-class VersionBody(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of a request that tells the trainer's version."""
-
-    version: Number
-
-
-class DeliveredSample(msgspec.Struct):
-    """One sample of a batch, as the trainer gets it."""
-
-    step: int
-    group: int
-    position: int
-    sample: SampleBody
-
-
-class DeliveredBatch(msgspec.Struct):
-    """Body of the answer to a pull."""
-
-    job: JobName
-    number: BatchNumber
-    step: StepNumber
-    seal: int
-    trainer_version: WeightVersion
-    samples: list[DeliveredSample]
-
-
-class NotReady(msgspec.Struct):
-    """Body of the answer to a pull when the batch is not whole yet."""
-
-    whole_groups: int
-    needed_groups: int
-
-
 _decode_sample = msgspec.msgpack.Decoder(SampleBody).decode
 _encode = msgspec.msgpack.Encoder().encode
 
--- a/tests/system/test_crashing_requests.py
+++ b/tests/system/test_crashing_requests.py
@@ -5,8 +5,7 @@
 import asyncio
 
 from fakes.engine import CRASH_PROMPT
-from pollenlb.client import TrainerClient
-from pollenlb.request.trainer_api import JobBody
+from pollenlb.client import JobBody, TrainerClient
 
 from ..local_system import LocalSystem, until
 
--- a/tests/system/test_fair_shares.py
+++ b/tests/system/test_fair_shares.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from pollenlb.client import TrainerClient
-from pollenlb.request.trainer_api import JobBody
+from pollenlb.client import JobBody, TrainerClient
 
 _SMALL = 16
 _LARGE = 200
--- a/tests/system/test_samples.py
+++ b/tests/system/test_samples.py
@@ -6,9 +6,8 @@
 
 import pytest
 
-from pollenlb.client import TrainerClient
+from pollenlb.client import JobBody, TrainerClient
 from pollenlb.exceptions import ControlError, RequestRefusedError
-from pollenlb.request.trainer_api import JobBody
 
 from ..local_system import LocalSystem, until
 
--- a/tests/system/test_whole_path.py
+++ b/tests/system/test_whole_path.py
@@ -7,8 +7,7 @@
 import aiohttp
 
 from demo.cluster import Cluster, ClusterPlan
-from pollenlb.client import TrainerClient
-from pollenlb.request.trainer_api import JobBody
+from pollenlb.client import JobBody, TrainerClient
 
 _PROMPTS = 12
 _GROUP_SIZE = 3
