The last piece of a completion waits for the end mark

Found while reading: a stream that lost only its end mark could not be resumed, since nothing was left to generate; the request ended as unknown (502), a sample tried again without end. test_a_stream_that_lacks_only_its_end_mark failed before and passes now: the last piece is held back until the mark, so that a resume makes it again.

--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -233,17 +233,23 @@
 async def _events(
     answer: Answer, attempt_id: RequestId, context: EntryContext
 ) -> AsyncIterator[StreamEvent]:
-    is_finished = False
     boot = answer.response.headers.get(BOOT_HEADER)
+    last: StreamEvent | None = None
     try:
         async for data in _data_lines(answer, context):
             if data == END_MARK:
-                if not is_finished:
+                if last is None:
                     raise StreamBroken("the stream ended before its last piece")
+                yield last
                 return
+            if last is not None:
+                raise StreamBroken("a piece came after the last one")
             event = _check_event(decode_event(data), attempt_id, BootId(boot or ""))
-            is_finished = is_finished or event.choices[0].finish_reason is not None
-            yield event
+            if event.choices[0].finish_reason is None:
+                yield event
+            else:
+                # Held back, so that it can be resumed if the end mark is missing.
+                last = event
     except (*SEND_ERRORS, StreamBroken, msgspec.MsgspecError) as error:
         raise _AttemptError(_stream_failure(answer, error)) from error
     raise _AttemptError(
--- a/tests/system/test_whole_answers.py
+++ b/tests/system/test_whole_answers.py
@@ -89,6 +89,25 @@
     _check_tokens(answer)
 
 
+async def test_a_stream_that_lacks_only_its_end_mark_is_not_whole(local_system):
+    async def without_mark(engine, request, body):
+        response = web.StreamResponse(headers=engine.headers(request))
+        await response.prepare(request)
+        request_id = request.headers["Pollenlb-Request-Id"]
+        length = token_count(body)
+        for at in range(length):
+            event = engine._event(request_id, body, at, at == length - 1)
+            await response.write(event)
+        return response
+
+    system = await local_system(entries=1, engines=2)
+    _spoil_first(system, without_mark)
+    _, outcome, answer = await _complete(system)
+    assert outcome == "ran"
+    _check_tokens(answer)
+    assert sum(engine.received for engine in system.engines) == 2
+
+
 async def test_a_stream_with_a_late_boot_is_not_passed_on(local_system):
     async def rebooted(engine, request, body):
         response = web.StreamResponse(headers=engine.headers(request))
