--- a/pollenlb/connection/load.py
+++ b/pollenlb/connection/load.py
@@ -34,7 +34,6 @@
         self._own_at_report = 0
         self._latency_s = 0.0
         self._latency_at = 0.0
-        self._token_s = 0.0
 
     @property
     def slots(self) -> int:
@@ -63,11 +62,6 @@
         """Smoothed latency of whole answers, in seconds; 0 without any."""
         return self._latency_s
 
-    @property
-    def token_s(self) -> float:
-        """Smoothed time for a streamed token, in seconds; 0 without any."""
-        return self._token_s
-
     @property
     def oldest_s(self) -> float:
         """Age of the oldest request in flight, in seconds."""
@@ -123,12 +117,6 @@
         self._latency_s = max(known_s, known_s + _RACE_WEIGHT * (waited_s - known_s))
         self._latency_at = now()
 
-    def note_token(self, token_s: float) -> None:
-        """Take note of the time that a streamed token took."""
-        if not self._token_s:
-            self._token_s = token_s
-        self._token_s += _LATENCY_WEIGHT * (token_s - self._token_s)
-
     def note_report(self, in_flight: int) -> None:
         """Take note of the requests that the backend server says it has."""
         self._reported = in_flight
--- a/pollenlb/durable/commands.py
+++ b/pollenlb/durable/commands.py
@@ -24,7 +24,6 @@
     TrialStarted,
 )
 from .job_commands import (
-    AddHolder,
     BatchNotReady,
     BatchSealed,
     ClaimGroups,
@@ -55,7 +54,6 @@
     | PullBatch
     | LoseHolders
     | ReportMissing
-    | AddHolder
     | ReportCrash
     | StartTrial
     | EndTrial
--- a/pollenlb/durable/job_commands.py
+++ b/pollenlb/durable/job_commands.py
@@ -208,11 +208,3 @@
     job: JobName
     body: BodyDigest
     boot: BootId
-
-
-class AddHolder(Command, frozen=True):
-    """Tells that another entry process holds a body."""
-
-    job: JobName
-    body: BodyDigest
-    holder: BodyHolder
--- a/pollenlb/durable/ledger.py
+++ b/pollenlb/durable/ledger.py
@@ -16,7 +16,6 @@
 from .commands import AnyResult
 from .job import Group, Job, Step
 from .job_commands import (
-    AddHolder,
     Batch,
     BatchNotReady,
     BatchSealed,
@@ -148,20 +147,6 @@
         _drop_bodies(job, command.body, {command.boot})
         return Done()
 
-    def add_holder(self, command: AddHolder) -> AnyResult:
-        """Add a process as holder of one body."""
-        job = self.jobs.get(command.job)
-        if job is None:
-            return _no_job(command.job)
-        for step in job.steps.values():
-            if step.prompts == command.body:
-                _add_holders(step.prompt_holders, [command.holder])
-            for group in step.groups.values():
-                for sample in group.samples:
-                    if sample is not None and sample.body == command.body:
-                        _add_holders(sample.holders, [command.holder])
-        return Done()
-
     def boots(self) -> set[BootId]:
         """Return the processes that holders and claims name."""
         found: set[BootId] = set()
--- a/pollenlb/durable/machine.py
+++ b/pollenlb/durable/machine.py
@@ -21,7 +21,6 @@
 from .deduplication import CommandTable
 from .directory import Directory
 from .job_commands import (
-    AddHolder,
     ClaimGroups,
     CommitSamples,
     CreateJob,
@@ -208,11 +207,6 @@
     return state.ledger.report_missing(command)
 
 
-@apply_command.register
-def _(command: AddHolder, state: State, position: Position) -> AnyResult:
-    return state.ledger.add_holder(command)
-
-
 @apply_command.register
 def _(command: ReportCrash, state: State, position: Position) -> AnyResult:
     return state.quarantine.report(command, position.at_ms)
--- a/pollenlb/process/bodies.py
+++ b/pollenlb/process/bodies.py
@@ -52,11 +52,6 @@
         self._bytes = 0
         self._bodies: dict[BodyDigest, _Held] = {}
 
-    @property
-    def used_bytes(self) -> int:
-        """Sum of the sizes of all bodies."""
-        return self._bytes
-
     def put(self, body: bytes, label: BodyLabel) -> BodyDigest:
         """Hold a body and return its digest.
 
@@ -82,11 +77,6 @@
         held = self._bodies.get(digest)
         return held.body if held is not None else None
 
-    def label(self, digest: BodyDigest) -> BodyLabel | None:
-        """Return the label of a body, or None when it is not held."""
-        held = self._bodies.get(digest)
-        return held.label if held is not None else None
-
     def drop_steps(self, job: JobName, oldest: StepNumber) -> None:
         """Drop the bodies of a job's steps before the oldest open one."""
         ended = [
--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -11,6 +11,7 @@
     STATUS,
     CallStatus,
     EntriesView,
+    LedgerView,
     ProposeAnswer,
     ProposeRequest,
     RenewAnswer,
@@ -89,6 +90,7 @@
         self._server = RpcServer(Address(settings.listen), self._events)
         self._duties: TermDuties | None = None
         self._entries_version = 0
+        self._latest_ledger = LedgerView(-1, {})
         self._applied = asyncio.Condition()
         self._orders = OrderIssuer(settings, self._replica, self._machine, self._events)
 
@@ -227,7 +229,7 @@
                 else None
             ),
             ledger=(
-                ledger_view(machine)
+                self._ledger_view()
                 if request.ledger < machine.version_of("ledger")
                 else None
             ),
@@ -243,6 +245,12 @@
             ),
         )
 
+    def _ledger_view(self) -> LedgerView:
+        version = self._machine.version_of("ledger")
+        if self._latest_ledger.version != version:
+            self._latest_ledger = ledger_view(self._machine)
+        return self._latest_ledger
+
     def _entries_view(self, duties: TermDuties) -> EntriesView:
         entries = [lease.entry for lease in duties.leases.live()]
         return EntriesView(self._entries_version, entries)
@@ -278,7 +286,7 @@
             entries=[lease.entry for lease in leases],
             servers=list(state.directory.servers.values()),
             releases=state.directory.releases,
-            jobs=ledger_view(self._machine).jobs,
+            jobs=self._ledger_view().jobs,
             suspects=quarantine_view(self._machine).suspects,
         )
 
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -51,13 +51,7 @@
 
 @dataclass
 class Attempt:
-    """What is sent in one attempt.
-
-    Attributes
-    ----------
-    is_repeatable : bool
-        Whether an idle connection may be used, which can break unseen.
-    """
+    """What is sent in one attempt."""
 
     request_id: RequestId
     method: str
@@ -65,7 +59,6 @@
     headers: Mapping[str, str]
     body: bytes | AsyncIterator[bytes] | None
     deadline: Deadline
-    is_repeatable: bool
 
 
 @dataclass
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -180,7 +180,6 @@
             generation.resume,
         ),
         deadline=generation.deadline,
-        is_repeatable=generation.is_repeatable,
     )
     started_at = now()
     is_long = generation.request_class is RequestClass.LONG
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -161,7 +161,6 @@
         headers=_request_headers(caller),
         body=caller.body.stream() or None,
         deadline=caller.deadline,
-        is_repeatable=caller.is_repeatable,
     )
     started_at = now()
     is_long = caller.request_class is RequestClass.LONG
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -121,7 +121,6 @@
             headers={"Content-Type": "application/json"},
             body=body,
             deadline=deadline,
-            is_repeatable=True,
         )
         score = await _ask_score(attempt, job, context)
         if score is not None or not remaining(deadline):
