--- a/fakes/__main__.py
+++ b/fakes/__main__.py
@@ -10,13 +10,17 @@
 
 from .balancer import FakeBalancer
 from .engine import FakeEngine
+from .load import FakeLoad
 from .plain_service import FakePlainService
+from .trainer import FakeTrainer
 
 
 def main() -> None:
     """Run the fake that the arguments name until it is told to stop."""
     parser = argparse.ArgumentParser()
-    parser.add_argument("kind", choices=["engine", "plain", "balancer"])
+    parser.add_argument(
+        "kind", choices=["engine", "plain", "balancer", "load", "trainer"]
+    )
     parser.add_argument("--name", default="fake")
     parser.add_argument("--service", default="fake")
     parser.add_argument("--failure-domain", default="local")
@@ -26,11 +30,15 @@
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--token-s", type=float, default=0.01)
     parser.add_argument("--work-s", type=float, default=0.005)
+    parser.add_argument("--report", type=Path)
     parser.add_argument("--log", type=Path)
     asyncio.run(_run(parser.parse_args()))
 
 
 async def _run(arguments: argparse.Namespace) -> None:
+    if arguments.kind == "trainer":
+        await FakeTrainer(arguments.balancer, arguments.report).run()
+        return
     fake = _make(arguments)
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -45,6 +53,8 @@
 def _make(arguments: argparse.Namespace):
     if arguments.kind == "balancer":
         return FakeBalancer(arguments.port, arguments.entries.split(","))
+    if arguments.kind == "load":
+        return FakeLoad(arguments.balancer, arguments.report)
     common = (
         arguments.name,
         arguments.service,
