--- a/pollenlb/commands/control.py
+++ b/pollenlb/commands/control.py
@@ -12,8 +12,9 @@
 from ..durable.storage import Storage, first_hard_state
 from ..exceptions import PollenError
 from ..ids import Address, ClusterId, InstanceName, ReplicaId
-from ..process.control import ControlProcess
+from ..process.control import ControlProcess, MakeApplication
 from ..settings.control import ControlSettings
+from ..version.order_channel import OrderChannel
 
 
 def control(settings_file: Path) -> None:
@@ -25,7 +26,7 @@
         TOML file of ``ControlSettings``.
     """
     settings = ControlSettings.load(settings_file)
-    asyncio.run(_run(settings))
+    asyncio.run(run_control(settings))
 
 
 def init(settings_file: Path) -> None:
@@ -40,12 +41,30 @@
     asyncio.run(_format(settings))
 
 
-async def _run(settings: ControlSettings) -> None:
-    process = ControlProcess(settings)
+async def run_control(
+    settings: ControlSettings,
+    make_application: MakeApplication | None = None,
+    orders: OrderChannel | None = None,
+) -> None:
+    """Run a control process until a signal ends it.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Settings of the instance.
+    make_application : callable, optional
+        Makes what is served over HTTP.
+    orders : OrderChannel, optional
+        How backend servers are given orders.
+    """
+    if settings.bootstrap and settings.listen in settings.seed_addresses:
+        await _format_as_seed(settings)
+    process = ControlProcess(settings, make_application, orders)
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, process.note_hangup)
     await process.start()
     process.replica.failure.add_done_callback(lambda _: stopped.set())
     await stopped.wait()
@@ -54,11 +73,34 @@
     await process.stop()
 
 
-async def _format(settings: ControlSettings) -> None:
+async def _format_as_seed(settings: ControlSettings) -> None:
+    """Format an empty data folder as one of the first members, the seeds."""
+    members = [
+        Member(
+            ReplicaId(f"{address}-first"), InstanceName(address), address, is_voter=True
+        )
+        for address in sorted(settings.seed_addresses)
+    ]
+    await _format_folder(settings, members, ReplicaId(f"{settings.listen}-first"))
+
+
+async def _format_folder(
+    settings: ControlSettings, members: list[Member], own: ReplicaId
+) -> bool:
+    """Format the data folder and tell whether it was empty."""
     storage = Storage(settings.data_folder)
     storage.open()
-    if storage.is_formatted or storage.last_index:
-        raise PollenError(f"{settings.data_folder} is formatted already")
+    try:
+        if storage.is_formatted or storage.last_index:
+            return False
+        cluster = ClusterId(hashlib.sha256(repr(members).encode()).hexdigest()[:16])
+        await storage.format(first_hard_state(own, cluster), first_entries(members))
+        return True
+    finally:
+        storage.close()
+
+
+async def _format(settings: ControlSettings) -> None:
     members = [
         Member(
             ReplicaId(f"{name}-first"),
@@ -68,7 +110,5 @@
         )
         for name, member in sorted(settings.members.items())
     ]
-    cluster = ClusterId(hashlib.sha256(repr(members).encode()).hexdigest()[:16])
-    own = ReplicaId(f"{settings.name}-first")
-    await storage.format(first_hard_state(own, cluster), first_entries(members))
-    storage.close()
+    if not await _format_folder(settings, members, ReplicaId(f"{settings.name}-first")):
+        raise PollenError(f"{settings.data_folder} is formatted already")
--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -3,20 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 import aiohttp
-import msgspec
 
 from ..durable.configuration_commands import Announcement, ServerState
-from ..ids import BackendServerName, BootId, WeightVersion
+from ..ids import BackendServerName, BootId, ModelName, WeightVersion
 from ..process.clock import Deadline, deadline_in, now, sleep_until
 from ..process.events import EventLog
 from ..settings.entry import EntrySettings
-from .backend_api import PROBE_PATH, ProbeAnswer, decode_probe
+from .backend_api import ProbeAnswer
 from .load import ServerLoad
-from .sessions import ConnectionLostError
 
-_PROBE_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
+AskServer = Callable[
+    [aiohttp.ClientSession, Announcement, float], Awaitable[ProbeAnswer | None]
+]
+
+_FIRST_PAUSE_S = 0.4
+_MOST_PAUSE_S = 3.2
+_CRASH_PROBE_TIMEOUT_S = 0.8
 
 
 class BackendServer:
@@ -32,6 +37,9 @@
         Connections to backend servers.
     events : EventLog
         Gets changes of state.
+    ask : callable
+        Sends a probe; gets the session, the announcement and a timeout in
+        seconds, and returns the answer or None.
     """
 
     def __init__(
@@ -40,7 +48,9 @@
         settings: EntrySettings,
         session: aiohttp.ClientSession,
         events: EventLog,
+        ask: AskServer,
     ) -> None:
+        self._ask_server = ask
         self._announcement = announcement
         self._settings = settings
         self._session = session
@@ -51,6 +61,8 @@
         self._version: WeightVersion | None = None
         self._load = ServerLoad(announcement.slots)
         self._was_usable = False
+        self._failures = 0
+        self._paused_until = Deadline(0.0)
         self._task: asyncio.Task | None = None
 
     @property
@@ -73,6 +85,10 @@
         """Whole weight version that it serves, or None."""
         return self._version
 
+    def version_of(self, model: ModelName) -> WeightVersion:
+        """Return the version of a model that it announced; 0 for none."""
+        return self._announcement.models.get(model, WeightVersion(0))
+
     @property
     def url(self) -> str:
         """Base of its URLs."""
@@ -80,8 +96,21 @@
 
     @property
     def is_usable(self) -> bool:
-        """Whether it may get new work: it answered lately and is not leaving."""
-        return not self._is_leaving and now() < self._usable_until
+        """Whether it may get new work and is likely to answer.
+
+        With probes it must have answered lately. Without, each failure in a
+        row doubles the time for which it is left alone.
+        """
+        if self._is_leaving:
+            return False
+        if self._is_probed:
+            return now() < self._usable_until
+        return now() >= self._paused_until
+
+    @property
+    def may_get_work(self) -> bool:
+        """Whether it may get new work, though it may not answer."""
+        return self.is_usable or not (self._is_probed or self._is_leaving)
 
     @property
     def is_leaving(self) -> bool:
@@ -93,8 +122,14 @@
         """Its load and speed, as this entry sees them."""
         return self._load
 
+    @property
+    def _is_probed(self) -> bool:
+        return self._settings.probe_interval_s > 0
+
     def start(self) -> None:
-        """Start to probe."""
+        """Start to probe, if the settings say so."""
+        if not self._is_probed:
+            return
         self._task = asyncio.get_running_loop().create_task(self._probe())
 
     async def stop(self) -> None:
@@ -109,16 +144,23 @@
             self._leave()
         elif announcement.boot != self._announcement.boot:
             self._is_leaving = False
+        if not self._is_probed:
+            self._boot = announcement.boot
         self._announcement = announcement
 
     def note_answer(self, latency_s: float) -> None:
         """Take note of a whole answer."""
         self._usable_until = deadline_in(self._settings.usable_s)
+        self._failures = 0
+        self._paused_until = Deadline(0.0)
         self._load.note_latency(latency_s)
 
     def note_failure(self) -> None:
-        """Give no new work until the next answer to a probe."""
+        """Give no new work until the next answer to a probe, or for a while."""
         self._usable_until = Deadline(0.0)
+        pause_s = min(_MOST_PAUSE_S, _FIRST_PAUSE_S * 2**self._failures)
+        self._failures += 1
+        self._paused_until = deadline_in(pause_s)
         self._note_usability()
 
     async def has_crashed(self, boot: BootId) -> bool:
@@ -129,7 +171,7 @@
         boot : BootId
             Boot id at the time the connection broke.
         """
-        answer = await self._ask()
+        answer = await self._ask(_CRASH_PROBE_TIMEOUT_S)
         return answer is None or answer.boot != boot
 
     async def _probe(self) -> None:
@@ -141,7 +183,7 @@
 
     async def _probe_once(self) -> None:
         sent_at = now()
-        answer = await self._ask()
+        answer = await self._ask(self._settings.probe_interval_s)
         if answer is None:
             return
         if answer.state is ServerState.LEAVING:
@@ -154,14 +196,8 @@
         self._load.note_report(answer.in_flight)
         self._usable_until = Deadline(sent_at + self._settings.usable_s)
 
-    async def _ask(self) -> ProbeAnswer | None:
-        timeout = aiohttp.ClientTimeout(total=self._settings.probe_interval_s)
-        try:
-            url = self.url + PROBE_PATH
-            async with self._session.get(url, timeout=timeout) as response:
-                return decode_probe(await response.read())
-        except (*_PROBE_ERRORS, msgspec.MsgspecError):
-            return None
+    async def _ask(self, timeout_s: float) -> ProbeAnswer | None:
+        return await self._ask_server(self._session, self._announcement, timeout_s)
 
     def _leave(self) -> None:
         if not self._is_leaving:
--- a/pollenlb/connection/control.py
+++ b/pollenlb/connection/control.py
@@ -14,20 +14,34 @@
 from ..process.events import EventLog
 from .control_api import (
     PROPOSE,
+    READ_BATCH_JOB,
+    READ_CONFIGURATION,
+    READ_ITEM,
     RENEW,
+    RETIRE,
     STATUS,
+    BatchJobRead,
     CallStatus,
+    ConfigurationRead,
+    ItemRead,
     ProposeRequest,
+    ReadBatchJob,
+    ReadConfiguration,
+    ReadItem,
     RenewAnswer,
     RenewRequest,
+    RetireAnswer,
+    RetireRequest,
     StatusAnswer,
     StatusRequest,
 )
-from .rpc import RpcChannel
+from .rpc import Method, RpcChannel
 
 Q = TypeVar("Q")
+A = TypeVar("A", BatchJobRead, ItemRead, ConfigurationRead, RetireAnswer)
 
-_ATTEMPT_TIMEOUT_S = 2.0
+_ATTEMPT_TIMEOUT_S = 1.0
+_READ_TIMEOUT_S = 0.6
 _PAUSE_S = 0.05
 
 
@@ -101,6 +115,71 @@
             raise CommandInDoubtError("the command may or may not have taken effect")
         raise ControlError("no control instance could carry out the command in time")
 
+    async def read_batch_job(
+        self, request: ReadBatchJob, deadline: Deadline
+    ) -> BatchJobRead:
+        """Return results of a batch job.
+
+        Raises
+        ------
+        ControlError
+            When the leader was not reached in time.
+        """
+        return await self._ask_leader(READ_BATCH_JOB, request, request.wait_s, deadline)
+
+    async def read_item(self, request: ReadItem, deadline: Deadline) -> ItemRead:
+        """Return the body of an item.
+
+        Raises
+        ------
+        ControlError
+            When the leader was not reached in time.
+        """
+        return await self._ask_leader(READ_ITEM, request, 0.0, deadline)
+
+    async def read_configuration(self, deadline: Deadline) -> ConfigurationRead:
+        """Return the newest whole configuration.
+
+        Raises
+        ------
+        ControlError
+            When no leader with a quorum was reached in time.
+        """
+        request = ReadConfiguration()
+        return await self._ask_leader(READ_CONFIGURATION, request, 0.0, deadline)
+
+    async def retire(self, request: RetireRequest, deadline: Deadline) -> RetireAnswer:
+        """Begin to take a control instance away, or tell how far that is.
+
+        Raises
+        ------
+        ControlError
+            When the leader was not reached in time.
+        """
+        return await self._ask_leader(RETIRE, request, 0.0, deadline)
+
+    def learn(self, addresses: list[Address]) -> None:
+        """Take note of where the control instances are by now."""
+        for address in addresses:
+            if address not in self._channels:
+                self._channels[address] = RpcChannel(address, self._events)
+
+    async def _ask_leader(
+        self, method: Method[Q, A], request: Q, wait_s: float, deadline: Deadline
+    ) -> A:
+        while remaining(deadline):
+            channel = self._channel()
+            timeout_s = min(wait_s + _READ_TIMEOUT_S, remaining(deadline))
+            match await channel.call(method, request, timeout_s):
+                case Ok(answer) if answer.status is CallStatus.DONE:
+                    return answer
+                case Ok(answer):
+                    self._prefer(answer.leader, channel.address)
+                case Err(_):
+                    self._prefer(Address(""), channel.address)
+            await sleep_until(deadline_in(min(_PAUSE_S, remaining(deadline))))
+        raise ControlError("the leader of control was not reached in time")
+
     async def renew(
         self, request: RenewRequest, timeout_s: float
     ) -> RenewAnswer | None:
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -7,21 +7,26 @@
 
 import msgspec
 
+from ..durable.batch_job_commands import BatchJobSpec, ItemResult
 from ..durable.commands import AnyCommand, AnyResult
 from ..durable.configuration_commands import Announcement, Change
 from ..durable.job_commands import JobSettings
-from ..durable.leases import EntryInfo
+from ..durable.leases import EntryHealth, EntryInfo
 from ..durable.records import Member
 from ..ids import (
     Address,
     BackendServerName,
+    BatchJobId,
     CommandId,
+    DocumentVersion,
     Fingerprint,
+    InstanceName,
+    ItemId,
     JobName,
     LogIndex,
+    ModelName,
     ReplicaId,
     Revision,
-    ServiceName,
     StepNumber,
     Term,
     WeightVersion,
@@ -66,7 +71,7 @@
 
     version: int
     servers: list[Announcement]
-    releases: dict[ServiceName, WeightVersion]
+    releases: dict[ModelName, WeightVersion]
 
 
 class JobView(msgspec.Struct, frozen=True):
@@ -117,6 +122,38 @@
     entries: list[EntryInfo]
 
 
+class BatchWork(msgspec.Struct, frozen=True):
+    """A batch job that an entry is to run.
+
+    Attributes
+    ----------
+    listed : set of ItemId
+        Items that have a result already.
+    age_s : float
+        Seconds since it was handed in.
+    """
+
+    spec: BatchJobSpec
+    listed: set[ItemId]
+    age_s: float
+
+
+class WorkView(msgspec.Struct, frozen=True):
+    """The batch jobs that an entry is to run.
+
+    Attributes
+    ----------
+    owned : list of BatchJobId
+        All of them; what the entry runs beside these is another's by now.
+    added : list of BatchWork
+        Those that the entry did not have.
+    """
+
+    version: int
+    owned: list[BatchJobId]
+    added: list[BatchWork]
+
+
 class RenewRequest(msgspec.Struct, frozen=True):
     """Renews a lease and asks for what changed.
 
@@ -124,8 +161,10 @@
     ----------
     revision : Revision
         Configuration revision that the entry has in force.
-    directory, ledger, quarantine, entries : int
+    directory, ledger, quarantine, entries, work : int
         Versions of the views that the entry has.
+    running : list of BatchJobId
+        Batch jobs that the entry runs.
     announced : list
         Backend servers that announced themselves since the last renewal.
     wait_s : float
@@ -140,6 +179,9 @@
     entries: int
     announced: list[BackendServerName]
     wait_s: float
+    work: int = 0
+    running: list[BatchJobId] = []
+    health: EntryHealth = EntryHealth()
 
 
 class RenewAnswer(msgspec.Struct, frozen=True):
@@ -149,6 +191,8 @@
     ----------
     lease_s : float
         Seconds that the lease lasts from the moment the request was sent.
+    controls : list of Address
+        Where the control instances are.
     """
 
     status: CallStatus
@@ -159,6 +203,85 @@
     ledger: LedgerView | None = None
     quarantine: QuarantineView | None = None
     entries: EntriesView | None = None
+    work: WorkView | None = None
+    controls: list[Address] = []
+
+
+class ReadBatchJob(msgspec.Struct, frozen=True):
+    """Asks the leader for the results of a batch job.
+
+    Attributes
+    ----------
+    after : int
+        First position that is wanted, from 0.
+    wait_s : float
+        Longest wait for a result at that position, in seconds.
+    """
+
+    batch_job: BatchJobId
+    after: int
+    wait_s: float
+
+
+class BatchJobRead(msgspec.Struct, frozen=True):
+    """Results of a batch job; the total is None when there is no such job."""
+
+    status: CallStatus
+    leader: Address = Address("")
+    total: int | None = None
+    results: list[ItemResult] = []
+
+
+class ReadItem(msgspec.Struct, frozen=True):
+    """Asks the leader for the body of an item."""
+
+    batch_job: BatchJobId
+    item: ItemId
+
+
+class ItemRead(msgspec.Struct, frozen=True):
+    """Body of an item, or None when there is no such item."""
+
+    status: CallStatus
+    leader: Address = Address("")
+    body: bytes | None = None
+
+
+class ReadConfiguration(msgspec.Struct, frozen=True):
+    """Asks the leader for the newest whole configuration."""
+
+
+class ConfigurationRead(msgspec.Struct, frozen=True):
+    """The newest whole configuration, as the operator sent it."""
+
+    status: CallStatus
+    leader: Address = Address("")
+    version: DocumentVersion = DocumentVersion(0)
+    source: bytes = b""
+
+
+class Retirement(Enum):
+    """How far the taking away of a control instance is."""
+
+    UNKNOWN = "unknown"
+    TOO_FEW = "too-few"
+    RUNNING = "running"
+    COMPLETED = "completed"
+
+
+class RetireRequest(msgspec.Struct, frozen=True):
+    """Asks that a control instance be emptied, or how far that is."""
+
+    instance: InstanceName
+    is_question: bool
+
+
+class RetireAnswer(msgspec.Struct, frozen=True):
+    """How far it is."""
+
+    status: CallStatus
+    leader: Address = Address("")
+    retirement: Retirement | None = None
 
 
 class StatusRequest(msgspec.Struct, frozen=True):
@@ -188,11 +311,17 @@
     changes: list[Change]
     entries: list[EntryInfo]
     servers: list[Announcement]
-    releases: dict[ServiceName, WeightVersion]
+    releases: dict[ModelName, WeightVersion]
     jobs: dict[JobName, JobView]
     suspects: dict[Fingerprint, bool]
 
 
 PROPOSE = Method(_SERVICE, "Propose", ProposeRequest, ProposeAnswer)
 RENEW = Method(_SERVICE, "Renew", RenewRequest, RenewAnswer)
+READ_BATCH_JOB = Method(_SERVICE, "ReadBatchJob", ReadBatchJob, BatchJobRead)
+READ_ITEM = Method(_SERVICE, "ReadItem", ReadItem, ItemRead)
+READ_CONFIGURATION = Method(
+    _SERVICE, "ReadConfiguration", ReadConfiguration, ConfigurationRead
+)
+RETIRE = Method(_SERVICE, "Retire", RetireRequest, RetireAnswer)
 STATUS = Method(_SERVICE, "Status", StatusRequest, StatusAnswer)
--- a/pollenlb/connection/directory.py
+++ b/pollenlb/connection/directory.py
@@ -6,10 +6,11 @@
 
 import aiohttp
 
-from ..ids import BackendServerName, ServiceName, WeightVersion
+from ..durable.configuration_commands import Announcement
+from ..ids import BackendServerName, ModelName, ServiceName, WeightVersion
 from ..process.events import EventLog
 from ..settings.entry import EntrySettings
-from .backend import BackendServer
+from .backend import AskServer, BackendServer
 from .control_api import DirectoryView
 
 
@@ -24,17 +25,24 @@
         Connections to backend servers.
     events : EventLog
         Gets changes of state.
+    ask : callable
+        Sends a probe to a backend server.
     """
 
     def __init__(
-        self, settings: EntrySettings, session: aiohttp.ClientSession, events: EventLog
+        self,
+        settings: EntrySettings,
+        session: aiohttp.ClientSession,
+        events: EventLog,
+        ask: AskServer,
     ) -> None:
+        self._ask = ask
         self._settings = settings
         self._session = session
         self._events = events
         self._version = -1
         self._servers: dict[BackendServerName, BackendServer] = {}
-        self._releases: dict[ServiceName, WeightVersion] = {}
+        self._releases: dict[ModelName, WeightVersion] = {}
         self._stopping: set[asyncio.Task] = set()
 
     @property
@@ -48,8 +56,8 @@
         return self._servers
 
     @property
-    def releases(self) -> dict[ServiceName, WeightVersion]:
-        """Weight version by service that its backend servers should have."""
+    def releases(self) -> dict[ModelName, WeightVersion]:
+        """Weight version by model that backend servers should have."""
         return self._releases
 
     def apply(self, view: DirectoryView) -> None:
@@ -67,17 +75,25 @@
             if known is not None:
                 self._stop(known)
             server = BackendServer(
-                announcement, self._settings, self._session, self._events
+                announcement, self._settings, self._session, self._events, self._ask
             )
             server.start()
             self._servers[name] = server
 
     def usable(self, service: ServiceName) -> list[BackendServer]:
-        """Return the backend servers of a service that may get new work."""
+        """Return the backend servers of a service that may get new work.
+
+        When none is likely to answer, all that may still get work are tried.
+        """
+        servers = self.serving(service)
+        return [each for each in servers if each.is_usable] or servers
+
+    def serving(self, service: ServiceName) -> list[BackendServer]:
+        """Return the backend servers of a service that may get work at all."""
         return [
             server
             for server in self._servers.values()
-            if server.announcement.service == service and server.is_usable
+            if server.announcement.service == service and server.may_get_work
         ]
 
     async def close(self) -> None:
@@ -92,9 +108,10 @@
         task.add_done_callback(self._stopping.discard)
 
 
-def _is_same_place(server: BackendServer, announcement) -> bool:
+def _is_same_place(server: BackendServer, announcement: Announcement) -> bool:
     known = server.announcement
-    return (known.address, known.service) == (
+    is_same_start = known.started_at_ms == announcement.started_at_ms
+    return is_same_start and (known.address, known.service) == (
         announcement.address,
         announcement.service,
     )
--- a/pollenlb/connection/load.py
+++ b/pollenlb/connection/load.py
@@ -11,6 +11,8 @@
 _LATENCY_WEIGHT = 0.2
 _RACE_WEIGHT = 1.0
 _FORGET_S = 4.0
+_PIECE_WEIGHT = 0.1
+_REPORT_VALID_S = 1.0
 
 
 class ServerLoad:
@@ -31,7 +33,9 @@
         self._next_ticket = 0
         self._long = 0
         self._reported = 0
+        self._reported_at = float("-inf")
         self._own_at_report = 0
+        self._piece_s = 0.0
         self._latency_s = 0.0
         self._latency_at = 0.0
 
@@ -57,6 +61,19 @@
         estimate = max(self.in_flight, self._reported + own_since)
         return estimate / self._slots
 
+    @property
+    def expected_in_flight(self) -> int:
+        """Requests of all entries that the backend server is likely to have."""
+        if now() > self._reported_at + _REPORT_VALID_S:
+            return self.in_flight
+        others = max(0, self._reported - self._own_at_report)
+        return self.in_flight + others
+
+    @property
+    def piece_s(self) -> float:
+        """Smoothed time between events of a stream, in seconds; 0 without any."""
+        return self._piece_s
+
     @property
     def latency_s(self) -> float:
         """Smoothed latency of whole answers, in seconds; 0 without any."""
@@ -117,7 +134,14 @@
         self._latency_s = max(known_s, known_s + _RACE_WEIGHT * (waited_s - known_s))
         self._latency_at = now()
 
+    def note_piece(self, seconds: float) -> None:
+        """Take note of the time between two events of a stream."""
+        if not self._piece_s:
+            self._piece_s = seconds
+        self._piece_s += _PIECE_WEIGHT * (seconds - self._piece_s)
+
     def note_report(self, in_flight: int) -> None:
         """Take note of the requests that the backend server says it has."""
         self._reported = in_flight
+        self._reported_at = now()
         self._own_at_report = self.in_flight
--- a/pollenlb/durable/answers.py
+++ b/pollenlb/durable/answers.py
@@ -9,7 +9,15 @@
 
 from ..connection.rpc import RpcServer
 from ..exceptions import LogError, StorageError
-from ..ids import Address, ClusterId, LogIndex, ReplicaId, Term
+from ..ids import (
+    Address,
+    ClusterId,
+    FailureDomain,
+    InstanceName,
+    LogIndex,
+    ReplicaId,
+    Term,
+)
 from .records import (
     APPEND,
     JOIN,
@@ -78,7 +86,7 @@
             await self._store(request.entries)
             matched = LogIndex(request.previous_index + len(request.entries))
             replica.commit_through(LogIndex(min(request.commit_index, matched)))
-            return AppendAnswer(replica.term, True, True, matched)
+            return self._appended(True, matched)
 
     async def answer_snapshot(self, request: SnapshotRequest) -> AppendAnswer:
         """Take a snapshot in place of entries that the leader no longer has."""
@@ -88,7 +96,7 @@
             if refusal is not None:
                 return refusal
             await replica.receive_snapshot(request.snapshot)
-            return AppendAnswer(replica.term, True, True, request.snapshot.index)
+            return self._appended(True, request.snapshot.index)
 
     async def answer_join(self, request: JoinRequest) -> JoinAnswer:
         """Make a replica without a disk a learner, if this one leads."""
@@ -142,7 +150,7 @@
         if not self._is_addressed(request.cluster, request.receiver):
             return AppendAnswer(Term(0), False, False, LogIndex(0))
         if request.term < replica.term:
-            return AppendAnswer(replica.term, True, False, replica.storage.last_index)
+            return self._appended(False, replica.storage.last_index)
         await replica.adopt_term(request.term)
         replica.follow(Address(request.leader_address))
         return None
@@ -151,7 +159,18 @@
         storage = self._replica.storage
         hint = min(previous_index - 1, storage.last_index)
         hint = max(hint, storage.snapshot.index)
-        return AppendAnswer(self._replica.term, True, False, LogIndex(hint))
+        return self._appended(False, LogIndex(hint))
+
+    def _appended(self, is_matching: bool, last_index: LogIndex) -> AppendAnswer:
+        settings = self._replica.settings
+        return AppendAnswer(
+            self._replica.term,
+            True,
+            is_matching,
+            last_index,
+            InstanceName(settings.name),
+            FailureDomain(settings.failure_domain),
+        )
 
     async def _store(self, entries: list[LogEntry]) -> None:
         storage = self._replica.storage
--- /dev/null
+++ b/pollenlb/durable/batch_job_commands.py
@@ -0,0 +1,145 @@
+"""Commands of batch jobs: many requests, handed in at once and run later."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from ..ids import (
+    BatchJobId,
+    BootId,
+    GroupName,
+    ItemId,
+    ModelName,
+    ServiceName,
+    WeightVersion,
+)
+from .command import Command, CommandResult
+
+
+class BatchItem(msgspec.Struct, frozen=True):
+    """One request of a batch job.
+
+    Attributes
+    ----------
+    path : str
+        Path and query of the request.
+    headers : dict
+        Headers that the backend server gets, by name.
+    tokens : int
+        Prompt tokens and the most output tokens together.
+    length_hint : int
+        Output tokens that the trainer expects; 0 when it does not tell.
+    group : GroupName
+        Items of one group share their prompt; a trainer uses whole groups.
+    """
+
+    item: ItemId
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    tokens: int = 0
+    length_hint: int = 0
+    group: GroupName = GroupName("")
+
+
+class BatchJobSpec(msgspec.Struct, frozen=True):
+    """What a trainer handed in, with the terms of its route at that time.
+
+    Attributes
+    ----------
+    host : str
+        Host that the backend server is asked for.
+    model : ModelName
+        Model that generates; empty when the job does not name one.
+    least_version : WeightVersion
+        Oldest weights that may generate a token.
+    is_single_version : bool
+        Whether one version must generate all tokens of an item.
+    needed_groups : int
+        Whole groups that the trainer waits for; 0 when it waits for all.
+    due_s : float
+        Seconds after the submission at which the results are wanted.
+    give_up_s : float
+        Seconds after the submission from which items may be given up.
+    max_attempts : int
+        Failed runs after which an item may be given up.
+    kept_s : float
+        Seconds after the submission for which results can be read.
+    """
+
+    batch_job: BatchJobId
+    service: ServiceName
+    host: str
+    items: list[BatchItem]
+    model: ModelName = ModelName("")
+    least_version: WeightVersion = WeightVersion(0)
+    is_single_version: bool = False
+    needed_groups: int = 0
+    due_s: float = 0.0
+    give_up_s: float = 0.0
+    max_attempts: int = 1
+    kept_s: float = 120.0
+
+
+class ItemState(Enum):
+    """What became of an item."""
+
+    COMPLETED = "completed"
+    EXPIRED = "expired"
+
+
+class ItemResult(msgspec.Struct, frozen=True):
+    """Result of an item, at a fixed position of its batch job.
+
+    Attributes
+    ----------
+    text : str
+        Data of all events in order, separated by line feeds.
+    versions : list of WeightVersion
+        Weights that generated the text, in order.
+    """
+
+    item: ItemId
+    state: ItemState
+    text: str = ""
+    versions: list[WeightVersion] = []
+
+
+class SubmitBatchJob(Command, frozen=True):
+    """Hands in a batch job; the same id again changes nothing.
+
+    Attributes
+    ----------
+    owner : BootId
+        Entry process that is to run it.
+    """
+
+    spec: BatchJobSpec
+    owner: BootId
+
+
+class BatchJobAccepted(CommandResult, frozen=True):
+    """The batch job is kept, and who runs it."""
+
+    owner: BootId | None
+
+
+class CommitItems(Command, frozen=True):
+    """Enters results; the first for an item wins."""
+
+    batch_job: BatchJobId
+    results: list[ItemResult]
+
+
+class EndBatchJob(Command, frozen=True):
+    """Ends a batch job; nothing more of it need run."""
+
+    batch_job: BatchJobId
+
+
+class AssignBatchJobs(Command, frozen=True):
+    """Lets other entry processes run batch jobs."""
+
+    owners: dict[BatchJobId, BootId]
--- /dev/null
+++ b/pollenlb/durable/batch_jobs.py
@@ -0,0 +1,179 @@
+"""Batch jobs: their items, results in fixed positions, and who runs them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..ids import BatchJobId, BootId, ItemId, LogIndex
+from .batch_job_commands import (
+    AssignBatchJobs,
+    BatchItem,
+    BatchJobAccepted,
+    BatchJobSpec,
+    CommitItems,
+    EndBatchJob,
+    ItemResult,
+    ItemState,
+    SubmitBatchJob,
+)
+from .command import Done, Refused
+from .commands import AnyResult
+
+# Wall clocks of leaders may jump by some seconds, so jobs are kept longer.
+KEPT_MARGIN_MS = 30_000
+
+
+class BatchJob(msgspec.Struct):
+    """One batch job.
+
+    Attributes
+    ----------
+    at_ms : int
+        Wall time of the submission, milliseconds since the epoch.
+    owner : BootId or None
+        Entry process that runs it.
+    results : list of ItemResult
+        Results in the positions at which they were first entered.
+    listed : set of ItemId
+        Items that have a result.
+    """
+
+    spec: BatchJobSpec
+    at_ms: int
+    owner: BootId | None
+    results: list[ItemResult] = []
+    listed: set[ItemId] = set()
+    is_ended: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether items may still be run."""
+        return not self.is_ended and len(self.results) < len(self.spec.items)
+
+    @property
+    def kept_until_ms(self) -> int:
+        """Wall time until which results can be read, in milliseconds."""
+        return self.at_ms + int(1000 * self.spec.kept_s) + KEPT_MARGIN_MS
+
+    def find_item(self, item: ItemId) -> BatchItem | None:
+        """Return an item of the job, or None."""
+        for each in self.spec.items:
+            if each.item == item:
+                return each
+        return None
+
+
+class BatchJobTable(msgspec.Struct):
+    """Batch jobs by id, oldest first.
+
+    Attributes
+    ----------
+    changed_at : dict
+        Log index of the last change of what an entry process has to run.
+    """
+
+    batch_jobs: dict[BatchJobId, BatchJob] = {}
+    changed_at: dict[BootId, LogIndex] = {}
+
+    def submit(self, command: SubmitBatchJob, index: LogIndex, at_ms: int) -> AnyResult:
+        """Keep a batch job; results of carried items are entered at once."""
+        spec = command.spec
+        known = self.batch_jobs.get(spec.batch_job)
+        if known is not None:
+            return BatchJobAccepted(known.owner)
+        self._drop_old(at_ms)
+        batch_job = BatchJob(spec, at_ms, command.owner)
+        for result in self._carried(spec):
+            batch_job.results.append(result)
+            batch_job.listed.add(result.item)
+        self.batch_jobs[spec.batch_job] = batch_job
+        self.changed_at[command.owner] = index
+        return BatchJobAccepted(command.owner)
+
+    def commit(self, command: CommitItems, index: LogIndex) -> AnyResult:
+        """Enter results of items that have none yet."""
+        batch_job = self.batch_jobs.get(command.batch_job)
+        if batch_job is None:
+            return Refused(f"there is no batch job {command.batch_job}")
+        named = {each.item for each in batch_job.spec.items}
+        for result in command.results:
+            if result.item in named and result.item not in batch_job.listed:
+                batch_job.results.append(result)
+                batch_job.listed.add(result.item)
+        if not batch_job.is_open and batch_job.owner is not None:
+            self.changed_at[batch_job.owner] = index
+        return Done()
+
+    def end(self, command: EndBatchJob, index: LogIndex) -> AnyResult:
+        """End a batch job; the same again changes nothing."""
+        batch_job = self.batch_jobs.get(command.batch_job)
+        if batch_job is None:
+            return Refused(f"there is no batch job {command.batch_job}")
+        batch_job.is_ended = True
+        if batch_job.owner is not None:
+            self.changed_at[batch_job.owner] = index
+        return Done()
+
+    def assign(self, command: AssignBatchJobs, index: LogIndex) -> AnyResult:
+        """Give open batch jobs to other entry processes."""
+        for name, owner in command.owners.items():
+            batch_job = self.batch_jobs.get(name)
+            if batch_job is None or not batch_job.is_open:
+                continue
+            if batch_job.owner is not None:
+                self.changed_at[batch_job.owner] = index
+            batch_job.owner = owner
+            self.changed_at[owner] = index
+        return Done()
+
+    def owned_by(self, boot: BootId) -> list[BatchJob]:
+        """Return the open batch jobs that an entry process runs."""
+        return [
+            each
+            for each in self.batch_jobs.values()
+            if each.owner == boot and each.is_open
+        ]
+
+    def owners(self) -> set[BootId]:
+        """Return the entry processes that run an open batch job."""
+        return {
+            each.owner
+            for each in self.batch_jobs.values()
+            if each.is_open and each.owner is not None
+        }
+
+    def _carried(self, spec: BatchJobSpec) -> list[ItemResult]:
+        """Return results of earlier jobs that this job's versions allow."""
+        asked = {each.item: each for each in spec.items}
+        carried: dict[ItemId, ItemResult] = {}
+        for earlier in self.batch_jobs.values():
+            if earlier.spec.model != spec.model:
+                continue
+            for result in earlier.results:
+                item = asked.get(result.item)
+                if item is None or not _is_usable(result, spec):
+                    continue
+                before = earlier.find_item(result.item)
+                if before is not None and before.body == item.body:
+                    carried[result.item] = result
+        return list(carried.values())
+
+    def _drop_old(self, at_ms: int) -> None:
+        old = [
+            name
+            for name, each in self.batch_jobs.items()
+            if not each.is_open and each.kept_until_ms < at_ms
+        ]
+        for name in old:
+            del self.batch_jobs[name]
+        owners = {each.owner for each in self.batch_jobs.values()}
+        for boot in [each for each in self.changed_at if each not in owners]:
+            del self.changed_at[boot]
+
+
+def _is_usable(result: ItemResult, spec: BatchJobSpec) -> bool:
+    if result.state is not ItemState.COMPLETED or not result.versions:
+        return False
+    if spec.is_single_version and len(result.versions) != 1:
+        return False
+    return min(result.versions) >= spec.least_version
--- a/pollenlb/durable/commands.py
+++ b/pollenlb/durable/commands.py
@@ -5,6 +5,13 @@
 import msgspec
 
 from ..ids import CommandId
+from .batch_job_commands import (
+    AssignBatchJobs,
+    BatchJobAccepted,
+    CommitItems,
+    EndBatchJob,
+    SubmitBatchJob,
+)
 from .command import Done, Refused
 from .configuration_commands import (
     AnnounceServer,
@@ -12,8 +19,15 @@
     ConfigurationChanged,
     ConfigurationConflict,
     ConfigurationInvalid,
+    ConfigurationReplaced,
     ForgetServer,
+    NoteModelVersion,
+    NoteOrder,
     ReleaseVersion,
+    ReplaceConfiguration,
+    RetireInstance,
+    VersionSuperseded,
+    WithdrawServer,
 )
 from .crash_commands import (
     CrashReported,
@@ -41,9 +55,18 @@
 
 AnyCommand = (
     ChangeConfiguration
+    | ReplaceConfiguration
     | AnnounceServer
+    | WithdrawServer
     | ForgetServer
+    | NoteModelVersion
+    | NoteOrder
     | ReleaseVersion
+    | SubmitBatchJob
+    | CommitItems
+    | EndBatchJob
+    | AssignBatchJobs
+    | RetireInstance
     | ClaimKey
     | SettleKey
     | CreateJob
@@ -66,6 +89,9 @@
     | ConfigurationChanged
     | ConfigurationConflict
     | ConfigurationInvalid
+    | ConfigurationReplaced
+    | VersionSuperseded
+    | BatchJobAccepted
     | KeyClaimed
     | KeyHeld
     | GroupsClaimed
--- a/pollenlb/durable/configuration.py
+++ b/pollenlb/durable/configuration.py
@@ -8,7 +8,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..ids import Revision
+from ..ids import DocumentVersion, Revision
 from ..settings.cluster import ClusterSettings
 from .commands import AnyResult
 from .configuration_commands import (
@@ -17,6 +17,8 @@
     ConfigurationChanged,
     ConfigurationConflict,
     ConfigurationInvalid,
+    ConfigurationReplaced,
+    ReplaceConfiguration,
 )
 
 MOST_HISTORY = 200
@@ -33,11 +35,35 @@
         Nested tables, as in a settings file.
     history : list of Change
         Latest changes, oldest first.
+    version : DocumentVersion
+        Number of the latest whole configuration; 0 before the first.
+    source : bytes
+        What the operator sent for it.
     """
 
     revision: Revision = Revision(0)
     document: dict[str, Any] = {}
     history: list[Change] = []
+    version: DocumentVersion = DocumentVersion(0)
+    source: bytes = b""
+
+    def replace(self, command: ReplaceConfiguration) -> AnyResult:
+        """Accept a whole configuration whose version is higher than the last.
+
+        An older or equal one is not refused, since its sender may only have
+        lost the first answer; it changes nothing.
+        """
+        match ClusterSettings.check(command.document):
+            case Err(found):
+                return ConfigurationInvalid(
+                    [f"{each.key}: {each.message}" for each in found]
+                )
+        if command.version > self.version:
+            self.version = command.version
+            self.document = command.document
+            self.source = command.source
+            self.revision = Revision(self.revision + 1)
+        return ConfigurationReplaced(self.revision, self.version)
 
     def change(self, command: ChangeConfiguration, at_ms: int) -> AnyResult:
         """Accept a change made against the current revision."""
--- a/pollenlb/durable/follower.py
+++ b/pollenlb/durable/follower.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 from result import Err, Ok
 
 from ..ids import Address, LogIndex, Term
@@ -54,6 +55,7 @@
         self._next_index = LogIndex(replica.storage.last_index + 1)
         self._match_index = LogIndex(0)
         self._answered_at = float("-inf")
+        self._named = member
         self.member = member
         self.wake = asyncio.Event()
         self.task: asyncio.Task | None = None
@@ -68,6 +70,15 @@
         """When the latest message that it answered was sent, in seconds."""
         return self._answered_at
 
+    @property
+    def named(self) -> Member:
+        """The member with the instance and failure domain that it last told."""
+        return msgspec.structs.replace(
+            self.member,
+            instance=self._named.instance,
+            failure_domain=self._named.failure_domain,
+        )
+
     def end(self) -> None:
         """Cancel the task, unless it is the one that runs."""
         if self.task is not None and self.task is not asyncio.current_task():
@@ -142,6 +153,11 @@
             await self._replica.observe_term(answer.term)
             return False
         self._answered_at = max(self._answered_at, sent_at)
+        self._named = msgspec.structs.replace(
+            self.member,
+            instance=answer.instance or self.member.instance,
+            failure_domain=answer.failure_domain,
+        )
         if answer.is_matching:
             matched = max(self._match_index, answer.last_index)
             self._match_index = LogIndex(matched)
--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -6,12 +6,13 @@
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
-import msgspec
+from msgspec.structs import replace
 
 from ..exceptions import CommitInDoubtError, LogError, NotLeaderError
-from ..ids import LogIndex, ReplicaId, Term
+from ..ids import FailureDomain, InstanceName, LogIndex, ReplicaId, Term
 from ..process.clock import deadline_in, now, remaining, sleep_until
 from .follower import Follower
+from .membership import MemberHealth, next_members
 from .records import EntryKind, JoinRequest, LogEntry, Member, encode_members
 
 if TYPE_CHECKING:
@@ -44,6 +45,7 @@
         self._ready = asyncio.Event()
         self._members_index = LogIndex(0)
         self._tasks: list[asyncio.Task] = []
+        self._own = replica.storage.hard_state.replica
 
     @property
     def term(self) -> Term:
@@ -63,9 +65,8 @@
     @property
     def quorum_contact_at(self) -> float:
         """Latest time at which a majority is known to have followed this leader."""
-        own = self._replica.storage.hard_state.replica
         times = [
-            now() if member.replica == own else self._answered_at(member.replica)
+            now() if member.replica == self._own else self._answered_at(member.replica)
             for member in self._voters()
         ]
         times.sort(reverse=True)
@@ -76,7 +77,7 @@
         """Start the tasks of the term; the caller holds the replica's lock."""
         self._refresh_peers()
         self._replica.spawn(self._open_term())
-        for work in (self._write(), self._watch_quorum(), self._promote_learners()):
+        for work in (self._write(), self._watch_quorum(), self._keep_members()):
             self._tasks.append(self._replica.spawn(work))
 
     def end(self) -> None:
@@ -150,11 +151,21 @@
         members = self._replica.storage.members
         if any(member.replica == request.replica for member in members):
             return
-        for member in members:
-            if member.instance == request.instance and self._is_answering(member):
+        if request.instance in self._replica.goal.retiring:
+            raise LogError(f"{request.instance} is being taken away")
+        replaced = [each for each in members if _is_replaced_by(each, request)]
+        for member in replaced:
+            is_other_place = member.address != request.address
+            if is_other_place and self._is_answering(member):
                 raise LogError(f"{member.replica} of this instance still answers")
-        kept = [each for each in members if each.instance != request.instance]
-        learner = Member(request.replica, request.instance, request.address, False)
+        kept = [each for each in members if each not in replaced]
+        learner = Member(
+            request.replica,
+            request.instance,
+            request.address,
+            False,
+            request.failure_domain,
+        )
         await self.change_members([*kept, learner])
 
     async def change_members(self, members: list[Member]) -> None:
@@ -188,7 +199,7 @@
 
     def _is_answering(self, member: Member) -> bool:
         patience_s = 2 * self._replica.settings.election_timeout_s
-        if member.replica == self._replica.storage.hard_state.replica:
+        if member.replica == self._own:
             return True
         last = max(self._answered_at(member.replica), self._started_at)
         return now() < last + patience_s
@@ -263,10 +274,9 @@
         if self._is_ended:
             return
         storage = self._replica.storage
-        own = storage.hard_state.replica
         matches = []
         for member in self._voters():
-            if member.replica == own:
+            if member.replica == self._own:
                 matches.append(storage.last_index)
             else:
                 peer = self._peers.get(member.replica)
@@ -296,29 +306,56 @@
                 self._replica.step_down("no contact with a quorum")
                 return
 
-    async def _promote_learners(self) -> None:
+    async def _keep_members(self) -> None:
         while not self._is_ended:
             await sleep_until(deadline_in(self._replica.settings.heartbeat_s))
-            learner = self._caught_up_learner()
-            if learner is None:
+            if not self.is_ready:
+                continue
+            members = next_members(self.health(), self._own, self._replica.goal)
+            if members is None:
                 continue
-            promoted = msgspec.structs.replace(learner, is_voter=True)
-            members = self._replica.storage.members
             try:
-                await self.change_members(
-                    [promoted if each == learner else each for each in members]
-                )
-            except LogError:
+                await self.change_members(members)
+            except LogError as error:
+                self._replica.events.record("members.unchanged", reason=str(error))
                 continue
+            if not any(each.replica == self._own and each.is_voter for each in members):
+                self._replica.step_down("this replica no longer votes")
 
-    def _caught_up_learner(self) -> Member | None:
-        last_index = self._replica.storage.last_index
-        for follower in self._peers.values():
-            if follower.member.is_voter or not self._is_answering(follower.member):
-                continue
-            if follower.match_index == last_index:
-                return follower.member
-        return None
+    def health(self) -> list[MemberHealth]:
+        """Return what this leader sees of each member."""
+        settings = self._replica.settings
+        own = replace(
+            self._own_member(),
+            instance=InstanceName(settings.name),
+            failure_domain=FailureDomain(settings.failure_domain),
+        )
+        found = []
+        for member in self._replica.storage.members:
+            follower = self._peers.get(member.replica)
+            if member.replica == self._own:
+                found.append(MemberHealth(member, 0.0, True, own))
+            elif follower is not None:
+                found.append(self._health_of(follower))
+            else:
+                raise AssertionError(f"{member.replica} is not followed up")
+        return found
+
+    def _health_of(self, follower: Follower) -> MemberHealth:
+        silent_s = now() - max(follower.answered_at, self._started_at)
+        is_caught_up = follower.match_index >= self._replica.commit_index
+        return MemberHealth(follower.member, silent_s, is_caught_up, follower.named)
+
+    def _own_member(self) -> Member:
+        for member in self._replica.storage.members:
+            if member.replica == self._own:
+                return member
+        raise LogError("the leader is not a member")
+
+
+def _is_replaced_by(member: Member, request: JoinRequest) -> bool:
+    # Whoever joins from a member's address runs there without its disk.
+    return request.instance == member.instance or request.address == member.address
 
 
 def _set_exception(future: asyncio.Future, error: Exception) -> None:
--- a/pollenlb/durable/leases.py
+++ b/pollenlb/durable/leases.py
@@ -38,14 +38,34 @@
         Revision of the configuration.
     quarantine : int
         Version of the quarantine.
+    directory : int
+        Version of the directory of backend servers.
     """
 
     revision: Revision = Revision(0)
     quarantine: int = 0
+    directory: int = 0
 
     def covers(self, other: InForceAt) -> bool:
         """Whether all that another one has in force is in force here too."""
-        return self.revision >= other.revision and self.quarantine >= other.quarantine
+        return (
+            self.revision >= other.revision
+            and self.quarantine >= other.quarantine
+            and self.directory >= other.directory
+        )
+
+
+class EntryHealth(msgspec.Struct, frozen=True):
+    """How an entry process does, by its own account.
+
+    Attributes
+    ----------
+    lag_s : float
+        How late its event loop ran what was due, in seconds, smoothed.
+    """
+
+    is_draining: bool = False
+    lag_s: float = 0.0
 
 
 class Lease(msgspec.Struct):
@@ -58,11 +78,15 @@
         drift still counts the lease as valid.
     in_force : InForceAt
         What the entry has in force.
+    since : float
+        Monotonic time at which it was first granted, in seconds.
     """
 
     entry: EntryInfo
     expires_at: Deadline
     in_force: InForceAt
+    since: float
+    health: EntryHealth = EntryHealth()
 
 
 class LeaseTable:
@@ -95,7 +119,11 @@
         return self._unknown_until
 
     async def renew(
-        self, entry: EntryInfo, in_force: InForceAt, quorum_contact_at: float
+        self,
+        entry: EntryInfo,
+        in_force: InForceAt,
+        quorum_contact_at: float,
+        health: EntryHealth = EntryHealth(),
     ) -> float:
         """Extend an entry's lease and return its length in seconds.
 
@@ -107,16 +135,28 @@
             What it has in force.
         quorum_contact_at : float
             Monotonic time at which a quorum last followed this leader.
+        health : EntryHealth
+            How it does.
         """
         left_s = self._lease_s - (now() - quorum_contact_at)
         if left_s <= 0:
             return 0.0
         expires_at = Deadline(quorum_contact_at + self._guarded_s)
-        self._leases[entry.boot] = Lease(entry, expires_at, in_force)
+        known = self._leases.get(entry.boot)
+        since = known.since if known is not None else now()
+        self._leases[entry.boot] = Lease(entry, expires_at, in_force, since, health)
+        self._end_earlier_boots(entry)
         async with self._changed:
             self._changed.notify_all()
         return left_s
 
+    def _end_earlier_boots(self, entry: EntryInfo) -> None:
+        # A process that runs again at its instance has ended before.
+        for lease in self._leases.values():
+            is_same_place = lease.entry.instance == entry.instance
+            if is_same_place and lease.entry.boot != entry.boot:
+                lease.expires_at = Deadline(0.0)
+
     def live(self) -> list[Lease]:
         """Return the leases that may still be in use."""
         moment = now()
--- a/pollenlb/durable/machine.py
+++ b/pollenlb/durable/machine.py
@@ -7,7 +7,14 @@
 
 import msgspec
 
-from ..ids import LogIndex
+from ..ids import InstanceName, LogIndex
+from .batch_job_commands import (
+    AssignBatchJobs,
+    CommitItems,
+    EndBatchJob,
+    SubmitBatchJob,
+)
+from .batch_jobs import BatchJobTable
 from .command import Done
 from .commands import AnyResult, Proposal
 from .configuration import ConfigurationTable
@@ -15,7 +22,12 @@
     AnnounceServer,
     ChangeConfiguration,
     ForgetServer,
+    NoteModelVersion,
+    NoteOrder,
     ReleaseVersion,
+    ReplaceConfiguration,
+    RetireInstance,
+    WithdrawServer,
 )
 from .crash_commands import EndTrial, Pardon, ReportCrash, StartTrial
 from .deduplication import CommandTable
@@ -46,6 +58,8 @@
     keys: KeyTable = msgspec.field(default_factory=KeyTable)
     ledger: Ledger = msgspec.field(default_factory=Ledger)
     quarantine: Quarantine = msgspec.field(default_factory=Quarantine)
+    batch_jobs: BatchJobTable = msgspec.field(default_factory=BatchJobTable)
+    retiring: set[InstanceName] = set()
     commands: CommandTable = msgspec.field(default_factory=CommandTable)
 
 
@@ -86,6 +100,10 @@
         """Return the log index of the last command that touched a table."""
         return self._versions.get(table, 0)
 
+    def touches_views(self, command: Any) -> bool:
+        """Whether a command changes a table that entries keep a view of."""
+        return type(command) in _TOUCHED
+
     def apply(self, index: LogIndex, payload: bytes) -> AnyResult:
         """Carry out one committed command."""
         proposal = _decode_proposal(payload)
@@ -138,6 +156,52 @@
     return state.configuration.change(command, position.at_ms)
 
 
+@apply_command.register
+def _(command: ReplaceConfiguration, state: State, position: Position) -> AnyResult:
+    return state.configuration.replace(command)
+
+
+@apply_command.register
+def _(command: WithdrawServer, state: State, position: Position) -> AnyResult:
+    return state.directory.withdraw(command)
+
+
+@apply_command.register
+def _(command: NoteModelVersion, state: State, position: Position) -> AnyResult:
+    return state.directory.note_version(command)
+
+
+@apply_command.register
+def _(command: NoteOrder, state: State, position: Position) -> AnyResult:
+    return state.directory.note_order(command, position.at_ms)
+
+
+@apply_command.register
+def _(command: RetireInstance, state: State, position: Position) -> AnyResult:
+    state.retiring.add(command.instance)
+    return Done()
+
+
+@apply_command.register
+def _(command: SubmitBatchJob, state: State, position: Position) -> AnyResult:
+    return state.batch_jobs.submit(command, position.index, position.at_ms)
+
+
+@apply_command.register
+def _(command: CommitItems, state: State, position: Position) -> AnyResult:
+    return state.batch_jobs.commit(command, position.index)
+
+
+@apply_command.register
+def _(command: EndBatchJob, state: State, position: Position) -> AnyResult:
+    return state.batch_jobs.end(command, position.index)
+
+
+@apply_command.register
+def _(command: AssignBatchJobs, state: State, position: Position) -> AnyResult:
+    return state.batch_jobs.assign(command, position.index)
+
+
 @apply_command.register
 def _(command: AnnounceServer, state: State, position: Position) -> AnyResult:
     return state.directory.announce(command)
@@ -229,7 +293,10 @@
 
 _TOUCHED: dict[type, tuple[str, ...]] = {
     ChangeConfiguration: ("configuration",),
+    ReplaceConfiguration: ("configuration",),
     AnnounceServer: ("directory",),
+    WithdrawServer: ("directory",),
+    NoteModelVersion: ("directory",),
     ForgetServer: ("directory",),
     ReleaseVersion: ("directory",),
     CreateJob: ("ledger",),
--- a/pollenlb/durable/records.py
+++ b/pollenlb/durable/records.py
@@ -7,7 +7,15 @@
 import msgspec
 
 from ..connection.rpc import Method
-from ..ids import Address, ClusterId, InstanceName, LogIndex, ReplicaId, Term
+from ..ids import (
+    Address,
+    ClusterId,
+    FailureDomain,
+    InstanceName,
+    LogIndex,
+    ReplicaId,
+    Term,
+)
 
 _SERVICE = "pollenlb.Replication"
 
@@ -33,12 +41,15 @@
         Where the replica listens.
     is_voter : bool
         False for a learner, which receives entries but does not vote.
+    failure_domain : FailureDomain
+        Empty until the replica has told it.
     """
 
     replica: ReplicaId
     instance: InstanceName
     address: Address
     is_voter: bool
+    failure_domain: FailureDomain = FailureDomain("")
 
 
 class LogEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -112,12 +123,16 @@
         Whether the previous entry was found.
     last_index : LogIndex
         Last index known to match, or a hint where to try next.
+    instance, failure_domain : str
+        Where the receiver runs; empty when it is not the one addressed.
     """
 
     term: Term
     is_known: bool
     is_matching: bool
     last_index: LogIndex
+    instance: InstanceName = InstanceName("")
+    failure_domain: FailureDomain = FailureDomain("")
 
 
 class SnapshotRequest(msgspec.Struct, frozen=True):
@@ -137,6 +152,7 @@
     replica: ReplicaId
     instance: InstanceName
     address: Address
+    failure_domain: FailureDomain = FailureDomain("")
 
 
 class JoinAnswer(msgspec.Struct, frozen=True):
--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections import deque
+from collections.abc import Callable, Collection, Coroutine
 from enum import Enum
 from typing import Any, Protocol
 
@@ -13,17 +14,34 @@
 
 from ..connection.rpc import RpcChannel, RpcServer
 from ..exceptions import NotLeaderError
-from ..ids import Address, ClusterId, InstanceName, LogIndex, ReplicaId, Term, new_id
+from ..ids import (
+    Address,
+    FailureDomain,
+    InstanceName,
+    LogIndex,
+    ReplicaId,
+    Term,
+    new_id,
+)
 from ..process.clock import Deadline, deadline_in, now, sleep_until
 from ..process.events import EventLog
 from ..settings.control import ControlSettings
 from .answers import Answers
 from .election import hold_election
 from .leadership import Leadership
-from .records import JOIN, EntryKind, JoinRequest, LogEntry, Member, Snapshot
+from .membership import MembershipGoal
+from .records import (
+    JOIN,
+    EntryKind,
+    JoinAnswer,
+    JoinRequest,
+    LogEntry,
+    Member,
+    Snapshot,
+)
 from .storage import Storage, first_hard_state
 
-_JOIN_TIMEOUT_S = 5.0
+_JOIN_TIMEOUT_S = 2.0
 
 
 class Role(Enum):
@@ -62,6 +80,8 @@
         Gets changes of role, term and membership.
     rng : random.Random, optional
         Source of election delays.
+    retiring : callable, optional
+        Returns the instances that are to be taken away.
     """
 
     def __init__(
@@ -71,7 +91,9 @@
         machine: StateMachine,
         events: EventLog,
         rng: random.Random | None = None,
+        retiring: Callable[[], Collection[InstanceName]] = frozenset,
     ) -> None:
+        self._retiring = retiring
         self._settings = settings
         self._storage = storage
         self._machine = machine
@@ -149,6 +171,15 @@
             for member in self._storage.members
         )
 
+    @property
+    def goal(self) -> MembershipGoal:
+        """What the members of the log should come to."""
+        return MembershipGoal(
+            voters=2 * self._settings.tolerated_losses + 1,
+            retiring=frozenset(self._retiring()),
+            replace_after_s=self._settings.replace_after_s,
+        )
+
     @property
     def failure(self) -> asyncio.Future[None]:
         """Ends with the error after which the process must stop."""
@@ -345,26 +376,31 @@
             ReplicaId(new_id(self._settings.name)),
             InstanceName(self._settings.name),
             Address(self._settings.listen),
+            FailureDomain(self._settings.failure_domain),
         )
         self._events.record("replica.joins", replica=request.replica)
-        addresses = [Address(each.address) for each in self._settings.members.values()]
+        asked: deque[Address] = deque(self._settings.seed_addresses)
         while True:
-            for address in addresses:
-                cluster = await self._ask_to_join(address, request)
-                if cluster is not None:
-                    state = first_hard_state(request.replica, cluster)
-                    await self._storage.format(state, [])
-                    return
-            await sleep_until(deadline_in(self._settings.election_timeout_s / 2))
+            address = asked.popleft()
+            answer = await self._ask_to_join(address, request)
+            if answer is not None and answer.cluster is not None:
+                state = first_hard_state(request.replica, answer.cluster)
+                await self._storage.format(state, [])
+                return
+            if answer is not None and answer.leader not in ("", address):
+                asked.appendleft(answer.leader)
+            if not asked:
+                asked.extend(self._settings.seed_addresses)
+                await sleep_until(deadline_in(self._settings.election_timeout_s / 2))
 
     async def _ask_to_join(
         self, address: Address, request: JoinRequest
-    ) -> ClusterId | None:
+    ) -> JoinAnswer | None:
         if address == self._settings.listen:
             return None
         match await self.channel(address).call(JOIN, request, _JOIN_TIMEOUT_S):
             case Ok(answer):
-                return answer.cluster
+                return answer
             case Err(_):
                 return None
         return None
--- /dev/null
+++ b/pollenlb/process/batch_job_service.py
@@ -0,0 +1,139 @@
+"""Batch jobs at the leader: who runs them, and their results for readers."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..connection.control_api import (
+    BatchJobRead,
+    BatchWork,
+    CallStatus,
+    ItemRead,
+    ReadBatchJob,
+    ReadItem,
+)
+from ..durable.batch_job_commands import AssignBatchJobs, ItemResult, SubmitBatchJob
+from ..durable.batch_jobs import BatchJob
+from ..exceptions import NotLeaderError
+from ..ids import Address, BatchJobId, BootId, ModelName
+from .assignment import Candidate, choose_owner
+from .clock import deadline_in, now, remaining
+from .control_context import ControlContext, TermDuties
+
+MOST_ANSWER_BYTES = 900_000  # an answer to a reader is at most 1 MB
+
+
+class BatchJobService:
+    """Answers readers and sees to it that each open batch job has an owner.
+
+    Parameters
+    ----------
+    context : ControlContext
+        Parts of the control process.
+    """
+
+    def __init__(self, context: ControlContext) -> None:
+        self._context = context
+
+    async def read(self, request: ReadBatchJob) -> BatchJobRead:
+        """Return results from a position on, when there are some."""
+        deadline = deadline_in(request.wait_s)
+        while True:
+            try:
+                self._context.check_is_newest()
+            except NotLeaderError as error:
+                return BatchJobRead(CallStatus.NOT_LEADER, Address(error.leader))
+            batch_job = self._find(request.batch_job)
+            if batch_job is None:
+                return BatchJobRead(CallStatus.DONE)
+            results = _first_of(batch_job.results[request.after :])
+            if results or not batch_job.is_open or not remaining(deadline):
+                total = len(batch_job.spec.items)
+                return BatchJobRead(CallStatus.DONE, Address(""), total, results)
+            await self._context.wait_for_results(request.batch_job, remaining(deadline))
+
+    async def read_item(self, request: ReadItem) -> ItemRead:
+        """Return the body of an item."""
+        try:
+            self._context.check_is_newest()
+        except NotLeaderError as error:
+            return ItemRead(CallStatus.NOT_LEADER, Address(error.leader))
+        batch_job = self._find(request.batch_job)
+        item = batch_job.find_item(request.item) if batch_job is not None else None
+        body = item.body if item is not None else None
+        return ItemRead(CallStatus.DONE, Address(""), body)
+
+    def with_owner(self, command: SubmitBatchJob, duties: TermDuties) -> SubmitBatchJob:
+        """Return a submission with the entry process that should run it."""
+        previous = self._last_owner(command.spec.model)
+        owner = choose_owner(self._candidates(duties), previous)
+        if owner is None:
+            return command
+        return msgspec.structs.replace(command, owner=owner)
+
+    async def assign_again(self, duties: TermDuties) -> None:
+        """Give the batch jobs of entry processes that ended to others."""
+        self._context.forget_ages()
+        if now() < duties.leases.unknown_until:
+            return
+        table = self._context.machine.state.batch_jobs
+        live = {lease.entry.boot for lease in duties.leases.live()}
+        ended = table.owners() - live
+        candidates = self._candidates(duties)
+        if not ended or not candidates:
+            return
+        owners: dict[BatchJobId, BootId] = {}
+        for boot in ended:
+            for batch_job in table.owned_by(boot):
+                model = batch_job.spec.model
+                owner = choose_owner(candidates, self._last_owner(model, live))
+                if owner is not None:
+                    owners[batch_job.spec.batch_job] = owner
+        self._context.events.record(
+            "batch_jobs.assigned", ended=sorted(ended), owners=owners
+        )
+        await self._context.execute(AssignBatchJobs(owners))
+
+    def _find(self, name: BatchJobId) -> BatchJob | None:
+        return self._context.machine.state.batch_jobs.batch_jobs.get(name)
+
+    def _last_owner(
+        self, model: ModelName, among: set[BootId] | None = None
+    ) -> BootId | None:
+        table = self._context.machine.state.batch_jobs.batch_jobs
+        for batch_job in reversed(table.values()):
+            is_fit = among is None or batch_job.owner in among
+            if batch_job.spec.model == model and is_fit:
+                return batch_job.owner
+        return None
+
+    def _candidates(self, duties: TermDuties) -> list[Candidate]:
+        table = self._context.machine.state.batch_jobs
+        return [
+            Candidate(
+                lease.entry.boot,
+                lease.health.lag_s,
+                lease.health.is_draining,
+                sum(
+                    len(each.spec.items) - len(each.results)
+                    for each in table.owned_by(lease.entry.boot)
+                ),
+            )
+            for lease in duties.leases.live()
+        ]
+
+
+def batch_work(batch_job: BatchJob, context: ControlContext) -> BatchWork:
+    """Return what an entry needs to run a batch job."""
+    spec = batch_job.spec
+    age_s = context.age_s(spec.batch_job, batch_job.at_ms)
+    return BatchWork(spec, set(batch_job.listed), age_s)
+
+
+def _first_of(results: list[ItemResult]) -> list[ItemResult]:
+    size = 0
+    for count, result in enumerate(results):
+        size += len(result.text)
+        if size > MOST_ANSWER_BYTES and count:
+            return results[:count]
+    return results
--- /dev/null
+++ b/pollenlb/process/batch_runner.py
@@ -0,0 +1,326 @@
+"""Runs the batch jobs that an entry process owns."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..connection.backend import BackendServer
+from ..connection.control_api import BatchWork, WorkView
+from ..durable.batch_job_commands import (
+    BatchJobSpec,
+    CommitItems,
+    ItemResult,
+    ItemState,
+)
+from ..exceptions import ControlError
+from ..ids import (
+    BackendServerName,
+    BatchJobId,
+    CommandId,
+    ItemId,
+    ModelName,
+    ServiceName,
+    WeightVersion,
+    new_id,
+)
+from ..request.item import ItemProgress, RunEnd, run_item
+from ..request.item_placement import EngineRoom, WaitingItem, place
+from ..version.swap_plan import EngineView, ModelGoal, homes
+from .clock import Deadline, deadline_in, now, remaining, sleep_until
+from .context import EntryContext
+
+_ROUND_S = 0.1
+_STALL_S = 1.5  # a change of weights holds running streams for 0.9 s
+_AVOID_S = 0.3
+_PARTIAL_KEPT_S = 30.0
+_COMMIT_TIMEOUT_S = 2.0
+_COMMIT_PAUSE_S = 0.2
+_GIVE_UP_MARGIN_S = 3.0  # wall clocks of leaders may jump by seconds
+_MOST_FAILURES = 2  # times the attempts of the route
+
+
+@dataclass
+class _OwnedJob:
+    spec: BatchJobSpec
+    due_at: Deadline
+    items: dict[ItemId, ItemProgress]
+    tasks: dict[ItemId, asyncio.Task] = field(default_factory=dict)
+    results: list[ItemResult] = field(default_factory=list)
+    has_results: asyncio.Event = field(default_factory=asyncio.Event)
+    committer: asyncio.Task | None = None
+
+
+class BatchRunner:
+    """Places the items of owned batch jobs and commits their results.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Parts of the entry process.
+    """
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+        self._jobs: dict[BatchJobId, _OwnedJob] = {}
+        self._partials: dict[ItemId, tuple[ItemProgress, Deadline]] = {}
+        self._changed = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def running(self) -> list[BatchJobId]:
+        """Batch jobs that are run here."""
+        return list(self._jobs)
+
+    def start(self) -> None:
+        """Start to place items."""
+        self._spawn(self._place_all())
+
+    def wake(self) -> None:
+        """Look at once whether an item can start."""
+        self._changed.set()
+
+    def apply(self, work: WorkView) -> None:
+        """Take new batch jobs and give up those that are another's by now."""
+        self._context.work_version = work.version
+        for name in [each for each in self._jobs if each not in work.owned]:
+            self._give_up(name)
+        for added in work.added:
+            if added.spec.batch_job not in self._jobs:
+                self._take(added)
+        self._changed.set()
+
+    async def finish(self, timeout_s: float) -> None:
+        """Finish the batch jobs that are run here, for some seconds at most."""
+        deadline = deadline_in(timeout_s)
+        while self._jobs and remaining(deadline):
+            await sleep_until(deadline_in(min(_ROUND_S, remaining(deadline))))
+        for name in list(self._jobs):
+            self._context.events.record("batch_job.left", batch_job=name)
+            self._give_up(name)
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _take(self, work: BatchWork) -> None:
+        spec = work.spec
+        give_up_at = deadline_in(spec.give_up_s + _GIVE_UP_MARGIN_S - work.age_s)
+        items = {
+            item.item: self._resumed(item.item, ItemProgress(item, spec, give_up_at))
+            for item in spec.items
+            if item.item not in work.listed
+        }
+        job = _OwnedJob(spec, deadline_in(spec.due_s - work.age_s), items)
+        self._jobs[spec.batch_job] = job
+        job.committer = self._spawn(self._commit_results(job))
+        self._context.events.record(
+            "batch_job.taken",
+            batch_job=spec.batch_job,
+            items=len(items),
+            age_s=round(work.age_s, 3),
+        )
+
+    def _resumed(self, name: ItemId, fresh: ItemProgress) -> ItemProgress:
+        partial, _ = self._partials.pop(name, (None, None))
+        if partial is None or not partial.pieces:
+            return fresh
+        if partial.item.body != fresh.item.body or not partial.fits(fresh.spec):
+            return fresh
+        fresh.pieces = partial.pieces
+        fresh.versions = partial.versions
+        fresh.last_number = partial.last_number
+        return fresh
+
+    def _give_up(self, name: BatchJobId) -> None:
+        job = self._jobs.pop(name)
+        for task in job.tasks.values():
+            task.cancel()
+        if job.committer is not None:
+            job.committer.cancel()
+        kept_until = deadline_in(_PARTIAL_KEPT_S)
+        for item, progress in job.items.items():
+            self._partials[item] = (progress, kept_until)
+
+    async def _place_all(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(_ROUND_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+            self._changed.clear()
+            self._forget_partials()
+            for service, model in {
+                (job.spec.service, job.spec.model) for job in self._jobs.values()
+            }:
+                self._place(service, model)
+
+    def _forget_partials(self) -> None:
+        for item, (_, kept_until) in list(self._partials.items()):
+            if not remaining(kept_until):
+                del self._partials[item]
+
+    def _place(self, service: ServiceName, model: ModelName) -> None:
+        jobs = {
+            name: job
+            for name, job in self._jobs.items()
+            if (job.spec.service, job.spec.model) == (service, model)
+        }
+        waiting = [
+            _waiting_item(name, job, progress)
+            for name, job in jobs.items()
+            for progress in job.items.values()
+            if progress.item.item not in job.tasks
+        ]
+        if not waiting:
+            return
+        servers = {each.name: each for each in self._context.usable(service)}
+        rooms = self._rooms(list(servers.values()), service, model)
+        for (name, item), server in place(waiting, rooms):
+            self._start(jobs[name], item, servers[server])
+
+    def _rooms(
+        self, servers: list[BackendServer], service: ServiceName, model: ModelName
+    ) -> list[EngineRoom]:
+        home = self._homes(servers, service)
+        paces = sorted(each.load.piece_s for each in servers if each.load.piece_s)
+        typical_s = paces[len(paces) // 3] if paces else 0.0
+        return [
+            EngineRoom(
+                server.name,
+                server.load.slots,
+                server.load.expected_in_flight,
+                server.version_of(model),
+                home.get(server.name, model) == model,
+                max(1.0, server.load.piece_s / typical_s) if typical_s else 1.0,
+                self._groups_at(server.name),
+            )
+            for server in servers
+        ]
+
+    def _homes(
+        self, servers: list[BackendServer], service: ServiceName
+    ) -> dict[BackendServerName, ModelName]:
+        settings = self._context.in_force.settings.services.get(service)
+        if settings is None:
+            return {}
+        releases = self._context.directory.releases
+        goals = [
+            ModelGoal(ModelName(each), releases.get(each, WeightVersion(1)))
+            for each in settings.models
+        ]
+        views = [
+            EngineView(each.name, each.announcement.models, False) for each in servers
+        ]
+        return homes(views, goals)
+
+    def _groups_at(self, server: BackendServerName) -> set:
+        return {
+            progress.item.group
+            for job in self._jobs.values()
+            for progress in job.items.values()
+            if progress.server == server
+        }
+
+    def _start(self, job: _OwnedJob, item: ItemId, server: BackendServer) -> None:
+        progress = job.items[item]
+        progress.server = server.name
+        job.tasks[item] = self._spawn(self._run(job, progress, server))
+
+    async def _run(
+        self, job: _OwnedJob, progress: ItemProgress, server: BackendServer
+    ) -> None:
+        item = progress.item.item
+        started_at = now()
+        try:
+            end = await run_item(progress, server, _STALL_S, self._context)
+        finally:
+            job.tasks.pop(item, None)
+            self._changed.set()
+        self._context.metrics.items.labels(job.spec.service, end.value).inc()
+        if end is RunEnd.WHOLE:
+            self._enter(job, progress, ItemState.COMPLETED)
+        elif end is RunEnd.IMPOSSIBLE:
+            self._enter(job, progress, ItemState.EXPIRED)
+        else:
+            self._note_end(job, progress, server, end)
+        if end is not RunEnd.WHOLE:
+            self._context.events.record(
+                "item.run_ended",
+                item=item,
+                batch_job=job.spec.batch_job,
+                server=server.name,
+                end=end.value,
+                seconds=round(now() - started_at, 3),
+                events=len(progress.pieces),
+            )
+
+    def _note_end(
+        self,
+        job: _OwnedJob,
+        progress: ItemProgress,
+        server: BackendServer,
+        end: RunEnd,
+    ) -> None:
+        progress.avoided[server.name] = deadline_in(_AVOID_S)
+        if end is RunEnd.FAILED:
+            progress.failures += 1
+        elif end in (RunEnd.BROKEN, RunEnd.SILENT):
+            progress.losses += 1
+        elif end is RunEnd.TOO_OLD and not progress.fits(job.spec):
+            progress.start_over()
+        is_late = not remaining(progress.give_up_at)
+        if is_late or progress.failures >= _MOST_FAILURES * job.spec.max_attempts:
+            self._enter(job, progress, ItemState.EXPIRED)
+
+    def _enter(self, job: _OwnedJob, progress: ItemProgress, state: ItemState) -> None:
+        job.items.pop(progress.item.item, None)
+        job.results.append(progress.result(state))
+        job.has_results.set()
+
+    async def _commit_results(self, job: _OwnedJob) -> None:
+        while True:
+            await job.has_results.wait()
+            job.has_results.clear()
+            results, job.results = job.results, []
+            command = CommitItems(job.spec.batch_job, results)
+            command_id = CommandId(new_id("items"))
+            while not await self._commit(command, command_id):
+                await sleep_until(deadline_in(_COMMIT_PAUSE_S))
+
+    async def _commit(self, command: CommitItems, command_id: CommandId) -> bool:
+        try:
+            await self._context.control.propose(
+                command, command_id, deadline_in(_COMMIT_TIMEOUT_S)
+            )
+        except ControlError as error:
+            self._context.events.record(
+                "items.uncommitted", batch_job=command.batch_job, reason=str(error)
+            )
+            return False
+        return True
+
+
+def _waiting_item(
+    name: BatchJobId, job: _OwnedJob, progress: ItemProgress
+) -> WaitingItem[tuple[BatchJobId, ItemId]]:
+    for server in [each for each, at in progress.avoided.items() if not remaining(at)]:
+        del progress.avoided[server]
+    group = progress.item.group
+    return WaitingItem(
+        key=(name, progress.item.item),
+        due_at=job.due_at,
+        group=group,
+        is_group_begun=bool(progress.pieces),
+        length=progress.item.length_hint or progress.item.tokens,
+        least_version=job.spec.least_version,
+        avoided=frozenset(progress.avoided),
+    )
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -17,6 +17,7 @@
 from ..ids import BackendServerName, ServiceName
 from ..request.admission import AdmissionPolicy, admitted
 from ..request.choice import ChoicePolicy, choose_server
+from ..request.dialect import Dialect
 from ..settings.entry import EntrySettings
 from ..version.configuration import InForce
 from .bodies import BodyStore
@@ -48,11 +49,14 @@
         Leaves out the backend servers that cannot serve a request in time.
     announced : set of BackendServerName
         Backend servers that announced themselves since the last renewal.
+    work_version : int
+        Version of the batch jobs to run that was applied last.
     is_draining : bool
         Whether the process is shutting down.
     """
 
     settings: EntrySettings
+    dialect: Dialect
     own: EntryInfo
     events: EventLog
     metrics: Metrics
@@ -71,8 +75,16 @@
     announced: set[BackendServerName]
     choose: ChoicePolicy = choose_server
     admit: AdmissionPolicy = admitted
+    work_version: int = 0
     is_draining: bool = False
 
+    @property
+    def may_take_work(self) -> bool:
+        """Whether requests of callers may be run now."""
+        if self.settings.serves_without_lease:
+            return self.in_force.is_known
+        return self.in_force.is_leased
+
     def usable(self, service: ServiceName) -> list[BackendServer]:
         """Return the backend servers of a service that may get new work."""
         settings = self.in_force.settings.services.get(service)
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -2,34 +2,43 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+from collections.abc import Callable
 
 import aiohttp
 from aiohttp import web
 
+from ..connection.backend_api import ProbeAnswer
 from ..connection.control import ControlConnection
 from ..connection.control_api import LedgerView, QuarantineView
 from ..connection.directory import BackendDirectory
 from ..connection.peers import Peers
 from ..connection.rpc import RpcServer
 from ..connection.sessions import open_session
+from ..durable.configuration_commands import Announcement
 from ..durable.leases import EntryInfo
 from ..ids import Address, BootId, FailureDomain, InstanceName, new_id
 from ..request.announce_api import AnnounceApi
+from ..request.dialect import Dialect
 from ..request.handler import RequestHandler
 from ..request.operator_api import OperatorApi
+from ..request.own_dialect import OwnDialect
 from ..request.trainer_api import TrainerApi
 from ..settings.entry import EntrySettings
 from ..version.configuration import InForce
+from .batch_runner import BatchRunner
 from .bodies import BodyStore
-from .clock import deadline_in, sleep_until
+from .clock import deadline_in, remaining, sleep_until
 from .context import EntryContext
 from .events import EventLog
+from .http_server import HttpServer
 from .metrics import Metrics
 from .renewals import Renewals
 from .rollouts import Rollouts
 
-_BACKLOG = 1024
+AddRoutes = Callable[[web.UrlDispatcher, EntryContext], None]
+
 _LEAST_GRACE_S = 0.01  # the HTTP server takes 0 as no limit
 
 
@@ -42,23 +51,36 @@
         Settings of the instance.
     """
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        dialect: Dialect | None = None,
+        add_routes: AddRoutes | None = None,
+    ) -> None:
         self._settings = settings
-        self._context = _open_context(settings)
+        self._context = _open_context(settings, dialect or OwnDialect())
+        self._add_routes = add_routes or add_own_routes
         self._rollouts = Rollouts(self._context)
-        self._renewals = Renewals(self._context, self._rollouts.wake)
+        self._batch_runner = BatchRunner(self._context)
+        self._renewals = Renewals(
+            self._context, self._rollouts.wake, self._batch_runner
+        )
         self._peer_server = RpcServer(
             Address(settings.peer_listen), self._context.events
         )
-        self._runner = web.AppRunner(
+        self._http = HttpServer(
             self._application(),
-            access_log=None,
-            handle_signals=False,
+            settings.listen,
             shutdown_timeout=max(_LEAST_GRACE_S, settings.shutdown_grace_s),
             max_line_size=settings.max_header_bytes,
             max_field_size=settings.max_header_bytes,
-            handler_cancellation=False,
+            handler_cancellation=True,
         )
+        self._ready_http: HttpServer | None = None
+        if settings.ready_listen:
+            self._ready_http = HttpServer(
+                self._ready_application(), settings.ready_listen
+            )
 
     @property
     def context(self) -> EntryContext:
@@ -72,21 +94,30 @@
         await self._peer_server.start()
         self._renewals.start()
         self._rollouts.start()
-        await self._runner.setup()
-        host, _, port = self._settings.listen.rpartition(":")
-        site = web.TCPSite(self._runner, host.strip("[]"), int(port), backlog=_BACKLOG)
-        await site.start()
+        self._batch_runner.start()
+        await self._http.start()
+        if self._ready_http is not None:
+            await self._ready_http.start()
+
+    def note_hangup(self) -> None:
+        """Take note of SIGHUP; what changes while running comes from control."""
+        self._context.events.record("entry.reload_asked")
 
     async def stop(self) -> None:
         """Finish what is in flight, then stop."""
         context = self._context
         context.is_draining = True
         context.events.record("entry.draining")
+        deadline = deadline_in(self._settings.shutdown_grace_s)
         await sleep_until(deadline_in(self._settings.balancer_delay_s))
-        for site in list(self._runner.sites):
-            await site.stop()
-        await self._rollouts.finish(self._settings.shutdown_grace_s)
-        await self._runner.cleanup()
+        await self._http.stop_listening()
+        await asyncio.gather(
+            self._rollouts.finish(remaining(deadline)),
+            self._batch_runner.finish(remaining(deadline)),
+            self._http.stop(),
+        )
+        if self._ready_http is not None:
+            await self._ready_http.stop()
         await self._renewals.stop()
         await context.directory.close()
         await self._peer_server.stop()
@@ -102,24 +133,37 @@
             client_max_size=self._settings.max_body_bytes,
             handler_args={"auto_decompress": False},
         )
-        router = application.router
-        router.add_get("/healthz", self._answer_health)
-        router.add_get("/readyz", self._answer_ready)
-        router.add_get("/metrics", self._answer_metrics)
-        AnnounceApi(self._context).add_routes(router)
-        TrainerApi(self._context).add_routes(router)
-        OperatorApi(self._context).add_routes(router)
+        application.on_response_prepare.append(self._close_while_draining)
+        self._add_health_routes(application.router)
+        self._add_routes(application.router, self._context)
         handler = RequestHandler(self._context)
-        router.add_route("*", "/{path:.*}", handler.handle)
+        application.router.add_route("*", "/{path:.*}", handler.handle)
+        return application
+
+    def _ready_application(self) -> web.Application:
+        application = web.Application()
+        self._add_health_routes(application.router)
         return application
 
+    def _add_health_routes(self, router: web.UrlDispatcher) -> None:
+        router.add_get("/healthz", self._answer_health)
+        router.add_get(self._context.dialect.ready_path, self._answer_ready)
+        router.add_get("/metrics", self._answer_metrics)
+
+    async def _close_while_draining(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        # Callers with open connections learn so to come back elsewhere.
+        if self._context.is_draining:
+            response.force_close()
+
     async def _answer_health(self, request: web.Request) -> web.Response:
         return web.Response(text="alive\n")
 
     async def _answer_ready(self, request: web.Request) -> web.Response:
         if self._context.is_draining:
             return web.Response(status=503, text="shutting down\n")
-        if not self._context.in_force.is_leased:
+        if not self._context.may_take_work:
             return web.Response(status=503, text="no lease\n")
         return web.Response(text="ready\n")
 
@@ -129,7 +173,14 @@
         )
 
 
-def _open_context(settings: EntrySettings) -> EntryContext:
+def add_own_routes(router: web.UrlDispatcher, context: EntryContext) -> None:
+    """Add what the product's own protocol offers beside callers' requests."""
+    AnnounceApi(context).add_routes(router)
+    TrainerApi(context).add_routes(router)
+    OperatorApi(context).add_routes(router)
+
+
+def _open_context(settings: EntrySettings, dialect: Dialect) -> EntryContext:
     events = EventLog(settings.name, settings.data_folder)
     rng = random.Random()
     own = EntryInfo(
@@ -141,17 +192,27 @@
     )
     session: aiohttp.ClientSession = open_session(is_pooled=True)
     bodies = BodyStore(settings.body_store_bytes)
+    in_force = InForce()
+
+    async def ask(
+        session: aiohttp.ClientSession, server: Announcement, timeout_s: float
+    ) -> ProbeAnswer | None:
+        service = in_force.settings.services.get(server.service)
+        health_path = service.health_path if service is not None else "/"
+        return await dialect.probe(session, server, health_path, timeout_s)
+
     return EntryContext(
         settings=settings,
+        dialect=dialect,
         own=own,
         events=events,
         metrics=Metrics(),
         rng=rng,
         session=session,
         single_use_session=open_session(is_pooled=False),
-        control=ControlConnection([Address(each) for each in settings.control], events),
-        in_force=InForce(),
-        directory=BackendDirectory(settings, session, events),
+        control=ControlConnection(settings.control_addresses, events),
+        in_force=in_force,
+        directory=BackendDirectory(settings, session, events, ask),
         bodies=bodies,
         peers=Peers(own, bodies, events, rng),
         ledger=LedgerView(-1, {}),
--- a/pollenlb/process/metrics.py
+++ b/pollenlb/process/metrics.py
@@ -28,6 +28,9 @@
         self.retries = self._counter("retries", "Second attempts", "service")
         self.hedges = self._counter("hedges", "Hedged attempts", "service")
         self.samples = self._counter("samples", "Samples by job and fate", "job fate")
+        self.items = self._counter(
+            "items", "Runs of items of batch jobs by end", "service end"
+        )
         self.in_flight = Gauge(
             "pollenlb_in_flight", "Requests in flight", registry=self._registry
         )
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -6,11 +6,14 @@
 from collections.abc import Callable
 
 from ..connection.control_api import RenewAnswer, RenewRequest
+from ..durable.leases import EntryHealth
+from .batch_runner import BatchRunner
 from .clock import Deadline, deadline_in, now, sleep_until
 from .context import EntryContext
+from .loop_lag import LoopLag
 
-_WAIT_S = 0.8
-_TIMEOUT_S = 1.6
+_WAIT_S = 0.6
+_TIMEOUT_S = 1.2
 _PAUSE_S = 0.1
 
 
@@ -23,20 +26,31 @@
         Parts of the entry process.
     on_ledger : callable
         Called after a change of the rollout jobs.
+    batch_runner : BatchRunner
+        Gets the batch jobs to run.
     """
 
-    def __init__(self, context: EntryContext, on_ledger: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        context: EntryContext,
+        on_ledger: Callable[[], None],
+        batch_runner: BatchRunner,
+    ) -> None:
         self._context = context
         self._on_ledger = on_ledger
+        self._batch_runner = batch_runner
+        self._lag = LoopLag()
         self._task: asyncio.Task | None = None
         self._was_leased = False
 
     def start(self) -> None:
         """Start to renew."""
+        self._lag.start()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     async def stop(self) -> None:
         """Stop to renew."""
+        self._lag.stop()
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
@@ -66,6 +80,9 @@
             entries=context.peers.version,
             announced=sorted(context.announced),
             wait_s=_WAIT_S if is_current else 0.0,
+            work=context.work_version,
+            running=self._batch_runner.running,
+            health=EntryHealth(context.is_draining, self._lag.value_s),
         )
 
     def _apply(self, answer: RenewAnswer, sent_at: float) -> None:
@@ -75,14 +92,18 @@
                 context.events.record(
                     "configuration.applied", revision=answer.configuration.revision
                 )
+        context.control.learn(answer.controls)
         if answer.directory is not None:
             context.directory.apply(answer.directory)
+            self._batch_runner.wake()
         if answer.quarantine is not None:
             context.quarantine = answer.quarantine
         if answer.entries is not None:
             context.peers.apply(answer.entries)
         if answer.ledger is not None:
             self._apply_ledger(answer)
+        if answer.work is not None:
+            self._batch_runner.apply(answer.work)
         context.in_force.extend_lease(Deadline(sent_at + answer.lease_s))
 
     def _apply_ledger(self, answer: RenewAnswer) -> None:
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -11,21 +11,13 @@
 from result import Err, Ok, Result
 
 from ..connection.backend import BackendServer
-from ..connection.backend_api import (
-    BOOT_HEADER,
-    DEADLINE_HEADER,
-    LOAD_HEADER,
-    OUTCOME_HEADER,
-    REQUEST_ID_HEADER,
-)
 from ..connection.sessions import ConnectionLostError, SendTracker
 from ..ids import BootId, RequestId
 from ..process.clock import Deadline, remaining
 from ..settings.entry import EntrySettings
+from .dialect import AnswerHead, Dialect
 from .outcome import Outcome
 
-_MILLISECONDS_PER_SECOND = 1000
-
 SEND_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
 
 
@@ -46,6 +38,7 @@
     reason: str
     is_connection_lost: bool = False
     is_timeout: bool = False
+    is_other_server: bool = False
     retry_after_s: float | None = None
 
 
@@ -68,6 +61,7 @@
     server: BackendServer
     response: aiohttp.ClientResponse
     boot: BootId
+    head: AnswerHead
 
 
 async def send(
@@ -75,6 +69,7 @@
     server: BackendServer,
     session: aiohttp.ClientSession,
     settings: EntrySettings,
+    dialect: Dialect,
     head_deadline: Deadline | None = None,
 ) -> Result[Answer, AttemptFailed]:
     """Send a request to a backend server and wait for the head of its answer.
@@ -89,17 +84,23 @@
         Connections to use.
     settings : EntrySettings
         Timeouts.
+    dialect : Dialect
+        Names and formats of the protocol.
     head_deadline : Deadline or None
         When to give up waiting for the head; None for the request's deadline.
     """
     tracker = SendTracker()
+    headers = {
+        **attempt.headers,
+        **dialect.attempt_headers(attempt, server.announcement),
+    }
     head_s = remaining(head_deadline or attempt.deadline)
     try:
         async with asyncio.timeout(head_s):
             response = await session.request(
                 attempt.method,
                 server.url + attempt.path,
-                headers=_headers(attempt),
+                headers=headers,
                 data=attempt.body,
                 allow_redirects=False,
                 timeout=_timeout(attempt, settings),
@@ -108,23 +109,7 @@
             )
     except SEND_ERRORS as error:
         return Err(failed(error, tracker))
-    return _check_head(attempt, server, response)
-
-
-def parse_seconds(text: str | None) -> float | None:
-    """Return the seconds of a ``Retry-After`` header, if it holds a number."""
-    try:
-        return float(text) if text else None
-    except ValueError:
-        return None
-
-
-def _headers(attempt: Attempt) -> dict[str, str]:
-    headers = dict(attempt.headers)
-    headers[REQUEST_ID_HEADER] = attempt.request_id
-    timeout_ms = int(remaining(attempt.deadline) * _MILLISECONDS_PER_SECOND)
-    headers[DEADLINE_HEADER] = str(timeout_ms)
-    return headers
+    return _check_head(attempt, server, response, dialect)
 
 
 def _timeout(attempt: Attempt, settings: EntrySettings) -> aiohttp.ClientTimeout:
@@ -152,25 +137,30 @@
 
 
 def _check_head(
-    attempt: Attempt, server: BackendServer, response: aiohttp.ClientResponse
+    attempt: Attempt,
+    server: BackendServer,
+    response: aiohttp.ClientResponse,
+    dialect: Dialect,
 ) -> Result[Answer, AttemptFailed]:
-    headers = response.headers
-    if headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN.value:
-        retry_after_s = parse_seconds(headers.get("Retry-After"))
-        response.close()
+    head = dialect.read_head(attempt.request_id, response.status, response.headers)
+    if head.is_not_run:
+        response.release()
+        reason = f"{server.name} did not take the request"
+        if head.is_other_server:
+            reason = f"another backend server runs at the address of {server.name}"
         return Err(
             AttemptFailed(
                 Outcome.NOT_RUN,
-                f"{server.name} did not take the request",
-                retry_after_s=retry_after_s,
+                reason,
+                is_other_server=head.is_other_server,
+                retry_after_s=head.retry_after_s,
             )
         )
-    if headers.get(REQUEST_ID_HEADER) != attempt.request_id:
+    if not head.is_for_request:
         response.close()
         return Err(
             AttemptFailed(Outcome.UNKNOWN, f"{server.name} answered to another request")
         )
-    reported = headers.get(LOAD_HEADER, "")
-    if reported.isdigit():
-        server.load.note_report(int(reported))
-    return Ok(Answer(server, response, BootId(headers.get(BOOT_HEADER, server.boot))))
+    if head.in_flight is not None:
+        server.load.note_report(head.in_flight)
+    return Ok(Answer(server, response, head.boot or server.boot, head))
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -202,7 +202,9 @@
 ) -> Answer:
     progress_s = context.settings.progress_timeout_s
     head_deadline = Deadline(min(attempt.deadline, deadline_in(progress_s)))
-    result = await send(attempt, server, session, context.settings, head_deadline)
+    result = await send(
+        attempt, server, session, context.settings, context.dialect, head_deadline
+    )
     match result:
         case Err(failed):
             raise _AttemptError(failed)
--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -2,21 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from aiohttp import web
 
 from ..connection.engine_api import COMPLETIONS_PATH
-from ..ids import RequestId, ServiceName
+from ..ids import ServiceName
 from ..process.clock import now
 from ..process.context import EntryContext
-from .caller_request import (
-    CallerRequest,
-    RequestBody,
-    read_class,
-    read_deadline,
-    read_key,
-    read_repeatable,
-    request_id_of,
-)
+from ..settings.cluster import RouteSettings
+from .batch_job import submit_batch_job
+from .caller_request import CallerRequest, RequestBody
 from .completion import answer_completion
 from .once import run_once
 from .outcome import (
@@ -24,7 +20,6 @@
     Refusal,
     RefusedError,
     bad_request,
-    refusal_response,
     unavailable,
 )
 from .passthrough import pass_through
@@ -45,20 +40,20 @@
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer one request of a caller."""
         received_at = now()
-        request_id = request_id_of(request)
+        request_id = self._context.dialect.request_id_of(request)
         service = "none"
         request_class = "none"
         outcome = Outcome.RAN
         metrics = self._context.metrics
         metrics.in_flight.inc()
         try:
-            caller = await self._read(request, request_id, received_at)
+            caller = await self._read(request, received_at)
             service = caller.service_name
             request_class = caller.request_class.value
             return await self._answer(caller)
         except RefusedError as error:
             outcome = error.refusal.outcome
-            return refusal_response(error.refusal, request_id)
+            return self._context.dialect.refusal(error.refusal, request_id)
         except web.HTTPException:
             raise
         except ConnectionError:
@@ -70,15 +65,14 @@
             )
             outcome = Outcome.UNKNOWN
             reason = "the entry failed; whether the request ran is not known"
-            return refusal_response(Refusal(500, outcome, reason), request_id)
+            refusal = Refusal(500, outcome, reason)
+            return self._context.dialect.refusal(refusal, request_id)
         finally:
             metrics.in_flight.dec()
             metrics.requests.labels(service, request_class, outcome.value).inc()
             metrics.record_latency(f"{service}/{request_class}", now() - received_at)
 
-    async def _read(
-        self, request: web.Request, request_id: RequestId, received_at: float
-    ) -> CallerRequest:
+    async def _read(self, request: web.Request, received_at: float) -> CallerRequest:
         context = self._context
         self._check_may_take()
         cluster = context.in_force.settings
@@ -90,15 +84,17 @@
         limits = context.settings
         body = RequestBody(request, limits.replay_body_bytes, limits.max_body_bytes)
         self._check_length(request)
+        terms = context.dialect.read_terms(request, route, limits)
+        service = self._service_of(route)
         caller = CallerRequest(
-            request_id=request_id,
+            request_id=terms.request_id,
             route=route,
-            service_name=ServiceName(route.service),
-            service=cluster.services[route.service],
-            request_class=read_class(request, route.request_class),
-            deadline=read_deadline(request, context.settings, route.timeout_s),
-            is_repeatable=read_repeatable(request, route.repeatable),
-            key=read_key(request, ServiceName(route.service)),
+            service_name=service,
+            service=cluster.services[service],
+            request_class=terms.request_class,
+            deadline=terms.deadline,
+            is_repeatable=terms.is_repeatable,
+            key=terms.key,
             http=request,
             body=body,
             received_at=received_at,
@@ -106,10 +102,12 @@
         await body.read_start()
         return caller
 
+    def _service_of(self, route: RouteSettings) -> ServiceName:
+        names, weights = zip(*route.services.items())
+        return ServiceName(self._context.rng.choices(names, weights)[0])
+
     def _check_may_take(self) -> None:
-        if self._context.is_draining:
-            raise unavailable("this entry is shutting down")
-        if not self._context.in_force.is_leased:
+        if not self._context.may_take_work:
             raise unavailable("this entry has no contact with the control instances")
 
     def _check_length(self, request: web.Request) -> None:
@@ -118,9 +116,12 @@
             raise bad_request(f"the body is larger than {most} bytes", "body", 413)
 
     async def _answer(self, caller: CallerRequest) -> web.StreamResponse:
+        if caller.route.batch_jobs:
+            return await submit_batch_job(caller, self._context)
         is_completion = caller.http.path.endswith(COMPLETIONS_PATH)
         if caller.service.kind == "engine" and is_completion:
             return await answer_completion(caller, self._context)
         if caller.key is not None and not caller.is_repeatable:
-            return await run_once(caller, self._context)
+            # The key is settled even if the caller leaves meanwhile.
+            return await asyncio.shield(run_once(caller, self._context))
         return await pass_through(caller, self._context)
--- /dev/null
+++ b/pollenlb/request/item.py
@@ -0,0 +1,248 @@
+"""One item of a batch job: its text so far, and one run at an engine."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+import aiohttp
+from result import Err
+
+from ..connection.backend import BackendServer
+from ..durable.batch_job_commands import (
+    BatchItem,
+    BatchJobSpec,
+    ItemResult,
+    ItemState,
+)
+from ..ids import BackendServerName, RequestId, WeightVersion
+from ..process.clock import Deadline, now
+from ..process.context import EntryContext
+from .attempt import SEND_ERRORS, Answer, Attempt, send
+from .dialect import StreamPiece
+from .outcome import Outcome
+
+_MOST_BLOCK_BYTES = 1_048_576
+_IMPOSSIBLE_STATUS = 422
+_FAILED_STATUS = 500
+_EVENT_END = b"\n\n"
+
+
+class RunEnd(Enum):
+    """How a run of an item ended."""
+
+    WHOLE = "whole"
+    NOT_RUN = "not-run"
+    FAILED = "failed"
+    IMPOSSIBLE = "impossible"
+    TOO_OLD = "too-old"
+    BROKEN = "broken"
+    SILENT = "silent"
+
+
+@dataclass
+class ItemProgress:
+    """An item as far as it was generated.
+
+    Attributes
+    ----------
+    pieces : list of str
+        Data of the events so far.
+    last_number : int or None
+        Number of the last event, from which another engine can go on.
+    versions : list of WeightVersion
+        Weights that generated them, each once.
+    failures : int
+        Runs that the engine ended with an error.
+    losses : int
+        Runs whose connection broke.
+    server : BackendServerName or None
+        Engine that runs it now.
+    avoided : dict
+        Until when an engine is not asked again, by name.
+    piece_at : float
+        Monotonic time of the last event or of the start, in seconds.
+    """
+
+    item: BatchItem
+    spec: BatchJobSpec
+    give_up_at: Deadline
+    pieces: list[str] = field(default_factory=list)
+    last_number: int | None = None
+    versions: list[WeightVersion] = field(default_factory=list)
+    failures: int = 0
+    losses: int = 0
+    runs: int = 0
+    server: BackendServerName | None = None
+    avoided: dict[BackendServerName, Deadline] = field(default_factory=dict)
+    piece_at: float = 0.0
+
+    def add(self, piece: StreamPiece, version: WeightVersion | None) -> None:
+        """Append an event."""
+        self.pieces.append(piece.data)
+        self.last_number = piece.number
+        self.piece_at = now()
+        if version is not None and version not in self.versions:
+            self.versions.append(version)
+
+    def start_over(self) -> None:
+        """Drop what was generated."""
+        self.pieces.clear()
+        self.versions.clear()
+        self.last_number = None
+
+    def fits(self, spec: BatchJobSpec) -> bool:
+        """Whether what was generated may be part of a batch job's results."""
+        if spec.is_single_version and len(self.versions) > 1:
+            return False
+        return all(each >= spec.least_version for each in self.versions)
+
+    def result(self, state: ItemState) -> ItemResult:
+        """Return the item's result."""
+        if state is ItemState.EXPIRED:
+            return ItemResult(self.item.item, state)
+        text = "\n".join(self.pieces)
+        return ItemResult(self.item.item, state, text, sorted(self.versions))
+
+
+async def run_item(
+    progress: ItemProgress,
+    server: BackendServer,
+    stall_s: float,
+    context: EntryContext,
+) -> RunEnd:
+    """Run an item at an engine, from where an earlier run broke off.
+
+    Parameters
+    ----------
+    progress : ItemProgress
+        Holds the text as it grows.
+    server : BackendServer
+        The engine.
+    stall_s : float
+        Seconds without an event after which the run counts as lost.
+    context : EntryContext
+        Parts of the entry process.
+    """
+    item, spec = progress.item, progress.spec
+    attempt = Attempt(
+        request_id=RequestId(item.item),
+        method="POST",
+        path=item.path,
+        headers=context.dialect.item_headers(item, spec, progress.last_number),
+        body=item.body,
+        deadline=progress.give_up_at,
+    )
+    progress.runs += 1
+    progress.server = server.name
+    progress.piece_at = now()
+    try:
+        with server.load.running(is_long=True):
+            return await _run(progress, attempt, server, stall_s, context)
+    finally:
+        progress.server = None
+
+
+async def _run(
+    progress: ItemProgress,
+    attempt: Attempt,
+    server: BackendServer,
+    stall_s: float,
+    context: EntryContext,
+) -> RunEnd:
+    head_deadline = Deadline(min(attempt.deadline, now() + stall_s))
+    sent = await send(
+        attempt,
+        server,
+        context.session,
+        context.settings,
+        context.dialect,
+        head_deadline,
+    )
+    if isinstance(sent, Err):
+        failed = sent.err_value
+        context.events.record(
+            "item.not_started",
+            item=attempt.request_id,
+            server=server.name,
+            outcome=failed.outcome.value,
+            reason=failed.reason,
+        )
+        if failed.is_other_server or failed.is_connection_lost or failed.is_timeout:
+            server.note_failure()
+        if failed.outcome is Outcome.NOT_RUN:
+            return RunEnd.NOT_RUN
+        return RunEnd.SILENT if failed.is_timeout else RunEnd.BROKEN
+    answer = sent.ok_value
+    try:
+        return await _take_answer(progress, answer, stall_s, context)
+    except (*SEND_ERRORS, ValueError) as error:
+        is_silent = isinstance(error, TimeoutError)
+        context.events.record(
+            "item.broken",
+            item=attempt.request_id,
+            server=server.name,
+            events=len(progress.pieces),
+            reason=str(error) or type(error).__name__,
+        )
+        return RunEnd.SILENT if is_silent else RunEnd.BROKEN
+    finally:
+        answer.response.close()
+
+
+async def _take_answer(
+    progress: ItemProgress, answer: Answer, stall_s: float, context: EntryContext
+) -> RunEnd:
+    status = answer.response.status
+    if status == _IMPOSSIBLE_STATUS:
+        return RunEnd.IMPOSSIBLE
+    if status == _FAILED_STATUS:
+        return RunEnd.FAILED
+    if status != 200:
+        raise ValueError(f"the engine answered {status}")
+    version = answer.head.version
+    if not _is_allowed(progress, version):
+        return RunEnd.TOO_OLD
+    async for block in _blocks(answer.response.content, stall_s):
+        piece = context.dialect.read_piece(block)
+        version = piece.version or version
+        if not _is_allowed(progress, version):
+            return RunEnd.TOO_OLD
+        if progress.last_number is not None and piece.number <= progress.last_number:
+            raise ValueError(f"event {piece.number} came twice")
+        answer.server.load.note_piece(now() - progress.piece_at)
+        progress.add(piece, version)
+    answer.server.note_answer(0.0)
+    return RunEnd.WHOLE
+
+
+def _is_allowed(progress: ItemProgress, version: WeightVersion | None) -> bool:
+    if version is None:
+        return True
+    if version < progress.spec.least_version:
+        return False
+    if not progress.spec.is_single_version:
+        return True
+    return not progress.versions or progress.versions == [version]
+
+
+async def _blocks(
+    content: aiohttp.StreamReader, stall_s: float
+) -> AsyncIterator[bytes]:
+    """Yield the events of a stream; one that is not whole is an error."""
+    pending = b""
+    while True:
+        async with asyncio.timeout(stall_s):
+            chunk = await content.readany()
+        if not chunk:
+            break
+        *blocks, pending = (pending + chunk).split(_EVENT_END)
+        if len(pending) > _MOST_BLOCK_BYTES:
+            raise ValueError("an event is too large")
+        for block in blocks:
+            if block:
+                yield block
+    if pending.strip():
+        raise ValueError("the stream ended within an event")
--- /dev/null
+++ b/pollenlb/request/item_placement.py
@@ -0,0 +1,117 @@
+"""Which items of batch jobs start next, and at which engines."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Hashable, Sequence
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from ..ids import BackendServerName, GroupName, WeightVersion
+
+K = TypeVar("K", bound=Hashable)
+
+_AWAY_COST = 0.6  # an engine of another model is taken when its own are this full
+_GROUP_GAIN = 0.1  # worth of an engine that has read the group's prompt
+
+
+@dataclass(frozen=True)
+class WaitingItem(Generic[K]):
+    """An item that could start.
+
+    Attributes
+    ----------
+    key : hashable
+        Names the item to the caller of ``place``.
+    due_at : float
+        Monotonic time at which its batch job is wanted, in seconds.
+    is_group_begun : bool
+        Whether another item of its group has started.
+    length : float
+        Tokens that it is expected to generate.
+    avoided : frozenset of BackendServerName
+        Engines at which it failed a moment ago.
+    """
+
+    key: K
+    due_at: float
+    group: GroupName
+    is_group_begun: bool
+    length: float
+    least_version: WeightVersion
+    avoided: frozenset[BackendServerName] = frozenset()
+
+
+@dataclass
+class EngineRoom:
+    """Room at an engine, counted down as items are placed.
+
+    Attributes
+    ----------
+    version : WeightVersion
+        Version of the items' model that it serves.
+    is_home : bool
+        Whether it serves the items' model before others.
+    slowness : float
+        Time for an event as a multiple of what is typical.
+    groups : set of GroupName
+        Groups whose prompt it has read.
+    """
+
+    server: BackendServerName
+    slots: int
+    taken: int
+    version: WeightVersion
+    is_home: bool = True
+    slowness: float = 1.0
+    groups: set[GroupName] = field(default_factory=set)
+
+
+def place(
+    waiting: Sequence[WaitingItem[K]], rooms: Sequence[EngineRoom]
+) -> list[tuple[K, BackendServerName]]:
+    """Return the items to start now, each with its engine.
+
+    Answers the load of a step that comes all at once, at a time when its
+    trainer waits for whole groups: the earlier due job goes first, within it
+    groups that have begun, and within these the longest items, as the last
+    one to finish decides. An item waits here rather than in an engine's queue
+    when all slots are taken, since it could not be moved from there.
+
+    Parameters
+    ----------
+    waiting : sequence of WaitingItem
+        Items of one model.
+    rooms : sequence of EngineRoom
+        Engines that have the model; changed in place.
+    """
+    begun = Counter(each.group for each in waiting if each.is_group_begun)
+    ordered = sorted(
+        waiting,
+        key=lambda each: (each.due_at, not begun[each.group], -each.length),
+    )
+    placed: list[tuple[K, BackendServerName]] = []
+    for item in ordered:
+        fit = [
+            room
+            for room in rooms
+            if room.taken < room.slots
+            and room.version >= item.least_version
+            and room.server not in item.avoided
+        ]
+        if not fit:
+            continue
+        room = min(fit, key=lambda each: _cost(each, item))
+        room.taken += 1
+        room.groups.add(item.group)
+        placed.append((item.key, room.server))
+    return placed
+
+
+def _cost(room: EngineRoom, item: WaitingItem) -> float:
+    cost = room.slowness * (1 + room.taken / room.slots)
+    if not room.is_home:
+        cost += _AWAY_COST
+    if item.group in room.groups:
+        cost -= _GROUP_GAIN
+    return cost
--- a/pollenlb/request/once.py
+++ b/pollenlb/request/once.py
@@ -91,7 +91,7 @@
         raise
     assert isinstance(answer, WholeAnswer)
     await _settle_answer(caller, context, answer)
-    return whole_response(caller, answer)
+    return whole_response(caller, answer, context.dialect)
 
 
 async def _settle_answer(
@@ -137,7 +137,7 @@
     if record.answer is not None:
         match await context.peers.fetch(record.answer, record.holders):
             case Ok(body):
-                response = whole_response(caller, _decode(body))
+                response = whole_response(caller, _decode(body), context.dialect)
                 response.headers[_REPLAY_HEADER] = "yes"
                 return response
             case Err(_):
--- a/pollenlb/request/operator_api.py
+++ b/pollenlb/request/operator_api.py
@@ -17,7 +17,7 @@
     ReleaseVersion,
 )
 from ..durable.crash_commands import Pardon
-from ..ids import Fingerprint, Revision, ServiceName, WeightVersion
+from ..ids import Fingerprint, ModelName, Revision, WeightVersion
 from ..process.context import EntryContext
 from .api import command_id_of, execute, json_response, read_json, refusing
 from .outcome import Outcome, Refusal, RefusedError, unavailable
@@ -127,7 +127,7 @@
     async def release(self, request: web.Request) -> web.Response:
         """Release a weight version of a service."""
         body = await read_json(request, ReleaseBody)
-        command = ReleaseVersion(ServiceName(body.service), WeightVersion(body.version))
+        command = ReleaseVersion(ModelName(body.service), WeightVersion(body.version))
         await execute(self._context, command, command_id_of(request))
         return json_response({"service": body.service, "version": body.version})
 
--- /dev/null
+++ b/pollenlb/request/own_dialect.py
@@ -0,0 +1,164 @@
+"""The product's own protocol."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from ..connection.backend_api import (
+    BOOT_HEADER,
+    DEADLINE_HEADER,
+    LOAD_HEADER,
+    OUTCOME_HEADER,
+    PROBE_PATH,
+    REQUEST_ID_HEADER,
+    ProbeAnswer,
+    decode_probe,
+)
+from ..connection.sessions import ConnectionLostError
+from ..durable.batch_job_commands import BatchItem, BatchJobSpec
+from ..durable.configuration_commands import Announcement
+from ..ids import BackendServerName, BootId, RequestId, ServiceName
+from ..process.clock import remaining
+from ..settings.cluster import RouteSettings
+from ..settings.entry import EntrySettings
+from .caller_request import (
+    CLASS_HEADER,
+    REPEATABLE_HEADER,
+    TIMEOUT_HEADER,
+    RequestClass,
+    read_class,
+    read_deadline,
+    read_key,
+    read_repeatable,
+    request_id_of,
+)
+from .dialect import AnswerHead, CallerTerms, StreamPiece
+from .outcome import (
+    SERVER_HEADER,
+    Outcome,
+    Refusal,
+    bad_request,
+    parse_seconds,
+    refusal_response,
+)
+
+if TYPE_CHECKING:
+    from .attempt import Attempt
+
+_MILLISECONDS_PER_SECOND = 1000
+_PROBE_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
+
+
+class OwnDialect:
+    """Names and formats of ``docs/user-guide``."""
+
+    ready_path = "/readyz"
+    private_headers = frozenset(
+        each.lower()
+        for each in (
+            REQUEST_ID_HEADER,
+            OUTCOME_HEADER,
+            BOOT_HEADER,
+            CLASS_HEADER,
+            REPEATABLE_HEADER,
+            TIMEOUT_HEADER,
+            SERVER_HEADER,
+        )
+    )
+
+    def request_id_of(self, request: web.Request) -> RequestId:
+        """Return the caller's request id, or a new one."""
+        return request_id_of(request)
+
+    def read_terms(
+        self, request: web.Request, route: RouteSettings, settings: EntrySettings
+    ) -> CallerTerms:
+        """Return what the caller asks; raises ``RefusedError``."""
+        return CallerTerms(
+            request_id=request_id_of(request),
+            deadline=read_deadline(request, settings, route.timeout_s),
+            request_class=RequestClass(read_class(request, route.request_class)),
+            is_repeatable=read_repeatable(request, route.repeatable),
+            key=read_key(request, ServiceName(route.service)),
+        )
+
+    def refusal(self, refusal: Refusal, request_id: RequestId) -> web.Response:
+        """Return the response for a refusal."""
+        return refusal_response(refusal, request_id)
+
+    def answer_headers(
+        self, request_id: RequestId, server: BackendServerName
+    ) -> dict[str, str]:
+        """Return the headers that the entry adds to an answer."""
+        return {
+            REQUEST_ID_HEADER: request_id,
+            OUTCOME_HEADER: Outcome.RAN.value,
+            SERVER_HEADER: server,
+        }
+
+    def attempt_headers(self, attempt: Attempt, server: Announcement) -> dict[str, str]:
+        """Return the headers that the entry adds to a request."""
+        timeout_ms = int(remaining(attempt.deadline) * _MILLISECONDS_PER_SECOND)
+        return {
+            REQUEST_ID_HEADER: attempt.request_id,
+            DEADLINE_HEADER: str(timeout_ms),
+        }
+
+    def read_head(
+        self, request_id: RequestId, status: int, headers: Mapping[str, str]
+    ) -> AnswerHead:
+        """Return what the head of an answer tells."""
+        boot = headers.get(BOOT_HEADER)
+        reported = headers.get(LOAD_HEADER, "")
+        return AnswerHead(
+            is_not_run=headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN.value,
+            is_for_request=headers.get(REQUEST_ID_HEADER) == request_id,
+            boot=BootId(boot) if boot is not None else None,
+            in_flight=int(reported) if reported.isdigit() else None,
+            retry_after_s=parse_seconds(headers.get("Retry-After")),
+        )
+
+    async def probe(
+        self,
+        session: aiohttp.ClientSession,
+        server: Announcement,
+        health_path: str,
+        timeout_s: float,
+    ) -> ProbeAnswer | None:
+        """Ask a backend server how it is; None without an answer."""
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        url = f"http://{server.address}{PROBE_PATH}"
+        try:
+            async with session.get(url, timeout=timeout) as response:
+                return decode_probe(await response.read())
+        except (*_PROBE_ERRORS, msgspec.MsgspecError):
+            return None
+
+    def read_batch_job(
+        self,
+        request: web.Request,
+        body: bytes,
+        route: RouteSettings,
+        settings: EntrySettings,
+    ) -> BatchJobSpec:
+        """Refuse, since trainers hand in steps of jobs in this protocol."""
+        raise bad_request("this route takes no batch jobs; see the trainers' API", None)
+
+    def batch_job_accepted(self, spec: BatchJobSpec) -> web.Response:
+        """Return the response for a batch job that is kept."""
+        return web.json_response({"batch_job": spec.batch_job}, status=202)
+
+    def item_headers(
+        self, item: BatchItem, spec: BatchJobSpec, resume_after: int | None
+    ) -> dict[str, str]:
+        """Return the headers of a request that runs an item."""
+        return dict(item.headers)
+
+    def read_piece(self, block: bytes) -> StreamPiece:
+        """Refuse, since completions have events of their own."""
+        raise ValueError("a stream of numbered events is not expected")
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -10,21 +10,14 @@
 from result import Err, Ok, Result
 
 from ..connection.backend import BackendServer
-from ..connection.backend_api import BOOT_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER
 from ..ids import BackendServerName
 from ..process.clock import Deadline, deadline_in, now, remaining
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailed, send
-from .caller_request import (
-    CLASS_HEADER,
-    KEY_HEADER,
-    REPEATABLE_HEADER,
-    TIMEOUT_HEADER,
-    CallerRequest,
-    RequestClass,
-)
+from .caller_request import CallerRequest, RequestClass
+from .dialect import Dialect
 from .hedging import send_hedged
-from .outcome import SERVER_HEADER, Outcome, Refusal, RefusedError
+from .outcome import Outcome, Refusal, RefusedError
 from .retries import Retries, RetryPolicy
 
 _HOP_BY_HOP = frozenset(
@@ -41,18 +34,6 @@
         "expect",
     )
 )
-_OWN = frozenset(
-    each.lower()
-    for each in (
-        REQUEST_ID_HEADER,
-        OUTCOME_HEADER,
-        BOOT_HEADER,
-        CLASS_HEADER,
-        REPEATABLE_HEADER,
-        TIMEOUT_HEADER,
-        SERVER_HEADER,
-    )
-)
 _MOST_CHUNK_BYTES = 65_536
 
 
@@ -77,7 +58,7 @@
     """
     result = await run(caller, context)
     if isinstance(result, WholeAnswer):
-        return whole_response(caller, result)
+        return whole_response(caller, result, context.dialect)
     return await _stream(caller, result, context)
 
 
@@ -99,6 +80,7 @@
         caller.request_class,
         caller.is_repeatable,
         retry_share=caller.route.retry_share,
+        most_attempts=caller.route.max_attempts,
     )
     retries = Retries(
         context, caller.service_name, caller.request_id, caller.fingerprint, policy
@@ -126,13 +108,15 @@
                 _check_replayable(caller, failed)
 
 
-def whole_response(caller: CallerRequest, answer: WholeAnswer) -> web.Response:
+def whole_response(
+    caller: CallerRequest, answer: WholeAnswer, dialect: Dialect
+) -> web.Response:
     """Return the HTTP response for a whole answer."""
     response = web.Response(status=answer.status, body=answer.body)
     response.headers.clear()
     for name, value in answer.headers:
         response.headers.add(name, value)
-    _add_own_headers(caller, response, answer.server)
+    response.headers.update(dialect.answer_headers(caller.request_id, answer.server))
     return response
 
 
@@ -158,7 +142,7 @@
         request_id=caller.request_id,
         method=caller.http.method,
         path=caller.http.path_qs,
-        headers=_request_headers(caller),
+        headers=_request_headers(caller, context.dialect),
         body=caller.body.stream() or None,
         deadline=caller.deadline,
     )
@@ -166,7 +150,12 @@
     is_long = caller.request_class is RequestClass.LONG
     with server.load.running(is_long):
         match await send(
-            attempt, server, session, context.settings, _head_deadline(caller, context)
+            attempt,
+            server,
+            session,
+            context.settings,
+            context.dialect,
+            _head_deadline(caller, context),
         ):
             case Err(failed):
                 return Err(failed)
@@ -208,7 +197,7 @@
             )
         )
     response.release()
-    headers = _answer_headers(response)
+    headers = _answer_headers(response, context.dialect)
     if caller.http.method != "HEAD" and length is not None and length != len(body):
         reason = f"{answer.server.name} did not send a whole answer"
         return Err(AttemptFailed(Outcome.UNKNOWN, reason))
@@ -220,9 +209,11 @@
 ) -> web.StreamResponse:
     response = web.StreamResponse(status=answer.response.status)
     response.headers.clear()
-    for name, value in _answer_headers(answer.response):
+    for name, value in _answer_headers(answer.response, context.dialect):
         response.headers.add(name, value)
-    _add_own_headers(caller, response, answer.server.name)
+    response.headers.update(
+        context.dialect.answer_headers(caller.request_id, answer.server.name)
+    )
     await response.prepare(caller.http)
     is_long = caller.request_class is RequestClass.LONG
     try:
@@ -251,8 +242,8 @@
         await target.write(chunk)
 
 
-def _request_headers(caller: CallerRequest) -> dict[str, str]:
-    dropped = _HOP_BY_HOP | (_OWN - {KEY_HEADER.lower()})
+def _request_headers(caller: CallerRequest, dialect: Dialect) -> dict[str, str]:
+    dropped = _HOP_BY_HOP | dialect.private_headers
     named = caller.http.headers.get("Connection", "")
     dropped = dropped | {each.strip().lower() for each in named.split(",")}
     headers: dict[str, str] = {}
@@ -265,18 +256,12 @@
     return headers
 
 
-def _answer_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
-    dropped = _HOP_BY_HOP | _OWN
+def _answer_headers(
+    response: aiohttp.ClientResponse, dialect: Dialect
+) -> list[tuple[str, str]]:
+    dropped = _HOP_BY_HOP | dialect.private_headers
     return [
         (str(name), value)
         for name, value in response.headers.items()
         if name.lower() not in dropped
     ]
-
-
-def _add_own_headers(
-    caller: CallerRequest, response: web.StreamResponse, server: BackendServerName
-) -> None:
-    response.headers[REQUEST_ID_HEADER] = caller.request_id
-    response.headers[OUTCOME_HEADER] = Outcome.RAN.value
-    response.headers[SERVER_HEADER] = server
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -35,7 +35,6 @@
 from .choice import is_slow, typical_latency_s
 from .outcome import CONDEMNED_STATUS, Outcome, Refusal, RefusedError
 
-_MOST_ATTEMPTS = 4
 _PAUSE_S = 0.1
 _REPORT_TIMEOUT_S = 10.0
 _RETRY_AFTER_S = 1.0
@@ -56,6 +55,8 @@
         Oldest weights that will do; None for a plain service.
     retry_share : float
         Retries that each request of the service allows, as a share.
+    most_attempts : int
+        Backend servers to which the request may be sent.
     """
 
     deadline: Deadline
@@ -64,6 +65,7 @@
     is_patient: bool = False
     least_version: WeightVersion | None = None
     retry_share: float = 0.1
+    most_attempts: int = 4
 
 
 class Retries:
@@ -182,6 +184,8 @@
         is_sent = failed.outcome is not Outcome.NOT_RUN
         self._was_sent = self._was_sent or is_sent
         self._record(server, failed)
+        if failed.is_other_server:
+            server.note_failure()
         if failed.is_connection_lost:
             boot = server.boot
             server.note_failure()
@@ -200,8 +204,11 @@
         ]
         entries = len(self._context.peers.entries)
         servers = self._context.admit(servers, entries, self._policy.deadline)
-        if not servers or not self._context.budget(self._service).try_spend():
+        if not servers or self._attempts >= self._policy.most_attempts:
+            return None
+        if not self._context.budget(self._service).try_spend():
             return None
+        self._attempts += 1
         self._context.metrics.hedges.labels(self._service).inc()
         return self._context.choose(servers, self._context.rng)
 
@@ -300,7 +307,7 @@
             raise self._refusal(status, failed.reason)
         if policy.is_patient:
             return
-        is_spent = self._attempts >= _MOST_ATTEMPTS
+        is_spent = self._attempts >= policy.most_attempts
         if is_spent or not self._context.budget(self._service).try_spend():
             raise self._refusal(status, failed.reason, failed.retry_after_s)
         self._context.metrics.retries.labels(self._service).inc()
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -137,7 +137,9 @@
     if not servers:
         return None
     server = context.choose(servers, context.rng)
-    match await send(attempt, server, context.session, context.settings):
+    match await send(
+        attempt, server, context.session, context.settings, context.dialect
+    ):
         case Ok(answer) if answer.response.status == 200:
             try:
                 body = await answer.response.content.read(_MOST_SCORE_BYTES)
--- a/pollenlb/settings/entry.py
+++ b/pollenlb/settings/entry.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+from ..ids import Address
 from .options import (
+    Flag,
     Folder,
     Integer,
     ListOf,
@@ -12,6 +16,7 @@
     Problem,
     Settings,
     SocketAddress,
+    address_at,
 )
 
 
@@ -33,8 +38,20 @@
     control: Option[list] = ListOf(SocketAddress(), least=1)
     """Addresses of the control instances."""
 
-    data_folder = Folder()
-    """Folder of the event file; nothing in it has to last."""
+    control_port = Integer(0, 65535, 0)
+    """Port of the control instances' gRPC servers; 0 when ``control`` names it."""
+
+    ready_listen: Option[str] = SocketAddress("")
+    """Address that tells a balancer whether this instance is ready, if any."""
+
+    serves_without_lease = Flag(False)
+    """Whether to go on with the last configuration while control is not reached."""
+
+    batch_results_kept_s = Number(1, 86_400, 120.0)
+    """Seconds after its submission for which a batch job can be read."""
+
+    data_folder: Option[Any] = Folder(None)
+    """Folder of the event file; without one, events go to standard output."""
 
     max_header_bytes = Integer(1024, 1_048_576, 16_384)
     """Greatest size of a request's headers, in bytes."""
@@ -51,8 +68,8 @@
     max_timeout_s = Number(0.1, 86_400, 3600.0)
     """Greatest timeout, in seconds, that a caller may ask for."""
 
-    probe_interval_s = Number(0.1, 10, 0.8)
-    """Seconds between two probes of a backend server."""
+    probe_interval_s = Number(0, 10, 0.8)
+    """Seconds between two probes of a backend server; 0 probes none."""
 
     usable_s = Number(0.5, 10, 2.5)
     """Seconds after its last answer in which a backend server gets new work."""
@@ -72,6 +89,11 @@
     max_samples_in_flight = Integer(1, 100_000, 256)
     """Samples that this instance generates at the same time."""
 
+    @property
+    def control_addresses(self) -> list[Address]:
+        """Addresses of the gRPC servers of control instances."""
+        return [address_at(each, self.control_port) for each in self.control]
+
     def further_problems(self) -> list[Problem]:
         """Check the options that depend on each other."""
         if self.usable_s < 2 * self.probe_interval_s:
--- a/pollenlb/settings/options.py
+++ b/pollenlb/settings/options.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from ..exceptions import SettingsError
+from ..ids import Address
 
 T = TypeVar("T")
 
@@ -248,6 +249,26 @@
         return [self.item.check(each) for each in value]
 
 
+class Weights(Option[dict]):
+    """Shares by name; at least one is above 0."""
+
+    allowed = "weights by name, at least one above 0"
+
+    def check(self, value: Any) -> dict[str, float]:
+        """Return the weights as floats."""
+        if not isinstance(value, dict):
+            raise ValueError(f"{value!r} must be {self.allowed}")
+        for weight in value.values():
+            is_number = isinstance(weight, (int, float)) and not isinstance(
+                weight, bool
+            )
+            if not is_number or not 0 <= weight < float("inf"):
+                raise ValueError(f"{weight!r} must be a weight of 0 or more")
+        if value and not sum(value.values()) > 0:
+            raise ValueError(f"must be {self.allowed}")
+        return {str(name): float(weight) for name, weight in value.items()}
+
+
 class TableOf(Option[dict]):
     """Tables by name, each checked by one settings class."""
 
@@ -375,6 +396,14 @@
         return []
 
 
+def address_at(address: str, port: int) -> Address:
+    """Return an address with another port; port 0 keeps the one it has."""
+    if not port:
+        return Address(address)
+    host, _, _ = address.rpartition(":")
+    return Address(f"{host}:{port}")
+
+
 def _unknown_key(key: str, options: dict[str, Option]) -> str:
     nearest = difflib.get_close_matches(key, options, n=1)
     hint = f"; did you mean {nearest[0]}?" if nearest else ""
--- a/pollenlb/version/configuration.py
+++ b/pollenlb/version/configuration.py
@@ -28,6 +28,11 @@
         """Services and routes in force."""
         return self._settings
 
+    @property
+    def is_known(self) -> bool:
+        """Whether any revision was received."""
+        return self._revision >= 0
+
     @property
     def is_leased(self) -> bool:
         """Whether new work may be taken now."""
--- a/pollenlb/version/orders.py
+++ b/pollenlb/version/orders.py
@@ -3,29 +3,45 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 import aiohttp
-import msgspec
 
-from ..connection.backend_api import ORDER_PATH, PROBE_PATH, ProbeAnswer, decode_probe
-from ..connection.sessions import ConnectionLostError, open_session
-from ..durable.configuration_commands import Announcement, ServerState
+from ..connection.sessions import open_session
+from ..durable.command import Refused
+from ..durable.configuration_commands import (
+    Announcement,
+    NoteModelVersion,
+    NoteOrder,
+    ServerState,
+)
 from ..durable.leadership import Leadership
-from ..durable.machine import Machine
-from ..durable.replica import Replica
 from ..exceptions import LogError
-from ..ids import BackendServerName, ServiceName, WeightVersion
+from ..ids import BackendServerName, InstanceName, ModelName, ServiceName, WeightVersion
 from ..process.clock import Deadline, deadline_in, now, remaining, sleep_until
-from ..process.events import EventLog
+from ..process.control_context import ControlContext
 from ..settings.cluster import ClusterSettings, ServiceSettings
-from ..settings.control import ControlSettings
-from .order_api import FencingNumber, Order, OrderKind, encode_order
+from .order_channel import EngineReport, OrderChannel, OrderOutcome, SwapOrder
+from .swap_plan import EngineView, ModelGoal, Swap, next_swaps
 
-_ROUND_S = 0.25
-_PROBE_TIMEOUT_S = 1.0
-_ORDER_TIMEOUT_S = 2.0
+_ROUND_S = 0.1
+_FIRST_CHECK_S = 0.95  # a change of weights takes 0.9 s and more
+_CHECK_AGAIN_S = 0.25
 _ORDER_AGAIN_S = 10.0
-_HTTP_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
+_UNANSWERED_AGAIN_S = 1.0
+_SEND_WINDOW_S = 0.5  # an order goes out this long after it was entered, or not
+_NO_VERSION = WeightVersion(0)
+_SILENT_S = 4.0  # an engine that announced nothing for longer gets no order
+
+
+@dataclass
+class _Pending:
+    """An order whose effect has not been seen yet."""
+
+    server: Announcement
+    swap: Swap
+    check_at: Deadline
+    give_up_at: Deadline
 
 
 class OrderIssuer:
@@ -33,144 +49,231 @@
 
     Parameters
     ----------
-    settings : ControlSettings
-        Lifetime of orders.
-    replica : Replica
-        Tells whether this instance leads.
-    machine : Machine
-        The released versions and the announced backend servers.
-    events : EventLog
-        Gets each order and its end.
+    context : ControlContext
+        Parts of the control process.
+    channel : OrderChannel
+        How backend servers are asked and told.
     """
 
-    def __init__(
-        self,
-        settings: ControlSettings,
-        replica: Replica,
-        machine: Machine,
-        events: EventLog,
-    ) -> None:
-        self._settings = settings
-        self._replica = replica
-        self._machine = machine
-        self._events = events
+    def __init__(self, context: ControlContext, channel: OrderChannel) -> None:
+        self._context = context
+        self._channel = channel
         self._session: aiohttp.ClientSession | None = None
-        self._sequence = 0
-        self._swapping: dict[BackendServerName, Deadline] = {}
+        self._pending: dict[BackendServerName, _Pending] = {}
         self._leadership: Leadership | None = None
+        self._seen: dict[BackendServerName, int] = {}
+        self._seen_at: dict[BackendServerName, float] = {}
+        self._own: set[int] = set()
 
     async def run(self) -> None:
         """Give orders for as long as this instance leads."""
         self._session = open_session(is_pooled=True)
         while True:
             await sleep_until(deadline_in(_ROUND_S))
-            leadership = self._replica.leadership
+            self._note_records()
+            leadership = self._context.replica.leadership
             if leadership is None or not leadership.is_ready:
                 continue
             if leadership is not self._leadership:
                 self._leadership = leadership
-                self._swapping.clear()
-            await self._give_orders(leadership)
+                self._pending.clear()
+                self._own.clear()
+            try:
+                await self._check_pending()
+                await self._give_orders(leadership)
+            except LogError as error:
+                self._context.events.record("orders.interrupted", reason=str(error))
 
     async def close(self) -> None:
         """Close connections."""
         if self._session is not None:
             await self._session.close()
 
+    @property
+    def _announcements(self) -> dict[BackendServerName, Announcement]:
+        return self._context.machine.state.directory.servers
+
+    def _note_records(self) -> None:
+        for server, record in self._context.machine.state.directory.orders.items():
+            if self._seen.get(server) != record.fencing:
+                self._seen[server] = record.fencing
+                self._seen_at[server] = now()
+
+    async def _check_pending(self) -> None:
+        for pending in list(self._pending.values()):
+            await self._check(pending)
+
+    async def _check(self, pending: _Pending) -> None:
+        name = pending.server.server
+        swap = pending.swap
+        announced = self._announcements.get(name)
+        is_gone = announced is None or announced.boot != pending.server.boot
+        told = announced.models.get(swap.model) if announced is not None else None
+        if is_gone or (told is not None and told >= swap.version):
+            del self._pending[name]
+            return
+        if remaining(pending.check_at):
+            return
+        report = await self._report(pending.server)
+        version = report.versions.get(swap.model) if report is not None else None
+        if version is not None and version >= swap.version:
+            del self._pending[name]
+            await self._note_swapped(pending.server, swap.model, version)
+        elif remaining(pending.give_up_at):
+            pending.check_at = deadline_in(_CHECK_AGAIN_S)
+        else:
+            del self._pending[name]
+
+    async def _note_swapped(
+        self, server: Announcement, model: ModelName, version: WeightVersion
+    ) -> None:
+        self._context.events.record(
+            "order.done", server=server.server, model=model, version=version
+        )
+        if server.models:
+            command = NoteModelVersion(server.server, server.boot, model, version)
+            await self._context.execute(command)
+
     async def _give_orders(self, leadership: Leadership) -> None:
-        state = self._machine.state
-        services = ClusterSettings.check(state.configuration.document).unwrap().services
-        for name, version in list(state.directory.releases.items()):
-            service = services.get(name)
-            if service is None or service.kind != "engine":
-                continue
-            if self._may_order(service, leadership):
-                await self._swap_service(name, service, version, leadership)
+        document = self._context.machine.state.configuration.document
+        services = ClusterSettings.check(document).unwrap().services
+        for name, service in services.items():
+            goals = self._goals(name, service)
+            if goals and service.kind == "engine":
+                await self._swap_service(name, service, goals, leadership)
 
-    def _may_order(self, service: ServiceSettings, leadership: Leadership) -> bool:
-        if service.checks_fencing:
-            return True
-        # A backend server that takes any order must not hear two leaders.
-        wait_s = self._settings.lease_s + self._settings.order_lifetime_s
-        wait_s *= 1 + self._settings.clock_drift
-        return now() > leadership.started_at + wait_s
+    def _goals(self, name: ServiceName, service: ServiceSettings) -> list[ModelGoal]:
+        state = self._context.machine.state
+        goals = []
+        for model in service.models or [name]:
+            released = state.directory.releases.get(model)
+            if released is None and not service.models:
+                continue
+            open_jobs = [
+                each
+                for each in state.batch_jobs.batch_jobs.values()
+                if each.is_open and each.spec.model == model
+            ]
+            specs = [each.spec for each in open_jobs]
+            goals.append(
+                ModelGoal(
+                    ModelName(model),
+                    released or WeightVersion(1),
+                    max((each.least_version for each in specs), default=_NO_VERSION),
+                    sum(len(each.spec.items) - len(each.results) for each in open_jobs),
+                    any(each.is_single_version for each in specs),
+                )
+            )
+        return goals
 
     async def _swap_service(
         self,
         name: ServiceName,
         service: ServiceSettings,
-        version: WeightVersion,
+        goals: list[ModelGoal],
         leadership: Leadership,
     ) -> None:
         servers = [
             each
-            for each in self._machine.state.directory.servers.values()
-            if each.service == name and each.state is ServerState.SERVING
+            for each in self._announcements.values()
+            if each.service == name
+            and each.state is ServerState.SERVING
+            and self._is_heard(each)
         ]
-        probes = await asyncio.gather(*(self._probe(each) for each in servers))
-        behind = []
-        for server, probe in zip(servers, probes):
-            if probe is not None and probe.version == version:
-                self._note_swapped(server, version)
-            elif probe is not None and probe.state is ServerState.SERVING:
-                behind.append(server)
-        for server in behind:
-            if self._busy() >= service.max_swaps:
-                return
-            if not remaining(self._swapping.get(server.server, Deadline(0.0))):
-                await self._order(server, version, leadership)
-
-    def _busy(self) -> int:
-        return sum(remaining(until) > 0 for until in self._swapping.values())
-
-    def _note_swapped(self, server: Announcement, version: WeightVersion) -> None:
-        if self._swapping.pop(server.server, None) is not None:
-            self._events.record("order.done", server=server.server, version=version)
-
-    async def _probe(self, server: Announcement) -> ProbeAnswer | None:
-        assert self._session is not None
-        timeout = aiohttp.ClientTimeout(total=_PROBE_TIMEOUT_S)
-        url = f"http://{server.address}{PROBE_PATH}"
-        try:
-            async with self._session.get(url, timeout=timeout) as response:
-                return decode_probe(await response.read())
-        except (*_HTTP_ERRORS, msgspec.MsgspecError):
+        if all(self._is_up_to_date(each, goals) for each in servers if each.models):
+            servers = [each for each in servers if not each.models]
+        views = [each for each in await self._views(servers) if each is not None]
+        most = max(service.max_swaps, int(service.swap_share * len(views)))
+        for swap in next_swaps(views, goals, most):
+            server = self._announcements.get(swap.server)
+            if server is not None and self._may_order(server, service):
+                await self._order(server, swap, leadership)
+
+    def _is_heard(self, server: Announcement) -> bool:
+        duties = self._context.duties
+        last = duties.announced_at.get(server.server, duties.leadership.started_at)
+        return not server.started_at_ms or now() < last + _SILENT_S
+
+    def _is_up_to_date(self, server: Announcement, goals: list[ModelGoal]) -> bool:
+        return all(
+            server.models.get(goal.model, WeightVersion(0)) >= goal.version
+            for goal in goals
+        )
+
+    async def _views(self, servers: list[Announcement]) -> list[EngineView | None]:
+        return await asyncio.gather(*(self._view(each) for each in servers))
+
+    async def _view(self, server: Announcement) -> EngineView | None:
+        is_swapping = server.server in self._pending
+        if server.models:
+            return EngineView(server.server, server.models, is_swapping)
+        report = await self._report(server)
+        if report is None:
             return None
+        is_behind = is_swapping or report.is_busy
+        return EngineView(server.server, report.versions, is_behind)
+
+    async def _report(self, server: Announcement) -> EngineReport | None:
+        assert self._session is not None
+        return await self._channel.report(self._session, server)
+
+    def _may_order(self, server: Announcement, service: ServiceSettings) -> bool:
+        if service.checks_fencing:
+            return True
+        if self._seen.get(server.server) in self._own:
+            return True
+        # A backend server that takes any order must not hear two leaders.
+        settings = self._context.settings
+        lifetime_s = settings.order_lifetime_s * (1 + settings.clock_drift)
+        seen_at = self._seen_at.get(server.server, float("-inf"))
+        return now() > seen_at + lifetime_s + _SEND_WINDOW_S
 
     async def _order(
-        self, server: Announcement, version: WeightVersion, leadership: Leadership
+        self, server: Announcement, swap: Swap, leadership: Leadership
     ) -> None:
-        try:
-            await self._replica.confirm_reads()
-        except LogError:
+        report = await self._report(server)
+        if report is None or report.is_busy:
             return
-        valid_until = leadership.quorum_contact_at + self._settings.lease_s
-        self._sequence += 1
-        fencing = FencingNumber(leadership.term, self._sequence)
-        lifetime_ms = int(1000 * self._settings.order_lifetime_s)
-        order = Order(OrderKind.SWAP, version, fencing, lifetime_ms)
-        if self._replica.leadership is not leadership or now() > valid_until:
+        fencing = self._context.machine.state.directory.fencing + 1
+        entered_at = now()
+        result = await self._context.execute(NoteOrder(server.server, fencing))
+        if isinstance(result, Refused):
+            return
+        self._own.add(fencing)
+        order = SwapOrder(
+            server=server,
+            model=swap.model,
+            version=swap.version,
+            mode=swap.mode,
+            holder=InstanceName(self._context.settings.name),
+            term=leadership.term,
+            fencing=fencing,
+            expected_orders=report.orders,
+            lifetime_s=self._context.settings.order_lifetime_s,
+        )
+        await self._context.replica.confirm_reads()
+        is_led = self._context.replica.leadership is leadership
+        if not is_led or now() > entered_at + _SEND_WINDOW_S:
             return
-        self._swapping[server.server] = deadline_in(_ORDER_AGAIN_S)
-        status = await self._send(server, order)
-        self._events.record(
+        self._pending[server.server] = _Pending(
+            server,
+            swap,
+            deadline_in(_FIRST_CHECK_S),
+            deadline_in(_ORDER_AGAIN_S),
+        )
+        assert self._session is not None
+        outcome = await self._channel.give(self._session, order)
+        self._context.events.record(
             "order.given",
             server=server.server,
-            version=version,
-            fencing=f"{fencing.term}.{fencing.sequence}",
-            status=status,
+            model=swap.model,
+            version=swap.version,
+            mode=swap.mode.value,
+            fencing=fencing,
+            expected_orders=report.orders,
+            outcome=outcome.value,
         )
-        if status >= 400:
-            self._swapping[server.server] = deadline_in(_ROUND_S)
-
-    async def _send(self, server: Announcement, order: Order) -> int:
-        assert self._session is not None
-        timeout = aiohttp.ClientTimeout(total=_ORDER_TIMEOUT_S)
-        url = f"http://{server.address}{ORDER_PATH}"
-        try:
-            async with self._session.post(
-                url, data=encode_order(order), timeout=timeout
-            ) as response:
-                return response.status
-        except _HTTP_ERRORS:
-            return 0
+        if outcome is OrderOutcome.REFUSED:
+            del self._pending[server.server]
+        elif outcome is OrderOutcome.UNKNOWN:
+            self._pending[server.server].give_up_at = deadline_in(_UNANSWERED_AGAIN_S)
--- /dev/null
+++ b/pollenlb/version/swap_plan.py
@@ -0,0 +1,149 @@
+"""Which engine changes to which weights next, and when."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from ..ids import BackendServerName, ModelName, WeightVersion
+
+
+class SwapMode(Enum):
+    """What becomes of the requests that run while weights change."""
+
+    WAIT = "wait"
+    RETAIN = "retain"
+
+
+@dataclass(frozen=True)
+class EngineView:
+    """What the leader knows of an engine.
+
+    Attributes
+    ----------
+    versions : dict
+        Weight version that it serves, by model.
+    is_swapping : bool
+        Whether an order to it is under way.
+    """
+
+    server: BackendServerName
+    versions: dict[ModelName, WeightVersion]
+    is_swapping: bool
+
+
+@dataclass(frozen=True)
+class ModelGoal:
+    """What is wanted of a model.
+
+    Attributes
+    ----------
+    version : WeightVersion
+        Version that was released.
+    least_version : WeightVersion
+        Oldest version that its open batch jobs allow.
+    open_items : int
+        Items of its open batch jobs that have no result.
+    is_single_version : bool
+        Whether an open batch job wants one version for each item.
+    """
+
+    model: ModelName
+    version: WeightVersion
+    least_version: WeightVersion = WeightVersion(0)
+    open_items: int = 0
+    is_single_version: bool = False
+
+
+@dataclass(frozen=True)
+class Swap:
+    """An engine that should change weights now."""
+
+    server: BackendServerName
+    model: ModelName
+    version: WeightVersion
+    mode: SwapMode
+
+
+def next_swaps(
+    engines: Sequence[EngineView], goals: Sequence[ModelGoal], most: int
+) -> list[Swap]:
+    """Return the changes of weights to begin now, the most urgent first.
+
+    Answers the load of trainers that release a version with each step. Each
+    engine has one model as its home and loads only that one's versions, so
+    that a version is loaded once an engine. It loads between two steps, when
+    no item of the model is open, as the items of a step may still run on the
+    version before. It loads at once when the open items do not allow its
+    version any more.
+
+    Parameters
+    ----------
+    engines : sequence of EngineView
+        Engines of one service that can be given orders.
+    goals : sequence of ModelGoal
+        Models of the service.
+    most : int
+        Engines that may load at the same time.
+    """
+    by_model = {goal.model: goal for goal in goals}
+    urgent: list[Swap] = []
+    idle: list[Swap] = []
+    for engine, model in homes(engines, goals).items():
+        goal = by_model[model]
+        view = next(each for each in engines if each.server == engine)
+        version = view.versions.get(model, WeightVersion(0))
+        if view.is_swapping or version >= goal.version:
+            continue
+        mode = SwapMode.RETAIN if goal.open_items else SwapMode.WAIT
+        if goal.is_single_version:
+            mode = SwapMode.WAIT
+        swap = Swap(engine, model, goal.version, mode)
+        if not goal.open_items:
+            idle.append(swap)
+        elif version < goal.least_version:
+            urgent.append(swap)
+    room = most - sum(each.is_swapping for each in engines)
+    return (urgent + idle)[: max(0, room)]
+
+
+def homes(
+    engines: Sequence[EngineView], goals: Sequence[ModelGoal]
+) -> dict[BackendServerName, ModelName]:
+    """Return the model that each engine should keep up to date.
+
+    An engine stays with the model whose version it is least behind, so that
+    any leader comes to the same homes from the versions alone; engines are
+    shared out evenly.
+
+    Parameters
+    ----------
+    engines : sequence of EngineView
+        Engines of one service.
+    goals : sequence of ModelGoal
+        Models of the service.
+    """
+    ordered = sorted(goals, key=lambda each: each.model)
+    if not ordered:
+        return {}
+    room = {
+        goal.model: len(engines) // len(ordered)
+        + (number < len(engines) % len(ordered))
+        for number, goal in enumerate(ordered)
+    }
+    wishes = sorted(
+        (_lag(engine, goal), engine.server, goal.model)
+        for engine in engines
+        for goal in ordered
+    )
+    found: dict[BackendServerName, ModelName] = {}
+    for _, server, model in wishes:
+        if server not in found and room[model] > 0:
+            found[server] = model
+            room[model] -= 1
+    return found
+
+
+def _lag(engine: EngineView, goal: ModelGoal) -> int:
+    return goal.version - engine.versions.get(goal.model, WeightVersion(0))
