Engines load when they run out of items; items leave slow engines

Cause: the third engine of a model loaded late each step, since loads began only when no item was open; items on a slowed engine held up whole groups. Ruled out: too few slots (72 slots, 32 to 40 items a step). Change: entries tell the running items by engine; an engine without items loads while the last items run elsewhere; items move from an engine that is 1.8 times slower than is typical; idle connections are kept for 15 s.

--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -163,8 +163,6 @@
         Configuration revision that the entry has in force.
     directory, ledger, quarantine, entries, work : int
         Versions of the views that the entry has.
-    running : list of BatchJobId
-        Batch jobs that the entry runs.
     announced : list
         Backend servers that announced themselves since the last renewal.
     wait_s : float
@@ -180,7 +178,6 @@
     announced: list[BackendServerName]
     wait_s: float
     work: int = 0
-    running: list[BatchJobId] = []
     health: EntryHealth = EntryHealth()
 
 
--- a/pollenlb/connection/sessions.py
+++ b/pollenlb/connection/sessions.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-_IDLE_S = 5.0
+_IDLE_S = 15.0
 
 
 class ConnectionLostError(Exception):
--- a/pollenlb/durable/leases.py
+++ b/pollenlb/durable/leases.py
@@ -7,7 +7,16 @@
 import msgspec
 
 from ..exceptions import ControlError
-from ..ids import Address, BootId, FailureDomain, InstanceName, Revision
+from ..ids import (
+    Address,
+    BackendServerName,
+    BatchJobId,
+    BootId,
+    FailureDomain,
+    InstanceName,
+    ModelName,
+    Revision,
+)
 from ..process.clock import Deadline, now, remaining
 
 
@@ -62,10 +71,19 @@
     ----------
     lag_s : float
         How late its event loop ran what was due, in seconds, smoothed.
+    batch_jobs : list of BatchJobId
+        Batch jobs that it runs.
+    running : dict
+        Items of these that it runs, by engine.
+    waiting : dict
+        Items of these that wait for a slot, by model.
     """
 
     is_draining: bool = False
     lag_s: float = 0.0
+    batch_jobs: list[BatchJobId] = []
+    running: dict[BackendServerName, int] = {}
+    waiting: dict[ModelName, int] = {}
 
 
 class Lease(msgspec.Struct):
--- a/pollenlb/platform/dialect.py
+++ b/pollenlb/platform/dialect.py
@@ -85,7 +85,7 @@
             status = 502
         elif is_not_run and status == 422:
             status = 503
-        headers = {REQUEST_ID: request_id}
+        headers: dict[str, str] = {REQUEST_ID: request_id}
         if is_not_run and refusal.retry_after_s is not None:
             headers["Retry-After"] = f"{refusal.retry_after_s:.2f}"
         body = msgspec.json.encode({"error": refusal.reason})
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -27,6 +28,12 @@
     new_id,
 )
 from ..request.item import ItemProgress, RunEnd, run_item
+from ..request.item_moves import (
+    EnginePace,
+    RunningItem,
+    choose_moves,
+    typical_piece_s,
+)
 from ..request.item_placement import EngineRoom, WaitingItem, place
 from ..version.swap_plan import EngineView, ModelGoal, homes
 from .clock import Deadline, deadline_in, now, remaining, sleep_until
@@ -35,6 +42,7 @@
 _ROUND_S = 0.1
 _STALL_S = 1.5  # a change of weights holds running streams for 0.9 s
 _AVOID_S = 0.3
+_LENGTH_WEIGHT = 0.05  # of one item in the smoothed number of events a token
 _PARTIAL_KEPT_S = 30.0
 _COMMIT_TIMEOUT_S = 2.0
 _COMMIT_PAUSE_S = 0.2
@@ -60,6 +68,11 @@
     ----------
     context : EntryContext
         Parts of the entry process.
+
+    Attributes
+    ----------
+    became_idle : asyncio.Event
+        Set when an engine has run out of items while a batch job goes on.
     """
 
     def __init__(self, context: EntryContext) -> None:
@@ -68,12 +81,32 @@
         self._partials: dict[ItemId, tuple[ItemProgress, Deadline]] = {}
         self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
+        self._events_per_token = 0.0
+        self.became_idle = asyncio.Event()
 
     @property
-    def running(self) -> list[BatchJobId]:
+    def batch_jobs(self) -> list[BatchJobId]:
         """Batch jobs that are run here."""
         return list(self._jobs)
 
+    def running_at(self) -> dict[BackendServerName, int]:
+        """Return the number of items that run at each engine."""
+        return Counter(
+            progress.server
+            for job in self._jobs.values()
+            for progress in job.items.values()
+            if progress.server is not None
+        )
+
+    def waiting_of(self) -> dict[ModelName, int]:
+        """Return the number of items of each model that wait for a slot."""
+        return Counter(
+            job.spec.model
+            for job in self._jobs.values()
+            for progress in job.items.values()
+            if progress.server is None
+        )
+
     def start(self) -> None:
         """Start to place items."""
         self._spawn(self._place_all())
@@ -180,19 +213,65 @@
             for progress in job.items.values()
             if progress.item.item not in job.tasks
         ]
-        if not waiting:
-            return
         servers = {each.name: each for each in self._context.usable(service)}
         rooms = self._rooms(list(servers.values()), service, model)
-        for (name, item), server in place(waiting, rooms):
-            self._start(jobs[name], item, servers[server])
+        if waiting:
+            for (name, item), server in place(waiting, rooms):
+                self._start(jobs[name], item, servers[server])
+        else:
+            self._move(jobs, rooms, servers)
+
+    def _move(
+        self,
+        jobs: dict[BatchJobId, _OwnedJob],
+        rooms: list[EngineRoom],
+        servers: dict[BackendServerName, BackendServer],
+    ) -> None:
+        running = [
+            RunningItem(
+                (name, progress.item.item),
+                progress.server,
+                len(progress.pieces),
+                self._expected_events(progress),
+            )
+            for name, job in jobs.items()
+            for progress in job.items.values()
+            if progress.server is not None and not progress.is_moving
+        ]
+        least = max((job.spec.least_version for job in jobs.values()), default=0)
+        paces = [
+            EnginePace(
+                room.server,
+                servers[room.server].load.piece_s,
+                self._silent_s(room.server),
+                room.slots - room.taken if room.version >= least else 0,
+            )
+            for room in rooms
+        ]
+        for name, item in choose_moves(running, paces):
+            jobs[name].items[item].is_moving = True
+            jobs[name].tasks[item].cancel()
+
+    def _silent_s(self, server: BackendServerName) -> float:
+        """Return the seconds since any stream at an engine had an event."""
+        heard = [
+            progress.piece_at
+            for job in self._jobs.values()
+            for progress in job.items.values()
+            if progress.server == server
+        ]
+        return now() - max(heard) if heard else 0.0
+
+    def _expected_events(self, progress: ItemProgress) -> float:
+        return progress.item.length_hint * self._events_per_token
 
     def _rooms(
         self, servers: list[BackendServer], service: ServiceName, model: ModelName
     ) -> list[EngineRoom]:
         home = self._homes(servers, service)
-        paces = sorted(each.load.piece_s for each in servers if each.load.piece_s)
-        typical_s = paces[len(paces) // 3] if paces else 0.0
+        typical_s = typical_piece_s(
+            [EnginePace(each.name, each.load.piece_s, 0.0, 0) for each in servers]
+        )
         return [
             EngineRoom(
                 server.name,
@@ -242,11 +321,18 @@
         started_at = now()
         try:
             end = await run_item(progress, server, _STALL_S, self._context)
+        except asyncio.CancelledError:
+            if not progress.is_moving:
+                raise
+            end = RunEnd.MOVED
         finally:
             job.tasks.pop(item, None)
+            progress.is_moving = False
             self._changed.set()
+            self._note_idle(server.name)
         self._context.metrics.items.labels(job.spec.service, end.value).inc()
         if end is RunEnd.WHOLE:
+            self._note_length(progress)
             self._enter(job, progress, ItemState.COMPLETED)
         elif end is RunEnd.IMPOSSIBLE:
             self._enter(job, progress, ItemState.EXPIRED)
@@ -281,6 +367,18 @@
         if is_late or progress.failures >= _MOST_FAILURES * job.spec.max_attempts:
             self._enter(job, progress, ItemState.EXPIRED)
 
+    def _note_length(self, progress: ItemProgress) -> None:
+        if progress.item.length_hint and progress.pieces:
+            ratio = len(progress.pieces) / progress.item.length_hint
+            if not self._events_per_token:
+                self._events_per_token = ratio
+            self._events_per_token += _LENGTH_WEIGHT * (ratio - self._events_per_token)
+
+    def _note_idle(self, server: BackendServerName) -> None:
+        """Tell control at once when an engine has run out of items."""
+        if server not in self.running_at() and not self.waiting_of():
+            self.became_idle.set()
+
     def _enter(self, job: _OwnedJob, progress: ItemProgress, state: ItemState) -> None:
         job.items.pop(progress.item.item, None)
         job.results.append(progress.result(state))
--- a/pollenlb/process/events.py
+++ b/pollenlb/process/events.py
@@ -10,7 +10,6 @@
 from pathlib import Path
 from typing import Any, TextIO
 
-import eliot
 import msgspec
 
 from .clock import HybridClock, Timestamp
@@ -99,6 +98,10 @@
             return
         data_folder.mkdir(parents=True, exist_ok=True)
         path = data_folder / EVENT_FILE
+        # Imported here, since a process that logs to standard output saves
+        # some megabytes without it.
+        import eliot
+
         self._file = path.open("a", buffering=1, encoding="utf-8")
         self._destination = eliot.FileDestination(file=self._file)
 
--- a/pollenlb/process/lease_service.py
+++ b/pollenlb/process/lease_service.py
@@ -163,7 +163,7 @@
             [
                 batch_work(each, self._context)
                 for each in owned
-                if each.spec.batch_job not in request.running
+                if each.spec.batch_job not in request.health.batch_jobs
             ],
         )
 
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -59,7 +59,10 @@
         while True:
             announced = set(self._context.announced)
             sent_at = now()
-            answer = await self._context.control.renew(self._request(), _TIMEOUT_S)
+            self._batch_runner.became_idle.clear()
+            answer = await self._renew_or_report()
+            if answer is None and self._batch_runner.became_idle.is_set():
+                continue
             if answer is None:
                 self._note_lease()
                 await sleep_until(deadline_in(_PAUSE_S))
@@ -68,6 +71,19 @@
             self._apply(answer, sent_at)
             self._note_lease()
 
+    async def _renew_or_report(self) -> RenewAnswer | None:
+        """Renew; stop waiting for news as soon as there is something to tell."""
+        renewal = asyncio.create_task(
+            self._context.control.renew(self._request(), _TIMEOUT_S)
+        )
+        idle = asyncio.create_task(self._batch_runner.became_idle.wait())
+        try:
+            await asyncio.wait({renewal, idle}, return_when=asyncio.FIRST_COMPLETED)
+            return renewal.result() if renewal.done() else None
+        finally:
+            idle.cancel()
+            renewal.cancel()
+
     def _request(self) -> RenewRequest:
         context = self._context
         is_current = context.in_force.is_leased
@@ -81,8 +97,13 @@
             announced=sorted(context.announced),
             wait_s=_WAIT_S if is_current else 0.0,
             work=context.work_version,
-            running=self._batch_runner.running,
-            health=EntryHealth(context.is_draining, self._lag.value_s),
+            health=EntryHealth(
+                context.is_draining,
+                self._lag.value_s,
+                self._batch_runner.batch_jobs,
+                dict(self._batch_runner.running_at()),
+                dict(self._batch_runner.waiting_of()),
+            ),
         )
 
     def _apply(self, answer: RenewAnswer, sent_at: float) -> None:
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -40,6 +40,7 @@
     TOO_OLD = "too-old"
     BROKEN = "broken"
     SILENT = "silent"
+    MOVED = "moved"
 
 
 @dataclass
@@ -64,6 +65,8 @@
         Until when an engine is not asked again, by name.
     piece_at : float
         Monotonic time of the last event or of the start, in seconds.
+    is_moving : bool
+        Whether its run is broken off to go on at another engine.
     """
 
     item: BatchItem
@@ -78,6 +81,7 @@
     server: BackendServerName | None = None
     avoided: dict[BackendServerName, Deadline] = field(default_factory=dict)
     piece_at: float = 0.0
+    is_moving: bool = False
 
     def add(self, piece: StreamPiece, version: WeightVersion | None) -> None:
         """Append an event."""
--- /dev/null
+++ b/pollenlb/request/item_moves.py
@@ -0,0 +1,112 @@
+"""Which running items should go on at another engine."""
+
+from __future__ import annotations
+
+from collections.abc import Hashable, Sequence
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from ..ids import BackendServerName
+
+K = TypeVar("K", bound=Hashable)
+
+SLOW_RATIO = 1.8  # an engine this much slower than is typical is left
+SILENT_EVENTS = 4.0  # events that are overdue before silence counts as slowness
+_MOVE_COST_S = 0.2  # a new connection, and the prompt and text read again
+_LEAST_EVENTS_LEFT = 8.0  # an item that outlived its expected length may go on
+
+
+@dataclass(frozen=True)
+class RunningItem(Generic[K]):
+    """An item that runs at an engine.
+
+    Attributes
+    ----------
+    events : int
+        Events that it has generated.
+    expected_events : float
+        Events that it is expected to have in the end.
+    """
+
+    key: K
+    server: BackendServerName
+    events: int
+    expected_events: float
+
+    @property
+    def events_left(self) -> float:
+        """Events that it is likely to generate yet."""
+        return max(self.expected_events - self.events, _LEAST_EVENTS_LEFT)
+
+
+@dataclass
+class EnginePace:
+    """How fast an engine generates, and its room.
+
+    Attributes
+    ----------
+    piece_s : float
+        Smoothed time between events of a stream, in seconds; 0 when unknown.
+    silent_s : float
+        Seconds since any of its streams had an event; 0 when none runs.
+    free : int
+        Slots that are free; counted down as items are moved there.
+    """
+
+    server: BackendServerName
+    piece_s: float
+    silent_s: float
+    free: int
+
+
+def typical_piece_s(paces: Sequence[EnginePace]) -> float:
+    """Return the lower third of the times between events, in seconds.
+
+    The median would be a slow one as soon as half of the engines are slow.
+    """
+    known = sorted(each.piece_s for each in paces if each.piece_s)
+    return known[(len(known) - 1) // 3] if known else 0.0
+
+
+def choose_moves(
+    running: Sequence[RunningItem[K]], paces: Sequence[EnginePace]
+) -> list[K]:
+    """Return the items to break off, so that they go on where it is faster.
+
+    Answers engines that share their machines with others and turn slow for a
+    while, or fall silent, when a step's last items run there: a resumed stream
+    is read again in a few milliseconds, so the longest items move as long as
+    there are free slots at engines that are not slow.
+
+    Parameters
+    ----------
+    running : sequence of RunningItem
+        Items of one model.
+    paces : sequence of EnginePace
+        Engines that may run them; changed in place.
+    """
+    typical_s = typical_piece_s(paces)
+    if not typical_s:
+        return []
+    slowness = {each.server: _slowness(each, typical_s, paces) for each in paces}
+    room = sum(each.free for each in paces if slowness[each.server] < SLOW_RATIO)
+    slow = [
+        each
+        for each in running
+        if slowness.get(each.server, 1.0) >= SLOW_RATIO
+        and _gain_s(each, slowness[each.server], typical_s) > _MOVE_COST_S
+    ]
+    slow.sort(key=lambda each: -each.events_left)
+    return [each.key for each in slow[:room]]
+
+
+def _slowness(pace: EnginePace, typical_s: float, paces: Sequence[EnginePace]) -> float:
+    # A pause of this process itself makes every engine look silent.
+    least_s = min((each.silent_s for each in paces if each.silent_s), default=0.0)
+    overdue = (pace.silent_s - least_s) / typical_s
+    silence = overdue if overdue > SILENT_EVENTS else 0.0
+    return max(pace.piece_s / typical_s, silence)
+
+
+def _gain_s(item: RunningItem, slowness: float, typical_s: float) -> float:
+    return item.events_left * typical_s * (slowness - 1)
--- a/pollenlb/version/orders.py
+++ b/pollenlb/version/orders.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from ..connection.sessions import open_session
+from ..durable.batch_jobs import BatchJob
 from ..durable.command import Refused
 from ..durable.configuration_commands import (
     Announcement,
@@ -161,11 +162,24 @@
                     released or WeightVersion(1),
                     max((each.least_version for each in specs), default=_NO_VERSION),
                     sum(len(each.spec.items) - len(each.results) for each in open_jobs),
+                    sum(self._unstarted(each) for each in open_jobs),
                     any(each.is_single_version for each in specs),
                 )
             )
         return goals
 
+    def _unstarted(self, batch_job: BatchJob) -> int:
+        """Return how many items of a batch job may still be placed anywhere."""
+        for lease in self._context.duties.leases.live():
+            if lease.entry.boot == batch_job.owner:
+                if batch_job.spec.batch_job in lease.health.batch_jobs:
+                    return lease.health.waiting.get(batch_job.spec.model, 0)
+        return len(batch_job.spec.items) - len(batch_job.results)
+
+    def _running(self, server: BackendServerName) -> int:
+        leases = self._context.duties.leases.live()
+        return sum(each.health.running.get(server, 0) for each in leases)
+
     async def _swap_service(
         self,
         name: ServiceName,
@@ -206,7 +220,8 @@
     async def _view(self, server: Announcement) -> EngineView | None:
         is_swapping = server.server in self._pending
         if server.models:
-            return EngineView(server.server, server.models, is_swapping)
+            running = self._running(server.server)
+            return EngineView(server.server, server.models, is_swapping, running)
         report = await self._report(server)
         if report is None:
             return None
--- a/pollenlb/version/swap_plan.py
+++ b/pollenlb/version/swap_plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from ..ids import BackendServerName, ModelName, WeightVersion
@@ -26,11 +26,14 @@
         Weight version that it serves, by model.
     is_swapping : bool
         Whether an order to it is under way.
+    running : int
+        Items of batch jobs that entries run there.
     """
 
     server: BackendServerName
     versions: dict[ModelName, WeightVersion]
     is_swapping: bool
+    running: int = 0
 
 
 @dataclass(frozen=True)
@@ -45,6 +48,8 @@
         Oldest version that its open batch jobs allow.
     open_items : int
         Items of its open batch jobs that have no result.
+    waiting_items : int
+        Those of them that wait for a slot.
     is_single_version : bool
         Whether an open batch job wants one version for each item.
     """
@@ -53,6 +58,7 @@
     version: WeightVersion
     least_version: WeightVersion = WeightVersion(0)
     open_items: int = 0
+    waiting_items: int = 0
     is_single_version: bool = False
 
 
@@ -73,10 +79,10 @@
 
     Answers the load of trainers that release a version with each step. Each
     engine has one model as its home and loads only that one's versions, so
-    that a version is loaded once an engine. It loads between two steps, when
-    no item of the model is open, as the items of a step may still run on the
-    version before. It loads at once when the open items do not allow its
-    version any more.
+    that a version is loaded once an engine. The items of a step may still run
+    on the version before, so an engine loads when it has run out of items:
+    between two steps, or while the last items of a step run elsewhere. It
+    loads at once when the open items do not allow its version any more.
 
     Parameters
     ----------
@@ -100,10 +106,10 @@
         if goal.is_single_version:
             mode = SwapMode.WAIT
         swap = Swap(engine, model, goal.version, mode)
-        if not goal.open_items:
-            idle.append(swap)
-        elif version < goal.least_version:
+        if goal.open_items and version < goal.least_version:
             urgent.append(swap)
+        elif not view.running and not goal.waiting_items:
+            idle.append(replace(swap, mode=SwapMode.WAIT))
     room = most - sum(each.is_swapping for each in engines)
     return (urgent + idle)[: max(0, room)]
 
