Hedges by the route's target latency; a first election soon after a start

Cause: an entry that sees a request in two seconds never had the 20 latencies that hedging waits for; after the loss of all processes 0.8 s passed until a replica stood for election. Ruled out: full backend servers (under a fifth of their slots were taken).

--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -42,6 +42,7 @@
 from .storage import Storage, first_hard_state
 
 _JOIN_TIMEOUT_S = 2.0
+_FIRST_WAIT_SHARE = 0.25  # of the election timeout, the least wait after a start
 
 
 class Role(Enum):
@@ -192,7 +193,7 @@
     def start(self) -> None:
         """Restore the state and begin to take part."""
         self._restore()
-        self.postpone_election()
+        self._await_leader()
         self.spawn(self._take_part())
 
     async def stop(self) -> None:
@@ -257,6 +258,13 @@
         timeout_s = self._settings.election_timeout_s
         self._election_deadline = deadline_in(timeout_s * self._rng.uniform(1.0, 2.0))
 
+    def _await_leader(self) -> None:
+        # A leader that lives is heard within a few heartbeats after a start;
+        # after the loss of all replicas no time passes until one stands.
+        timeout_s = self._settings.election_timeout_s
+        share = self._rng.uniform(_FIRST_WAIT_SHARE, 3 * _FIRST_WAIT_SHARE)
+        self._election_deadline = deadline_in(timeout_s * share)
+
     def is_leader_heard(self) -> bool:
         """Whether a leader was in contact within the election timeout."""
         heard_at = self._leader_heard_at
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -14,7 +14,7 @@
 
 _WAIT_S = 0.6
 _TIMEOUT_S = 1.2
-_PAUSE_S = 0.1
+_PAUSE_S = 0.05
 
 
 class Renewals:
--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -24,6 +24,9 @@
 )
 from .passthrough import pass_through
 
+# An election among the control instances takes about this long.
+_CONTROL_RETRY_AFTER_S = 0.4
+
 
 class RequestHandler:
     """Routes callers' requests.
@@ -108,7 +111,8 @@
 
     def _check_may_take(self) -> None:
         if not self._context.may_take_work:
-            raise unavailable("this entry has no contact with the control instances")
+            reason = "this entry has no contact with the control instances"
+            raise unavailable(reason, _CONTROL_RETRY_AFTER_S)
 
     def _check_length(self, request: web.Request) -> None:
         most = self._context.settings.max_body_bytes
--- a/pollenlb/request/hedging.py
+++ b/pollenlb/request/hedging.py
@@ -17,6 +17,7 @@
 Send = Callable[[BackendServer], Awaitable[Result[Answer, AttemptFailed]]]
 
 _LEAST_DELAY_S = 0.002
+_TARGET_SHARE = 0.45  # of the target latency, which leaves time for the hedge
 
 
 async def send_hedged(
@@ -71,7 +72,11 @@
     if not may_hedge or retries.is_on_trial:
         return None
     late_s = context.recent_latencies(caller.service_name).value_s
-    return None if late_s is None else max(_LEAST_DELAY_S, late_s)
+    delays = [late_s] if late_s is not None else []
+    if caller.route.target_latency_s:
+        # An entry that sees few requests knows no latencies of its own.
+        delays.append(_TARGET_SHARE * caller.route.target_latency_s)
+    return max(_LEAST_DELAY_S, min(delays)) if delays else None
 
 
 async def _first_good(
