Items hop away from engines that are slow for a moment; tests follow the moves

Cause: the last items of a step decide it, and an engine whose machine is shared is 2.5 times slower for half a second now and then. Change: an item moves after a silence of 1.7 events or a report of slowness, and the engine is left alone for 0.5 s.

--- a/benchmarks/entries.py
+++ b/benchmarks/entries.py
@@ -21,6 +21,7 @@
 from pollenlb.process.context import EntryContext
 from pollenlb.process.events import EventLog
 from pollenlb.process.metrics import Metrics
+from pollenlb.request.own_dialect import OwnDialect
 from pollenlb.settings.entry import EntrySettings
 from pollenlb.version.configuration import InForce
 
@@ -62,13 +63,19 @@
     in_force = InForce()
     in_force.apply(ConfigurationView(1, {"services": services}))
     in_force.extend_lease(1e12)
-    directory = BackendDirectory(settings, session, events)
+    dialect = OwnDialect()
+
+    async def ask(session, server, timeout_s):
+        return await dialect.probe(session, server, "/", timeout_s)
+
+    directory = BackendDirectory(settings, session, events, ask)
     directory.apply(DirectoryView(1, [_announcement(each) for each in servers], {}))
     bodies = BodyStore(1 << 30)
     peers = Peers(infos[number], bodies, events, rng)
     peers.apply(EntriesView(1, infos))
     return EntryContext(
         settings=settings,
+        dialect=dialect,
         own=infos[number],
         events=events,
         metrics=Metrics(),
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -6,6 +6,7 @@
 import hashlib
 import json
 import os
+import time
 
 from aiohttp import web
 
@@ -45,6 +46,7 @@
         self.received = 0
         self.log: list[dict] = []
         self.orders: list[dict] = []
+        self.ordered_at: list[float] = []
         self.highest_fencing = [0, 0]
         self._slots = asyncio.Semaphore(self.slots)
         router = self.application.router
@@ -106,6 +108,7 @@
             return web.json_response({"highest": self.highest_fencing}, status=409)
         self.highest_fencing = max(self.highest_fencing, order["fencing"])
         self.orders.append(order)
+        self.ordered_at.append(time.monotonic())
         asyncio.get_running_loop().create_task(self.swap(order["version"]))
         return web.json_response({}, status=202)
 
--- a/pollenlb/connection/load.py
+++ b/pollenlb/connection/load.py
@@ -11,7 +11,8 @@
 _LATENCY_WEIGHT = 0.2
 _RACE_WEIGHT = 1.0
 _FORGET_S = 4.0
-_PIECE_WEIGHT = 0.1
+_PIECE_WEIGHT = 0.25
+_SLOWNESS_VALID_S = 0.3  # it changes several times a second
 _REPORT_VALID_S = 1.0
 
 
@@ -36,6 +37,8 @@
         self._reported_at = float("-inf")
         self._own_at_report = 0
         self._piece_s = 0.0
+        self._slowness = 0.0
+        self._slowness_at = float("-inf")
         self._latency_s = 0.0
         self._latency_at = 0.0
 
@@ -69,6 +72,12 @@
         others = max(0, self._reported - self._own_at_report)
         return self.in_flight + others
 
+    @property
+    def reported_slowness(self) -> float:
+        """How many times longer than usual work takes, by a fresh report; or 0."""
+        is_fresh = now() < self._slowness_at + _SLOWNESS_VALID_S
+        return self._slowness if is_fresh else 0.0
+
     @property
     def piece_s(self) -> float:
         """Smoothed time between events of a stream, in seconds; 0 without any."""
@@ -140,6 +149,11 @@
             self._piece_s = seconds
         self._piece_s += _PIECE_WEIGHT * (seconds - self._piece_s)
 
+    def note_slowness(self, slowness: float) -> None:
+        """Take note of how many times longer than usual work takes there."""
+        self._slowness = slowness
+        self._slowness_at = now()
+
     def note_report(self, in_flight: int) -> None:
         """Take note of the requests that the backend server says it has."""
         self._reported = in_flight
--- a/pollenlb/platform/dialect.py
+++ b/pollenlb/platform/dialect.py
@@ -34,6 +34,7 @@
     WEIGHT_VERSION,
     in_flight_of,
     probe_answer,
+    slowness_of,
 )
 
 _PROBE_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
@@ -119,6 +120,7 @@
             is_other_server=is_other_server,
             is_for_request=headers.get(REQUEST_ID) == request_id,
             in_flight=in_flight_of(headers),
+            slowness=slowness_of(headers),
             version=WeightVersion(int(version)) if version.isdigit() else None,
             retry_after_s=parse_seconds(headers.get("Retry-After")),
         )
--- a/pollenlb/platform/names.py
+++ b/pollenlb/platform/names.py
@@ -45,6 +45,15 @@
     return running + waiting
 
 
+def slowness_of(headers: Mapping[str, str]) -> float | None:
+    """Return how many times longer than usual work takes, or None if not told."""
+    parts = headers.get(LOAD_REPORT, "").split(",")
+    try:
+        return int(parts[3]) / 100  # 100 means as usual
+    except (IndexError, ValueError):
+        return None
+
+
 def probe_answer(
     server: Announcement, status: int, headers: Mapping[str, str]
 ) -> ProbeAnswer | None:
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -32,6 +32,7 @@
     EnginePace,
     RunningItem,
     choose_moves,
+    slowness_of,
     typical_piece_s,
 )
 from ..request.item_placement import EngineRoom, WaitingItem, place
@@ -39,9 +40,9 @@
 from .clock import Deadline, deadline_in, now, remaining, sleep_until
 from .context import EntryContext
 
-_ROUND_S = 0.1
+_ROUND_S = 0.04
 _STALL_S = 1.5  # a change of weights holds running streams for 0.9 s
-_AVOID_S = 0.3
+_AVOID_S = 0.5
 _LENGTH_WEIGHT = 0.05  # of one item in the smoothed number of events a token
 _PARTIAL_KEPT_S = 30.0
 _COMMIT_TIMEOUT_S = 2.0
@@ -240,10 +241,8 @@
         ]
         least = max((job.spec.least_version for job in jobs.values()), default=0)
         paces = [
-            EnginePace(
-                room.server,
-                servers[room.server].load.piece_s,
-                self._silent_s(room.server),
+            self._pace(
+                servers[room.server],
                 room.slots - room.taken if room.version >= least else 0,
             )
             for room in rooms
@@ -252,6 +251,15 @@
             jobs[name].items[item].is_moving = True
             jobs[name].tasks[item].cancel()
 
+    def _pace(self, server: BackendServer, free: int) -> EnginePace:
+        return EnginePace(
+            server.name,
+            server.load.piece_s,
+            self._silent_s(server.name),
+            free,
+            server.load.reported_slowness,
+        )
+
     def _silent_s(self, server: BackendServerName) -> float:
         """Return the seconds since any stream at an engine had an event."""
         heard = [
@@ -269,9 +277,8 @@
         self, servers: list[BackendServer], service: ServiceName, model: ModelName
     ) -> list[EngineRoom]:
         home = self._homes(servers, service)
-        typical_s = typical_piece_s(
-            [EnginePace(each.name, each.load.piece_s, 0.0, 0) for each in servers]
-        )
+        paces = {each.name: self._pace(each, 0) for each in servers}
+        typical_s = typical_piece_s(list(paces.values()))
         return [
             EngineRoom(
                 server.name,
@@ -279,7 +286,7 @@
                 server.load.expected_in_flight,
                 server.version_of(model),
                 home.get(server.name, model) == model,
-                max(1.0, server.load.piece_s / typical_s) if typical_s else 1.0,
+                slowness_of(paces[server.name], typical_s),
                 self._groups_at(server.name),
             )
             for server in servers
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -163,4 +163,6 @@
         )
     if head.in_flight is not None:
         server.load.note_report(head.in_flight)
+    if head.slowness is not None:
+        server.load.note_slowness(head.slowness)
     return Ok(Answer(server, response, head.boot or server.boot, head))
--- a/pollenlb/request/dialect.py
+++ b/pollenlb/request/dialect.py
@@ -60,6 +60,8 @@
         Process that answered, when it tells.
     in_flight : int or None
         Requests that the server runs or holds in its queue, when it tells.
+    slowness : float or None
+        How many times longer than usual work takes there now, when it tells.
     version : WeightVersion or None
         Weight version that generates, when it tells.
     retry_after_s : float or None
@@ -71,6 +73,7 @@
     is_for_request: bool = True
     boot: BootId | None = None
     in_flight: int | None = None
+    slowness: float | None = None
     version: WeightVersion | None = None
     retry_after_s: float | None = None
 
--- a/pollenlb/request/item_moves.py
+++ b/pollenlb/request/item_moves.py
@@ -10,10 +10,11 @@
 
 K = TypeVar("K", bound=Hashable)
 
-SLOW_RATIO = 1.8  # an engine this much slower than is typical is left
-SILENT_EVENTS = 4.0  # events that are overdue before silence counts as slowness
-_MOVE_COST_S = 0.2  # a new connection, and the prompt and text read again
-_LEAST_EVENTS_LEFT = 8.0  # an item that outlived its expected length may go on
+SLOW_RATIO = 1.7  # an engine this much slower than is typical is left
+_LEAST_SILENCE_S = 0.03  # less may be the network's or this process's delay
+_MOVE_COST_S = 0.08  # a new connection, and the prompt and text read again
+_SPELL_S = 0.5  # an engine that shares its machine is slow for about so long
+_LEAST_EVENTS_LEFT = 6.0  # an item that outlived its expected length may go on
 
 
 @dataclass(frozen=True)
@@ -47,6 +48,9 @@
     ----------
     piece_s : float
         Smoothed time between events of a stream, in seconds; 0 when unknown.
+    reported : float
+        How many times longer than usual work takes there, as it told a moment
+        ago; 0 when it did not.
     silent_s : float
         Seconds since any of its streams had an event; 0 when none runs.
     free : int
@@ -57,6 +61,7 @@
     piece_s: float
     silent_s: float
     free: int
+    reported: float = 0.0
 
 
 def typical_piece_s(paces: Sequence[EnginePace]) -> float:
@@ -88,7 +93,8 @@
     typical_s = typical_piece_s(paces)
     if not typical_s:
         return []
-    slowness = {each.server: _slowness(each, typical_s, paces) for each in paces}
+    least_s = min((each.silent_s for each in paces if each.silent_s), default=0.0)
+    slowness = {each.server: slowness_of(each, typical_s, least_s) for each in paces}
     room = sum(each.free for each in paces if slowness[each.server] < SLOW_RATIO)
     slow = [
         each
@@ -100,13 +106,25 @@
     return [each.key for each in slow[:room]]
 
 
-def _slowness(pace: EnginePace, typical_s: float, paces: Sequence[EnginePace]) -> float:
-    # A pause of this process itself makes every engine look silent.
-    least_s = min((each.silent_s for each in paces if each.silent_s), default=0.0)
-    overdue = (pace.silent_s - least_s) / typical_s
-    silence = overdue if overdue > SILENT_EVENTS else 0.0
-    return max(pace.piece_s / typical_s, silence)
+def slowness_of(pace: EnginePace, typical_s: float, least_silent_s: float = 0) -> float:
+    """Return how many times slower than is typical an engine is now.
+
+    Parameters
+    ----------
+    pace : EnginePace
+        The engine.
+    typical_s : float
+        Typical time between events, in seconds.
+    least_silent_s : float
+        Silence that all engines share, in seconds: a pause of this process
+        itself makes every engine look silent.
+    """
+    if not typical_s:
+        return max(1.0, pace.reported)
+    silent_s = pace.silent_s - least_silent_s
+    silence = silent_s / typical_s if silent_s > typical_s + _LEAST_SILENCE_S else 0.0
+    return max(1.0, pace.piece_s / typical_s, pace.reported, silence)
 
 
 def _gain_s(item: RunningItem, slowness: float, typical_s: float) -> float:
-    return item.events_left * typical_s * (slowness - 1)
+    return min(item.events_left * typical_s, _SPELL_S) * (slowness - 1)
