Loads wait for the step after a release; only a job's last items hop

Cause: half of the items sent on the grown site were turned away: engines began to load at the moment a version was named, which is when the trainer hands in the next step. Ruled out: full queues (8 slots and 24 places for 14 items an engine). Change: an engine that has the version before leaves a version alone for 0.6 s after its release; only items that will be among their job's last ones hop.

--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -231,6 +231,7 @@
         running = [
             RunningItem(
                 (name, progress.item.item),
+                name,
                 progress.server,
                 len(progress.pieces),
                 self._expected_events(progress),
--- a/pollenlb/request/item_moves.py
+++ b/pollenlb/request/item_moves.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from ..ids import BackendServerName
+from ..ids import BackendServerName, BatchJobId
 
 K = TypeVar("K", bound=Hashable)
 
@@ -14,6 +14,7 @@
 _LEAST_SILENCE_S = 0.03  # less may be the network's or this process's delay
 _MOVE_COST_S = 0.08  # a new connection, and the prompt and text read again
 _SPELL_S = 0.5  # an engine that shares its machine is slow for about so long
+_LATE_SHARE = 0.5  # of the time that the slowest item of its job has left
 _LEAST_EVENTS_LEFT = 6.0  # an item that outlived its expected length may go on
 
 
@@ -30,6 +31,7 @@
     """
 
     key: K
+    job: BatchJobId
     server: BackendServerName
     events: int
     expected_events: float
@@ -81,7 +83,8 @@
     Answers engines that share their machines with others and turn slow for a
     while, or fall silent, when a step's last items run there: a resumed stream
     is read again in a few milliseconds, so the longest items move as long as
-    there are free slots at engines that are not slow.
+    there are free slots at engines that are not slow. Items that will be done
+    long before their job's last one stay, as each move costs a connection.
 
     Parameters
     ----------
@@ -96,10 +99,15 @@
     least_s = min((each.silent_s for each in paces if each.silent_s), default=0.0)
     slowness = {each.server: slowness_of(each, typical_s, least_s) for each in paces}
     room = sum(each.free for each in paces if slowness[each.server] < SLOW_RATIO)
+    last: dict[BatchJobId, float] = {}
+    for each in running:
+        left = each.events_left * slowness.get(each.server, 1.0)
+        last[each.job] = max(last.get(each.job, 0.0), left)
     slow = [
         each
         for each in running
         if slowness.get(each.server, 1.0) >= SLOW_RATIO
+        and each.events_left * slowness[each.server] > _LATE_SHARE * last[each.job]
         and _gain_s(each, slowness[each.server], typical_s) > _MOVE_COST_S
     ]
     slow.sort(key=lambda each: -each.events_left)
--- a/pollenlb/version/orders.py
+++ b/pollenlb/version/orders.py
@@ -30,6 +30,7 @@
 _CHECK_AGAIN_S = 0.25
 _ORDER_AGAIN_S = 10.0
 _UNANSWERED_AGAIN_S = 1.0
+_NEW_S = 0.6  # a trainer hands in its next step within this time of a release
 _SEND_WINDOW_S = 0.5  # an order goes out this long after it was entered, or not
 _NO_VERSION = WeightVersion(0)
 _SILENT_S = 4.0  # an engine that announced nothing for longer gets no order
@@ -65,6 +66,7 @@
         self._seen: dict[BackendServerName, int] = {}
         self._seen_at: dict[BackendServerName, float] = {}
         self._own: set[int] = set()
+        self._releases: dict[ModelName, tuple[WeightVersion | None, float]] = {}
 
     async def run(self) -> None:
         """Give orders for as long as this instance leads."""
@@ -150,6 +152,7 @@
             released = state.directory.releases.get(model)
             if released is None and not service.models:
                 continue
+            is_told = bool(service.models)
             open_jobs = [
                 each
                 for each in state.batch_jobs.batch_jobs.values()
@@ -164,10 +167,19 @@
                     sum(len(each.spec.items) - len(each.results) for each in open_jobs),
                     sum(self._unstarted(each) for each in open_jobs),
                     any(each.is_single_version for each in specs),
+                    is_told and now() < self._released_at(ModelName(model)) + _NEW_S,
                 )
             )
         return goals
 
+    def _released_at(self, model: ModelName) -> float:
+        """Return when this process first saw the model's released version."""
+        version = self._context.machine.state.directory.releases.get(model)
+        known = self._releases.get(model)
+        if known is None or known[0] != version:
+            known = self._releases[model] = (version, now())
+        return known[1]
+
     def _unstarted(self, batch_job: BatchJob) -> int:
         """Return how many items of a batch job may still be placed anywhere."""
         for lease in self._context.duties.leases.live():
--- a/pollenlb/version/swap_plan.py
+++ b/pollenlb/version/swap_plan.py
@@ -52,6 +52,9 @@
         Those of them that wait for a slot.
     is_single_version : bool
         Whether an open batch job wants one version for each item.
+    is_new : bool
+        Whether the version was released a moment ago, so that the trainer is
+        about to hand in its next batch job.
     """
 
     model: ModelName
@@ -60,6 +63,7 @@
     open_items: int = 0
     waiting_items: int = 0
     is_single_version: bool = False
+    is_new: bool = False
 
 
 @dataclass(frozen=True)
@@ -82,7 +86,10 @@
     that a version is loaded once an engine. The items of a step may still run
     on the version before, so an engine loads when it has run out of items:
     between two steps, or while the last items of a step run elsewhere. It
-    loads at once when the open items do not allow its version any more.
+    loads at once when the open items do not allow its version any more. A
+    version that was just released is left alone when the engine has the one
+    before, which the step that comes at the same moment allows: a load would
+    turn the step's items away.
 
     Parameters
     ----------
@@ -102,6 +109,8 @@
         version = view.versions.get(model, WeightVersion(0))
         if view.is_swapping or version >= goal.version:
             continue
+        if goal.is_new and version == goal.version - 1:
+            continue
         mode = SwapMode.RETAIN if goal.open_items else SwapMode.WAIT
         if goal.is_single_version:
             mode = SwapMode.WAIT
