--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -412,6 +412,12 @@
                 "items.uncommitted", batch_job=command.batch_job, reason=str(error)
             )
             return False
+        self._context.events.record(
+            "items.committed",
+            batch_job=command.batch_job,
+            items=[each.item for each in command.results],
+            expired=sum(each.state is ItemState.EXPIRED for each in command.results),
+        )
         return True
 
 
--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -49,14 +49,24 @@
         outcome = Outcome.RAN
         metrics = self._context.metrics
         metrics.in_flight.inc()
+        reason = ""
+        status = 0
         try:
             caller = await self._read(request, received_at)
             service = caller.service_name
             request_class = caller.request_class.value
-            return await self._answer(caller)
+            response = await self._answer(caller)
+            status = response.status
+            return response
         except RefusedError as error:
             outcome = error.refusal.outcome
+            status = error.refusal.status
+            reason = error.refusal.reason
             return self._context.dialect.refusal(error.refusal, request_id)
+        except asyncio.CancelledError:
+            outcome = Outcome.UNKNOWN
+            reason = "the caller left"
+            raise
         except web.HTTPException:
             raise
         except ConnectionError:
@@ -71,6 +81,16 @@
             refusal = Refusal(500, outcome, reason)
             return self._context.dialect.refusal(refusal, request_id)
         finally:
+            self._context.events.record(
+                "request.ended",
+                request=request_id,
+                service=service,
+                status=status,
+                outcome=outcome.value,
+                reason=reason,
+                revision=self._context.in_force.revision,
+                ms=round(1000 * (now() - received_at), 1),
+            )
             metrics.in_flight.dec()
             metrics.requests.labels(service, request_class, outcome.value).inc()
             metrics.record_latency(f"{service}/{request_class}", now() - received_at)
--- a/pollenlb/request/hedging.py
+++ b/pollenlb/request/hedging.py
@@ -53,6 +53,13 @@
             await asyncio.wait(tasks, timeout=delay_s)
             if not first.done():
                 other = retries.hedge_server(server)
+                context.events.record(
+                    "request.hedged",
+                    request=caller.request_id,
+                    first=server.name,
+                    second=other.name if other is not None else None,
+                    after_s=round(delay_s, 3),
+                )
                 if other is not None:
                     tasks[asyncio.ensure_future(send(other))] = other
         winner, result = await _first_good(tasks, retries)
