--- a/tests/durable/replica_set.py
+++ b/tests/durable/replica_set.py
@@ -18,7 +18,7 @@
 from pollenlb.process.events import EventLog
 from pollenlb.settings.control import ControlSettings
 
-from ..local_system import control_settings, until
+from ..local_system import control_settings, free_ports, until
 from ..relay import Link, Relay
 
 
@@ -153,6 +153,27 @@
             for relay in node.relays.values():
                 await relay.stop()
 
+    async def add_spare(self) -> Node:
+        """Start a replica with an empty data folder at a new address."""
+        (port,) = free_ports(1)
+        first = self.nodes[0].settings
+        values = {
+            **first.values,
+            "name": "spare",
+            "listen": f"127.0.0.1:{port}",
+            "data_folder": first.data_folder.parent / "spare",
+        }
+        spare = Node(ControlSettings(values), random.Random(port))
+        self.nodes.append(spare)
+        for node in self.nodes:
+            for other in self.nodes:
+                if other.address not in node.relays:
+                    relay = Relay(int(other.address.rpartition(":")[2]))
+                    await relay.start()
+                    node.relays[other.address] = relay
+        await spare.start()
+        return spare
+
     async def leader(self, among: list[Node] | None = None) -> Node:
         """Wait for a leader that a quorum follows and return it."""
         nodes = self.nodes if among is None else among
