The adapter under its own fakes: batch jobs, configurations, check-ins, retirement

A replica that joined counted as silent until its first answer, so that an instance could not be retired right after a spare came; found by the new test.

--- /dev/null
+++ b/fakes/platform_engine.py
@@ -0,0 +1,176 @@
+"""A fake model engine that speaks the protocol of the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import aiohttp
+from aiohttp import web
+
+BEAT_PAUSE_S = 0.2
+
+
+class PlatformEngine:
+    """Engine with numbered events, weight versions, orders and check-ins.
+
+    Parameters
+    ----------
+    name : str
+        Its id.
+    service : str
+        The service that it belongs to.
+    port : int
+        Where it listens.
+    control : list of str
+        Base URLs of control instances.
+    model : str
+        Model that it has loaded.
+    """
+
+    def __init__(
+        self, name: str, service: str, port: int, control: list[str], model: str
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.port = port
+        self.control = control
+        self.model = model
+        self.version = 1
+        self.born = 1_000
+        self.state = "ready"
+        self.beat_pause_s = BEAT_PAUSE_S
+        self.piece_s = 0.005
+        self.swap_s = 0.05
+        self.is_busy = False
+        self.breaks_after: int | None = None
+        self.statuses: dict[str, int] = {}
+        self.orders: list[dict] = []
+        self.runs: list[tuple[str, int]] = []
+        self.running: set[str] = set()
+        self._sequence = 0
+        self._runner: web.AppRunner | None = None
+        self._beats: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Listen and check in."""
+        application = web.Application()
+        application.router.add_get("/-/report", self._report)
+        application.router.add_post("/-/order", self._order)
+        application.router.add_get("/healthz", self._health)
+        application.router.add_route("*", "/{path:.*}", self._run)
+        self._runner = web.AppRunner(application, handler_cancellation=True)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", self.port).start()
+        self._beats = asyncio.create_task(self._beat_always())
+
+    async def stop(self) -> None:
+        """End as a crash would."""
+        if self._beats is not None:
+            self._beats.cancel()
+        if self._runner is not None and self._runner.server is not None:
+            for connection in list(self._runner.server.connections):
+                if connection.transport is not None:
+                    connection.transport.abort()
+            await self._runner.cleanup()
+
+    async def beat(self, **changes) -> int:
+        """Check in once and return the status."""
+        self._sequence += 1
+        body = {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": "north",
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "models": [{"name": self.model, "version": self.version, "adapters": []}],
+            "seq": self._sequence,
+            "born": self.born,
+            **changes,
+        }
+        return await self.post(f"/-/Instances.Heartbeat/{self.name}", body)
+
+    async def post(self, path: str, body: object) -> int:
+        """Send a call to control and return the status."""
+        self.control.append(self.control.pop(0))
+        timeout = aiohttp.ClientTimeout(total=2)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with session.post(self.control[0] + path, json=body) as response:
+                return response.status
+
+    async def _beat_always(self) -> None:
+        while True:
+            try:
+                await self.beat()
+            except (aiohttp.ClientError, TimeoutError):
+                pass
+            await asyncio.sleep(self.beat_pause_s)
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.Response(headers={"X-Instance-Id": self.name})
+
+    async def _report(self, request: web.Request) -> web.Response:
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        return web.json_response(
+            {"models": models, "busy": self.is_busy, "seq": len(self.orders)}
+        )
+
+    async def _order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        if self.is_busy or order.get("expected") not in (None, len(self.orders)):
+            return web.Response(status=409)
+        self.orders.append(order)
+        self.is_busy = True
+        asyncio.get_running_loop().call_later(self.swap_s, self._swap, order)
+        return web.Response(status=202)
+
+    def _swap(self, order: dict) -> None:
+        self.version = order["version"]
+        self.is_busy = False
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        request_id = request.headers.get("X-Request-Id", "")
+        if request.headers.get("X-Expect-Instance", self.name) != self.name:
+            return web.Response(status=421)
+        if self.is_busy:
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+        status = self.statuses.get(request_id)
+        if status is not None:
+            return web.Response(status=status, headers={"X-Request-Id": request_id})
+        body = await request.read()
+        after = int(request.headers.get("Last-Event-Id", "-1"))
+        self.runs.append((request_id, after))
+        self.running.add(request_id)
+        try:
+            return await self._stream(request, body, after)
+        finally:
+            self.running.discard(request_id)
+
+    async def _stream(
+        self, request: web.Request, body: bytes, after: int
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={
+                "X-Request-Id": request.headers["X-Request-Id"],
+                "X-Weight-Versions": str(self.version),
+                "X-Load-Report": f"{len(self.running)},0,8,100",
+            }
+        )
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        version = self.version
+        for number in range(after + 1, int(body)):
+            await asyncio.sleep(self.piece_s)
+            if self.breaks_after == number:
+                assert request.transport is not None
+                request.transport.abort()
+                return response
+            lines = [f"id: {number}", f"data: {number}.{json.dumps(self.version)}"]
+            if self.version != version:
+                version = self.version
+                lines.insert(0, f"x-weight-versions: {version}")
+            await response.write("\n".join(lines).encode() + b"\n\n")
+        await response.write_eof()
+        return response
--- a/pollenlb/durable/follower.py
+++ b/pollenlb/durable/follower.py
@@ -54,6 +54,7 @@
         self._on_answer = on_answer
         self._next_index = LogIndex(replica.storage.last_index + 1)
         self._match_index = LogIndex(0)
+        self._followed_since = now()
         self._answered_at = float("-inf")
         self._named = member
         self.member = member
@@ -70,6 +71,11 @@
         """When the latest message that it answered was sent, in seconds."""
         return self._answered_at
 
+    @property
+    def silent_s(self) -> float:
+        """Seconds since it answered, or since it is followed up."""
+        return now() - max(self._answered_at, self._followed_since)
+
     @property
     def named(self) -> Member:
         """The member with the instance and failure domain that it last told."""
--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -342,9 +342,10 @@
         return found
 
     def _health_of(self, follower: Follower) -> MemberHealth:
-        silent_s = now() - max(follower.answered_at, self._started_at)
         is_caught_up = follower.match_index >= self._replica.commit_index
-        return MemberHealth(follower.member, silent_s, is_caught_up, follower.named)
+        return MemberHealth(
+            follower.member, follower.silent_s, is_caught_up, follower.named
+        )
 
     def _own_member(self) -> Member:
         for member in self._replica.storage.members:
--- a/pollenlb/version/configuration.py
+++ b/pollenlb/version/configuration.py
@@ -30,8 +30,8 @@
 
     @property
     def is_known(self) -> bool:
-        """Whether any revision was received."""
-        return self._revision >= 0
+        """Whether a configuration that was ever accepted was received."""
+        return self._revision > 0
 
     @property
     def is_leased(self) -> bool:
--- /dev/null
+++ b/tests/platform/platform_system.py
@@ -0,0 +1,265 @@
+"""Control instances, entries and engines on the platform, in one event loop."""
+
+from __future__ import annotations
+
+import base64
+from pathlib import Path
+
+import aiohttp
+
+from fakes.platform_engine import PlatformEngine
+from pollenlb.commands.control import _format_as_seed
+from pollenlb.platform.control import make_control_application
+from pollenlb.platform.dialect import PlatformDialect
+from pollenlb.platform.front import add_front_routes
+from pollenlb.platform.orders import PlatformOrderChannel
+from pollenlb.process.control import ControlProcess
+from pollenlb.process.entry import EntryProcess
+from pollenlb.settings.control import ControlSettings
+from pollenlb.settings.entry import EntrySettings
+
+from ..local_system import DOMAINS, free_ports, until
+
+HOST = "h.example"
+PREFIX = "/rollouts/"
+MODEL = "model-a"
+
+
+def configuration(version: int = 1, **options) -> dict:
+    """Return a configuration in the platform's form."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": "r-rollouts",
+                "host": HOST,
+                "path_prefix": PREFIX,
+                "kind": "rollout",
+                "timeout_ms": 10000,
+                "target_latency_ms": 400,
+                "priority": 1,
+                "service": "engines",
+                "max_attempts": 3,
+                "max_queue_s": 40.0,
+                "due_ms": 7500,
+                "single_version": False,
+                "sticky": True,
+                "resumable": True,
+                **options,
+            },
+            {
+                "name": "r-safe",
+                "host": HOST,
+                "path_prefix": "/safe/",
+                "kind": "safe",
+                "timeout_ms": 2000,
+                "target_latency_ms": 200,
+                "service": "engines",
+                "max_attempts": 2,
+            },
+        ],
+        "services": [
+            {
+                "name": "engines",
+                "health_path": "/healthz",
+                "max_conns": 100,
+                "protocol": "h1",
+                "tls": False,
+                "engine": {"slots": 8, "models": [{"name": MODEL}]},
+            }
+        ],
+        "limits": {"idle_timeout_ms": 15000},
+    }
+
+
+def batch_job(lengths: dict[str, int], **options) -> dict:
+    """Return a batch job whose items generate so many events."""
+    return {
+        "step": 0,
+        "model": MODEL,
+        "min_version": 1,
+        "group_count": 1,
+        "requests": [
+            {
+                "id": item,
+                "path": PREFIX + item,
+                "headers": {"X-Model": MODEL, "X-Length-Hint": str(length)},
+                "body": base64.b64encode(b"%d" % length).decode(),
+                "tokens": length,
+                "group": "g",
+            }
+            for item, length in lengths.items()
+        ],
+        **options,
+    }
+
+
+class PlatformSystem:
+    """A small system that speaks the platform's protocol.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder of the data folders.
+    controls, entries, engines : int
+        How many of each to start.
+    """
+
+    def __init__(
+        self, folder: Path, controls: int = 1, entries: int = 2, engines: int = 2
+    ) -> None:
+        self.folder = folder
+        self.counts = (controls, entries, engines)
+        self.controls: list[ControlProcess] = []
+        self.entries: list[EntryProcess] = []
+        self.engines: list[PlatformEngine] = []
+        self.urls: list[str] = []
+        self.session: aiohttp.ClientSession
+
+    async def start(self) -> None:
+        """Start everything; the first configuration is still to be sent."""
+        controls, entries, engines = self.counts
+        self.session = aiohttp.ClientSession()
+        self.seeds = [f"127.0.0.1:{port}" for port in free_ports(controls)]
+        for number in range(controls):
+            await self.add_control(number, self.seeds[number], bootstrap=True)
+        for number in range(entries):
+            await self.add_entry(number)
+        for number in range(engines):
+            await self.add_engine(f"i-{number}")
+        await until(lambda: any(each.replica.leadership for each in self.controls))
+        self.leader_machine = self.controls[0].machine
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for engine in self.engines:
+            await engine.stop()
+        for entry in self.entries:
+            entry._settings.values["shutdown_grace_s"] = 0.0
+            await entry.stop()
+        for control in self.controls:
+            await control.stop()
+        await self.session.close()
+
+    async def add_control(self, number: int, listen: str, **options) -> ControlProcess:
+        """Start a control instance, as a seed or with an empty folder."""
+        (port,) = free_ports(1)
+        settings = ControlSettings.check(
+            {
+                "name": f"store-{number}",
+                "failure_domain": DOMAINS[number % 3],
+                "listen": listen,
+                "http_listen": f"127.0.0.1:{port}",
+                "data_folder": str(self.folder / f"store-{number}"),
+                "seeds": self.seeds,
+                "heartbeat_s": 0.05,
+                "election_timeout_s": 0.3,
+                "replace_after_s": 0.6,
+                "lease_s": 0.8,
+                "order_lifetime_s": 0.5,
+                **options,
+            }
+        ).unwrap()
+        if settings.bootstrap:
+            await _format_as_seed(settings)
+        process = ControlProcess(
+            settings, make_control_application, PlatformOrderChannel()
+        )
+        await process.start()
+        self.controls.append(process)
+        self.urls.append(f"http://127.0.0.1:{port}")
+        return process
+
+    async def add_entry(self, number: int) -> EntryProcess:
+        """Start an entry."""
+        port, ready_port, peer_port = free_ports(3)
+        settings = EntrySettings.check(
+            {
+                "name": f"front-{number}",
+                "failure_domain": DOMAINS[number % 3],
+                "listen": f"127.0.0.1:{port}",
+                "ready_listen": f"127.0.0.1:{ready_port}",
+                "peer_listen": f"127.0.0.1:{peer_port}",
+                "control": self.seeds,
+                "data_folder": str(self.folder / f"front-{number}"),
+                "serves_without_lease": True,
+                "probe_interval_s": 0,
+                "progress_timeout_s": 2.0,
+                "balancer_delay_s": 0.0,
+                "shutdown_grace_s": 2.0,
+            }
+        ).unwrap()
+        process = EntryProcess(settings, PlatformDialect(), add_front_routes)
+        await process.start()
+        self.entries.append(process)
+        return process
+
+    async def add_engine(self, name: str) -> PlatformEngine:
+        """Start an engine."""
+        (port,) = free_ports(1)
+        engine = PlatformEngine(name, "engines", port, list(self.urls), MODEL)
+        await engine.start()
+        self.engines.append(engine)
+        return engine
+
+    async def until_served(self) -> None:
+        """Wait until every entry has the configuration and all engines."""
+        await until(
+            lambda: all(
+                entry.context.in_force.is_known
+                and len(entry.context.directory.servers) == len(self.engines)
+                for entry in self.entries
+            )
+        )
+
+    async def control(self, method: str, path: str, body: object = None) -> tuple:
+        """Call a control instance; return status and body."""
+        self.urls.append(self.urls.pop(0))
+        data = body if isinstance(body, bytes) else None
+        json = None if isinstance(body, bytes) else body
+        async with self.session.request(
+            method, self.urls[0] + path, json=json, data=data
+        ) as response:
+            return response.status, await response.read()
+
+    async def front(
+        self, method: str, number: int, path: str, body: object = None, **headers
+    ) -> tuple:
+        """Call an entry; return status, body and headers."""
+        named = {
+            "Host": HOST,
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        url = f"http://{self.entries[number].context.own.http}{path}"
+        async with self.session.request(
+            method, url, json=body, headers=named
+        ) as response:
+            return response.status, await response.read(), response.headers
+
+    async def submit(self, number: int, name: str, body: dict) -> int:
+        """Hand in a batch job and return the status."""
+        status, _, _ = await self.front(
+            "POST", number, PREFIX + name, body, X_Request_Id=name, X_Deadline_Ms="9000"
+        )
+        return status
+
+    async def read(self, number: int, name: str, after: int = 0) -> tuple:
+        """Read results of a batch job; return status and page."""
+        path = f"/-/lots/{name}?after={after}"
+        async with self.session.get(
+            f"http://{self.entries[number].context.own.http}{path}",
+            headers={"Host": HOST, "X-Wait-Ms": "1000"},
+        ) as response:
+            page = await response.json() if response.status == 200 else None
+            return response.status, page
+
+    async def read_all(self, number: int, name: str) -> list[dict]:
+        """Read a batch job until all its items are listed."""
+        results: list[dict] = []
+        while True:
+            status, page = await self.read(number, name, len(results))
+            if status != 200:
+                continue
+            results += page["results"]
+            if len(results) == page["total"]:
+                return results
