--- a/pollenlb/durable/election.py
+++ b/pollenlb/durable/election.py
@@ -24,6 +24,8 @@
     replica : Replica
         The candidate.
     """
+    if replica.storage.unanswered_s:
+        return  # a leader whose disk does not answer would commit nothing
     async with replica.lock:
         asked = Term(replica.term + 1)
         request = _vote_request(replica, asked, is_pre_vote=True)
--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -302,6 +302,9 @@
             await sleep_until(deadline_in(settings.heartbeat_s))
             if self._is_sole_voter():
                 continue
+            if self._replica.storage.unanswered_s > settings.election_timeout_s:
+                self._replica.step_down("its disk does not answer")
+                return
             if now() > self.quorum_contact_at + settings.election_timeout_s:
                 self._replica.step_down("no contact with a quorum")
                 return
--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -108,6 +108,7 @@
         self._applied_index = LogIndex(0)
         self._election_deadline = Deadline(0.0)
         self._channels: dict[Address, RpcChannel] = {}
+        self._is_saving_snapshot = False
         self._tasks: set[asyncio.Task] = set()
         self._failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
@@ -330,9 +331,10 @@
             following = LogIndex(self._applied_index + 1)
             entry = self._storage.entries_from(following, 1)[0]
             self._apply(entry)
-        if self._applied_index - self._storage.snapshot.index >= (
-            self._settings.snapshot_every
-        ):
+        covered = self._applied_index - self._storage.snapshot.index
+        is_long = covered >= self._settings.snapshot_every
+        is_large = self._storage.log_bytes > self._settings.snapshot_bytes
+        if covered and (is_long or is_large) and not self._is_saving_snapshot:
             self._start_snapshot()
 
     def _restore(self) -> None:
@@ -351,6 +353,7 @@
             self._leadership.resolve(entry, result)
 
     def _start_snapshot(self) -> None:
+        self._is_saving_snapshot = True
         index = self._applied_index
         term = self._storage.term_at(index)
         assert term is not None
@@ -359,8 +362,11 @@
         self.spawn(self._save_snapshot(snapshot))
 
     async def _save_snapshot(self, snapshot: Snapshot) -> None:
-        async with self._lock:
-            await self._storage.save_snapshot(snapshot)
+        try:
+            async with self._lock:
+                await self._storage.save_snapshot(snapshot)
+        finally:
+            self._is_saving_snapshot = False
 
     async def _take_part(self) -> None:
         if not self._storage.is_formatted:
--- a/pollenlb/durable/storage.py
+++ b/pollenlb/durable/storage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -13,6 +14,7 @@
 
 from ..exceptions import StorageDamagedError, StorageError
 from ..ids import ClusterId, LogIndex, ReplicaId, Term
+from ..process.clock import now
 from .files import frame, read_frames, read_whole, sync_folder, write_whole
 from .records import EntryKind, HardState, LogEntry, Member, Snapshot, decode_members
 
@@ -55,6 +57,7 @@
         self._members: list[Member] = []
         self._descriptor = -1
         self._failure: StorageError | None = None
+        self._writing: dict[object, float] = {}
 
     @property
     def is_formatted(self) -> bool:
@@ -92,6 +95,16 @@
         """Members by the latest members entry, committed or not."""
         return self._members
 
+    @property
+    def log_bytes(self) -> int:
+        """Size of the entries after the snapshot, in bytes."""
+        return self._ends[-1] if self._ends else 0
+
+    @property
+    def unanswered_s(self) -> float:
+        """Seconds for which the disk has not answered; 0 when nothing is asked."""
+        return now() - min(self._writing.values()) if self._writing else 0.0
+
     def open(self) -> None:
         """Read the folder.
 
@@ -226,7 +239,7 @@
         self._ends.append(end)
 
     def _write_at(self, start: int, data: bytes) -> None:
-        os.pwrite(self._descriptor, data, start)
+        _write_all(self._descriptor, data, start)
         self._sync(self._descriptor)
 
     async def _rewrite_log(self) -> None:
@@ -238,7 +251,7 @@
         path = self._folder / _LOG_FILE
         temporary = path.with_suffix(".new")
         descriptor = os.open(temporary, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
-        os.pwrite(descriptor, data, 0)
+        _write_all(descriptor, data, 0)
         self._sync(descriptor)
         os.replace(temporary, path)
         sync_folder(self._folder)
@@ -252,13 +265,24 @@
         if self._failure is not None:
             raise self._failure
         loop = asyncio.get_running_loop()
+        ticket = object()
+        self._writing[ticket] = now()
         try:
-            return await asyncio.shield(loop.run_in_executor(self._disk, write))
+            work = loop.run_in_executor(self._disk, write)
+            work.add_done_callback(lambda _: self._writing.pop(ticket, None))
+            return await asyncio.shield(work)
         except OSError as error:
             self._failure = StorageError(f"{self._folder} failed: {error}")
             raise self._failure from error
 
 
+def _write_all(descriptor: int, data: bytes, offset: int) -> None:
+    """Write all of some data; a disk without room may take only a part."""
+    written = os.pwrite(descriptor, data, offset)
+    if written != len(data):
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+
 def first_hard_state(replica: ReplicaId, cluster: ClusterId) -> HardState:
     """Return the hard state of a replica that has not voted yet."""
     return HardState(replica, cluster, Term(0))
--- a/pollenlb/settings/control.py
+++ b/pollenlb/settings/control.py
@@ -86,6 +86,9 @@
     snapshot_every = Integer(10, 1_000_000, 5000)
     """Log entries between two snapshots."""
 
+    snapshot_bytes = Integer(10_000, 1_073_741_824, 33_554_432)
+    """Size of the log, in bytes, from which a snapshot replaces it."""
+
     order_lifetime_s = Number(0.5, 600, 5.0)
     """Seconds after which an order that was given is no longer in effect."""
 
--- a/tests/durable/test_membership.py
+++ b/tests/durable/test_membership.py
@@ -142,6 +142,7 @@
         lost = next(each for each in replicas.nodes if each is not leader)
         spare = await replicas.add_spare()
         await until(lambda: len(leader.replica.storage.members) == 4)
+        await until(lambda: spare.replica.storage.is_formatted)
         await lost.kill()
         own = spare.replica.storage.hard_state.replica
         await until(lambda: own in _voters(leader.replica.storage.members))
--- a/tests/durable/test_replica.py
+++ b/tests/durable/test_replica.py
@@ -6,6 +6,7 @@
 import itertools
 import math
 import random
+import threading
 
 import pytest
 
@@ -285,3 +286,39 @@
     assert all(len(history) > 10 for history in recorder.history.values())
     for key, history in recorder.history.items():
         assert is_linearizable(history), (key, history)
+
+
+async def test_a_leader_whose_disk_does_not_answer_steps_down(tmp_path):
+    async with ReplicaSet(tmp_path, seed=31) as replicas:
+        leader = await replicas.write("x", 1)
+        answers = threading.Event()
+        sync = leader.replica.storage._sync
+
+        def stall(descriptor: int) -> None:
+            answers.wait()
+            sync(descriptor)
+
+        leader.replica.storage._sync = stall
+        proposal = asyncio.create_task(propose(leader, Write("y", 2)))
+        try:
+            others = _others(replicas, leader)
+            new = await replicas.write("z", 3, among=others)
+            assert new is not leader
+            with pytest.raises(LogError):
+                await proposal
+        finally:
+            answers.set()
+        await until(lambda: leader.registers.values.get("z") == 3)
+
+
+async def test_a_large_log_is_replaced_by_a_snapshot(tmp_path):
+    async with ReplicaSet(tmp_path, seed=32, snapshot_bytes=10_000) as replicas:
+        for value in range(300):
+            await replicas.write("x" * 100, value)
+        for node in replicas.nodes:
+            await until(lambda: node.replica.storage.snapshot.index > 0)
+            assert node.replica.storage.log_bytes < 30_000
+        restarted = replicas.nodes[0]
+        await restarted.kill()
+        await restarted.start()
+        await until(lambda: restarted.registers.values.get("x" * 100) == 299)
--- a/tests/durable/test_storage.py
+++ b/tests/durable/test_storage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import shutil
 import tempfile
 from pathlib import Path
@@ -171,3 +172,19 @@
 
 
 TestStorageComparison = StorageComparison.TestCase
+
+
+async def test_a_disk_without_room_fails_the_write(tmp_path, monkeypatch):
+    storage = Storage(tmp_path)
+    storage.open()
+    await storage.format(first_hard_state("a", "c"), [_entry(1, 1)])
+    write = os.pwrite
+    monkeypatch.setattr(os, "pwrite", lambda fd, data, at: write(fd, data[:9], at))
+    with pytest.raises(StorageError, match="No space"):
+        await storage.append([_entry(1, 2)])
+    monkeypatch.undo()
+    storage.close()
+    again = Storage(tmp_path)
+    again.open()
+    assert again.last_index == 1
+    again.close()
