Streams of numbered events are resumed within one answer

The platform's streaming routes were passed on as plain bodies, so a broken one could not go on elsewhere.

--- a/pollenlb/commands/control.py
+++ b/pollenlb/commands/control.py
@@ -12,10 +12,13 @@
 from ..durable.storage import Storage, first_hard_state
 from ..exceptions import PollenError
 from ..ids import Address, ClusterId, InstanceName, ReplicaId
+from ..process.clock import deadline_in, sleep_until
 from ..process.control import ControlProcess, MakeApplication
 from ..settings.control import ControlSettings
 from ..version.order_channel import OrderChannel
 
+_FAILURE_PAUSE_S = 1.5
+
 
 def control(settings_file: Path) -> None:
     """Run ``pollen-control`` until it is told to stop.
@@ -69,6 +72,8 @@
     process.replica.failure.add_done_callback(lambda _: stopped.set())
     await stopped.wait()
     if process.replica.failure.done():
+        # A disk without room fails again at once; others may take the calls.
+        await sleep_until(deadline_in(_FAILURE_PAUSE_S))
         process.replica.failure.result()
     await process.stop()
 
--- a/pollenlb/platform/dialect.py
+++ b/pollenlb/platform/dialect.py
@@ -159,14 +159,13 @@
         """Return the response for a batch job that is kept."""
         return web.Response(status=202, headers={REQUEST_ID: spec.batch_job})
 
-    def item_headers(
-        self, item: BatchItem, spec: BatchJobSpec, resume_after: int | None
-    ) -> dict[str, str]:
+    def item_headers(self, item: BatchItem, spec: BatchJobSpec) -> dict[str, str]:
         """Return the headers of a request that runs an item."""
-        headers = {**item.headers, "Host": spec.host}
-        if resume_after is not None:
-            headers[LAST_EVENT_ID] = str(resume_after)
-        return headers
+        return {**item.headers, "Host": spec.host}
+
+    def resume_headers(self, after: int) -> dict[str, str]:
+        """Return the headers that ask for the events after a number."""
+        return {LAST_EVENT_ID: str(after)}
 
     def read_piece(self, block: bytes) -> StreamPiece:
         """Return the event that a block of a stream holds; raises ValueError."""
--- a/pollenlb/request/dialect.py
+++ b/pollenlb/request/dialect.py
@@ -153,10 +153,11 @@
     def batch_job_accepted(self, spec: BatchJobSpec) -> web.Response:
         """Return the response for a batch job that is kept."""
 
-    def item_headers(
-        self, item: BatchItem, spec: BatchJobSpec, resume_after: int | None
-    ) -> dict[str, str]:
+    def item_headers(self, item: BatchItem, spec: BatchJobSpec) -> dict[str, str]:
         """Return the headers of a request that runs an item."""
 
+    def resume_headers(self, after: int) -> dict[str, str]:
+        """Return the headers that ask for the events after a number."""
+
     def read_piece(self, block: bytes) -> StreamPiece:
         """Return the event that a block of a stream holds; raises ValueError."""
--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -23,6 +23,7 @@
     unavailable,
 )
 from .passthrough import pass_through
+from .stream import EventStream
 
 # An election among the control instances takes about this long.
 _CONTROL_RETRY_AFTER_S = 0.4
@@ -142,6 +143,8 @@
     async def _answer(self, caller: CallerRequest) -> web.StreamResponse:
         if caller.route.batch_jobs:
             return await submit_batch_job(caller, self._context)
+        if caller.route.streaming:
+            return await EventStream(caller, self._context).answer()
         is_completion = caller.http.path.endswith(COMPLETIONS_PATH)
         if caller.service.kind == "engine" and is_completion:
             return await answer_completion(caller, self._context)
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from enum import Enum
 
-import aiohttp
 from result import Err
 
 from ..connection.backend import BackendServer
@@ -22,12 +19,11 @@
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, send
 from .dialect import StreamPiece
+from .event_blocks import event_blocks
 from .outcome import Outcome
 
-_MOST_BLOCK_BYTES = 1_048_576
 _IMPOSSIBLE_STATUS = 422
 _FAILED_STATUS = 500
-_EVENT_END = b"\n\n"
 
 
 class RunEnd(Enum):
@@ -131,11 +127,14 @@
         Parts of the entry process.
     """
     item, spec = progress.item, progress.spec
+    headers = context.dialect.item_headers(item, spec)
+    if progress.last_number is not None:
+        headers.update(context.dialect.resume_headers(progress.last_number))
     attempt = Attempt(
         request_id=RequestId(item.item),
         method="POST",
         path=item.path,
-        headers=context.dialect.item_headers(item, spec, progress.last_number),
+        headers=headers,
         body=item.body,
         deadline=progress.give_up_at,
     )
@@ -209,7 +208,7 @@
     version = answer.head.version
     if not _is_allowed(progress, version):
         return RunEnd.TOO_OLD
-    async for block in _blocks(answer.response.content, stall_s):
+    async for block in event_blocks(answer.response.content, stall_s):
         piece = context.dialect.read_piece(block)
         version = piece.version or version
         if not _is_allowed(progress, version):
@@ -230,23 +229,3 @@
     if not progress.spec.is_single_version:
         return True
     return not progress.versions or progress.versions == [version]
-
-
-async def _blocks(
-    content: aiohttp.StreamReader, stall_s: float
-) -> AsyncIterator[bytes]:
-    """Yield the events of a stream; one that is not whole is an error."""
-    pending = b""
-    while True:
-        async with asyncio.timeout(stall_s):
-            chunk = await content.readany()
-        if not chunk:
-            break
-        *blocks, pending = (pending + chunk).split(_EVENT_END)
-        if len(pending) > _MOST_BLOCK_BYTES:
-            raise ValueError("an event is too large")
-        for block in blocks:
-            if block:
-                yield block
-    if pending.strip():
-        raise ValueError("the stream ended within an event")
--- a/pollenlb/request/own_dialect.py
+++ b/pollenlb/request/own_dialect.py
@@ -153,12 +153,14 @@
         """Return the response for a batch job that is kept."""
         return web.json_response({"batch_job": spec.batch_job}, status=202)
 
-    def item_headers(
-        self, item: BatchItem, spec: BatchJobSpec, resume_after: int | None
-    ) -> dict[str, str]:
+    def item_headers(self, item: BatchItem, spec: BatchJobSpec) -> dict[str, str]:
         """Return the headers of a request that runs an item."""
         return dict(item.headers)
 
+    def resume_headers(self, after: int) -> dict[str, str]:
+        """Refuse, since completions are resumed by their bodies."""
+        raise ValueError("a stream of numbered events is not expected")
+
     def read_piece(self, block: bytes) -> StreamPiece:
         """Refuse, since completions have events of their own."""
         raise ValueError("a stream of numbered events is not expected")
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -142,7 +142,7 @@
         request_id=caller.request_id,
         method=caller.http.method,
         path=caller.http.path_qs,
-        headers=_request_headers(caller, context.dialect),
+        headers=request_headers(caller, context.dialect),
         body=caller.body.stream() or None,
         deadline=caller.deadline,
     )
@@ -197,7 +197,7 @@
             )
         )
     response.release()
-    headers = _answer_headers(response, context.dialect)
+    headers = answer_headers(response, context.dialect)
     if caller.http.method != "HEAD" and length is not None and length != len(body):
         reason = f"{answer.server.name} did not send a whole answer"
         return Err(AttemptFailed(Outcome.UNKNOWN, reason))
@@ -209,7 +209,7 @@
 ) -> web.StreamResponse:
     response = web.StreamResponse(status=answer.response.status)
     response.headers.clear()
-    for name, value in _answer_headers(answer.response, context.dialect):
+    for name, value in answer_headers(answer.response, context.dialect):
         response.headers.add(name, value)
     response.headers.update(
         context.dialect.answer_headers(caller.request_id, answer.server.name)
@@ -242,7 +242,8 @@
         await target.write(chunk)
 
 
-def _request_headers(caller: CallerRequest, dialect: Dialect) -> dict[str, str]:
+def request_headers(caller: CallerRequest, dialect: Dialect) -> dict[str, str]:
+    """Return the caller's headers that are passed on to a backend server."""
     dropped = _HOP_BY_HOP | dialect.private_headers
     named = caller.http.headers.get("Connection", "")
     dropped = dropped | {each.strip().lower() for each in named.split(",")}
@@ -256,9 +257,10 @@
     return headers
 
 
-def _answer_headers(
+def answer_headers(
     response: aiohttp.ClientResponse, dialect: Dialect
 ) -> list[tuple[str, str]]:
+    """Return the headers of an answer that are passed on to the caller."""
     dropped = _HOP_BY_HOP | dialect.private_headers
     return [
         (str(name), value)
--- /dev/null
+++ b/pollenlb/request/stream.py
@@ -0,0 +1,170 @@
+"""Streams of numbered events, resumed at another backend server within one answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+from result import Err
+
+from ..connection.backend import BackendServer
+from ..process.clock import Deadline, deadline_in, now
+from ..process.context import EntryContext
+from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailed, send
+from .caller_request import CallerRequest
+from .event_blocks import event_blocks
+from .outcome import Outcome, RefusedError
+from .passthrough import answer_headers, request_headers
+from .retries import Retries, RetryPolicy
+
+_EVENT_END = b"\n\n"
+
+
+class EventStream:
+    """One caller's stream over the backend servers that generate it.
+
+    Parameters
+    ----------
+    caller : CallerRequest
+        The request.
+    context : EntryContext
+        Parts of the entry process.
+    """
+
+    def __init__(self, caller: CallerRequest, context: EntryContext) -> None:
+        self._caller = caller
+        self._context = context
+        self._response: web.StreamResponse | None = None
+        self._last_number: int | None = None
+        self._retries = Retries(
+            context,
+            caller.service_name,
+            caller.request_id,
+            caller.fingerprint,
+            RetryPolicy(
+                caller.deadline,
+                caller.request_class,
+                caller.is_repeatable,
+                retry_share=caller.route.retry_share,
+                most_attempts=caller.route.max_attempts,
+            ),
+        )
+
+    async def answer(self) -> web.StreamResponse:
+        """Pass events on as they come, to the last one.
+
+        Raises
+        ------
+        RefusedError
+            Before anything of the answer was sent.
+        """
+        while True:
+            try:
+                server = await self._retries.next_server()
+                failed = await self._attempt(server)
+                if failed is None:
+                    await self._retries.succeeded(server)
+                    assert self._response is not None
+                    return self._response
+                await self._retries.failed(server, failed)
+            except asyncio.CancelledError:
+                await self._retries.abandoned()
+                raise
+            except RefusedError as error:
+                if self._response is None:
+                    raise
+                return self._cut(error)
+
+    async def _attempt(self, server: BackendServer) -> AttemptFailed | None:
+        caller, context = self._caller, self._context
+        headers = request_headers(caller, context.dialect)
+        if self._last_number is not None:
+            headers.update(context.dialect.resume_headers(self._last_number))
+        attempt = Attempt(
+            request_id=caller.request_id,
+            method=caller.http.method,
+            path=caller.http.path_qs,
+            headers=headers,
+            body=caller.body.stream() or None,
+            deadline=caller.deadline,
+        )
+        started_at = now()
+        with server.load.running(is_long=True):
+            sent = await send(
+                attempt,
+                server,
+                self._retries.session,
+                context.settings,
+                context.dialect,
+                self._head_deadline(),
+            )
+            if isinstance(sent, Err):
+                return sent.err_value
+            answer = sent.ok_value
+            try:
+                await self._pass_on(answer)
+            except (*SEND_ERRORS, ValueError) as error:
+                is_silent = isinstance(error, TimeoutError)
+                reason = f"{server.name}: {str(error) or type(error).__name__}"
+                return AttemptFailed(
+                    Outcome.UNKNOWN,
+                    reason,
+                    is_connection_lost=not is_silent,
+                    is_timeout=is_silent,
+                )
+            finally:
+                answer.response.close()
+        server.note_answer(now() - started_at)
+        return None
+
+    def _head_deadline(self) -> Deadline:
+        # Only a stream that may be resumed does not wait for a silent server.
+        if not self._caller.route.resumable:
+            return self._caller.deadline
+        progress_s = self._context.settings.progress_timeout_s
+        return Deadline(min(self._caller.deadline, deadline_in(progress_s)))
+
+    async def _pass_on(self, answer: Answer) -> None:
+        response = await self._started(answer)
+        if answer.response.status != 200:
+            if self._last_number is not None:
+                raise ValueError(f"a resumed stream got {answer.response.status}")
+            await response.write(await answer.response.content.read(-1))
+            await response.write_eof()
+            return
+        stall_s = self._context.settings.progress_timeout_s
+        async for block in event_blocks(answer.response.content, stall_s):
+            piece = self._context.dialect.read_piece(block)
+            if self._last_number is not None and piece.number <= self._last_number:
+                raise ValueError(f"event {piece.number} came twice")
+            await response.write(block + _EVENT_END)
+            self._last_number = piece.number
+        await response.write_eof()
+
+    async def _started(self, answer: Answer) -> web.StreamResponse:
+        if self._response is not None:
+            return self._response
+        response = web.StreamResponse(status=answer.response.status)
+        response.headers.clear()
+        dialect = self._context.dialect
+        for name, value in answer_headers(answer.response, dialect):
+            if name.lower() != "content-length":
+                response.headers.add(name, value)
+        server = answer.server.name
+        response.headers.update(dialect.answer_headers(self._caller.request_id, server))
+        await response.prepare(self._caller.http)
+        self._response = response
+        return response
+
+    def _cut(self, error: RefusedError) -> web.StreamResponse:
+        """End the connection, so that the caller sees the stream is not whole."""
+        assert self._response is not None
+        self._context.events.record(
+            "answer.cut",
+            request=self._caller.request_id,
+            events=self._last_number,
+            reason=error.refusal.reason,
+        )
+        if self._caller.http.transport is not None:
+            self._caller.http.transport.close()
+        return self._response
