--- a/pollenlb/durable/batch_job_commands.py
+++ b/pollenlb/durable/batch_job_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from enum import Enum
 
 import msgspec
@@ -17,6 +18,8 @@
 )
 from .command import Command, CommandResult
 
+_COMPRESSION_LEVEL = 1  # higher ones cost an entry more time than they save
+
 
 class BatchItem(msgspec.Struct, frozen=True):
     """One request of a batch job.
@@ -95,17 +98,31 @@
 
     Attributes
     ----------
-    text : str
-        Data of all events in order, separated by line feeds.
+    packed : bytes
+        Data of all events in order, separated by line feeds; compressed, since
+        it crosses failure domains several times and is kept for minutes.
     versions : list of WeightVersion
         Weights that generated the text, in order.
     """
 
     item: ItemId
     state: ItemState
-    text: str = ""
+    packed: bytes = b""
     versions: list[WeightVersion] = []
 
+    @classmethod
+    def completed(
+        cls, item: ItemId, text: str, versions: list[WeightVersion]
+    ) -> ItemResult:
+        """Return the result of an item whose whole text was generated."""
+        packed = zlib.compress(text.encode(), _COMPRESSION_LEVEL)
+        return cls(item, ItemState.COMPLETED, packed, versions)
+
+    @property
+    def text(self) -> str:
+        """Data of all events in order, separated by line feeds."""
+        return zlib.decompress(self.packed).decode() if self.packed else ""
+
 
 class SubmitBatchJob(Command, frozen=True):
     """Hands in a batch job; the same id again changes nothing.
--- a/pollenlb/process/batch_job_service.py
+++ b/pollenlb/process/batch_job_service.py
@@ -20,7 +20,7 @@
 from .clock import deadline_in, now, remaining
 from .control_context import ControlContext, TermDuties
 
-MOST_ANSWER_BYTES = 900_000  # an answer to a reader is at most 1 MB
+MOST_ANSWER_BYTES = 600_000  # an answer to a reader is at most 1 MB
 
 
 class BatchJobService:
@@ -131,9 +131,10 @@
 
 
 def _first_of(results: list[ItemResult]) -> list[ItemResult]:
+    """Return as many results as an answer holds; texts are packed to a half."""
     size = 0
     for count, result in enumerate(results):
-        size += len(result.text)
+        size += 2 * len(result.packed)
         if size > MOST_ANSWER_BYTES and count:
             return results[:count]
     return results
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -104,7 +104,7 @@
         if state is ItemState.EXPIRED:
             return ItemResult(self.item.item, state)
         text = "\n".join(self.pieces)
-        return ItemResult(self.item.item, state, text, sorted(self.versions))
+        return ItemResult.completed(self.item.item, text, sorted(self.versions))
 
 
 async def run_item(
--- a/tests/durable/test_batch_jobs.py
+++ b/tests/durable/test_batch_jobs.py
@@ -12,7 +12,6 @@
     CommitItems,
     EndBatchJob,
     ItemResult,
-    ItemState,
     SubmitBatchJob,
 )
 from pollenlb.durable.batch_jobs import BatchJobTable
@@ -40,7 +39,7 @@
 
 
 def _result(number: int, text: str = "text", versions=(3,)) -> ItemResult:
-    return ItemResult(f"item-{number}", ItemState.COMPLETED, text, sorted(versions))
+    return ItemResult.completed(f"item-{number}", text, sorted(versions))
 
 
 def _table(**options) -> BatchJobTable:
@@ -132,6 +131,11 @@
     assert set(table.batch_jobs) == {"second", "third"}
 
 
+@given(text=st.text())
+def test_a_text_is_kept_as_it_was(text):
+    assert ItemResult.completed("item", text, [1]).text == text
+
+
 def test_an_unknown_batch_job_is_refused():
     table = BatchJobTable()
     assert isinstance(table.commit(CommitItems("job", []), 1), Refused)
