--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: install demo test bench check docs
+.PHONY: install demo test bench check docs soak
 
 $(VENV)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
@@ -20,10 +20,16 @@
 bench: install
 	$(BIN)/python -m benchmarks
 
+SEED ?= 1
+SEEDS ?= 5
+
+soak: install
+	$(BIN)/python -m soak --seed $(SEED) --seeds $(SEEDS)
+
 check: install
-	$(BIN)/black --check --quiet pollenlb fakes demo tests benchmarks
-	$(BIN)/isort --check --quiet pollenlb fakes demo tests benchmarks
-	$(BIN)/flake8 pollenlb fakes demo tests benchmarks
+	$(BIN)/black --check --quiet pollenlb fakes demo soak tests benchmarks
+	$(BIN)/isort --check --quiet pollenlb fakes demo soak tests benchmarks
+	$(BIN)/flake8 pollenlb fakes demo soak tests benchmarks
 	$(BIN)/pydocstyle --convention=numpy --add-ignore=D105,D107,D202,D413 pollenlb
 	$(BIN)/mypy
 
--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -37,6 +37,7 @@
         self.control = control
         self.model = model
         self.version = 1
+        self.announced_port = 0
         self.born = 1_000
         self.state = "ready"
         self.beat_pause_s = BEAT_PAUSE_S
@@ -79,7 +80,7 @@
         self._sequence += 1
         body = {
             "service": self.service,
-            "address": f"127.0.0.1:{self.port}",
+            "address": f"127.0.0.1:{self.announced_port or self.port}",
             "zone": "north",
             "version": "v1",
             "slots": 8,
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized run of the real programs under faults from outside."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,45 @@
+"""Run seeds of the soak: ``python -m soak --seed 1 --seeds 10``."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+
+from .run import SoakRun
+
+
+@cappa.command(name="soak")
+@dataclass
+class Soak:
+    """Run the real programs under random faults and check the promises."""
+
+    seed: Annotated[int, cappa.Arg(long="--seed", help="First seed.")] = 1
+    seeds: Annotated[int, cappa.Arg(long="--seeds", help="Number of seeds.")] = 1
+    faults: Annotated[int, cappa.Arg(long="--faults", help="Faults a seed.")] = 8
+
+
+def main() -> None:
+    """Run the seeds that the command line names; exit with 1 if any failed."""
+    soak = cappa.parse(Soak)
+    failed = 0
+    for seed in range(soak.seed, soak.seed + soak.seeds):
+        started_at = time.monotonic()
+        run = SoakRun(seed, soak.faults)
+        broken = asyncio.run(run.run())
+        verdict = "passed" if not broken else "FAILED"
+        print(f"seed {seed}: {verdict} in {time.monotonic() - started_at:.0f} s")
+        print(f"  {', '.join(run.log)}")
+        for line in broken[:10]:
+            print(f"  broken: {line}")
+        failed += bool(broken)
+    print(f"{soak.seeds - failed} passed, {failed} failed")
+    sys.exit(failed > 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,156 @@
+"""One seeded run: faults in series and overlapping, then a check of the whole."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from fakes.platform_engine import PlatformEngine
+from fakes.relay import Link, Relay
+from tests.local_system import free_ports
+from tests.platform.platform_system import MODEL
+
+from .clients import Clients
+from .programs import Programs
+
+_START_TIMEOUT_S = 30
+_FINISH_S = 30.0
+_POLL_S = 0.1
+
+
+class SoakRun:
+    """A system, its clients and the faults of one seed.
+
+    Parameters
+    ----------
+    seed : int
+        Decides faults, their times and what clients ask.
+    faults : int
+        Number of faults.
+    """
+
+    def __init__(self, seed: int, faults: int) -> None:
+        self._rng = random.Random(seed)
+        self._count = faults
+        self._relays: list[Relay] = []
+        self._engines: list[PlatformEngine] = []
+        self.log: list[str] = []
+
+    async def run(self) -> list[str]:
+        """Run and return what was broken, a sentence each."""
+        with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+            programs = Programs(Path(folder), controls=3, entries=3)
+            try:
+                programs.start_all()
+                for number in range(3):
+                    await self._add_engine(f"engine-{number}", programs)
+                return await self._run(programs)
+            finally:
+                for engine in self._engines:
+                    await engine.stop()
+                for relay in self._relays:
+                    await relay.stop()
+                programs.stop()
+
+    async def _run(self, programs: Programs) -> list[str]:
+        clients = Clients(programs, self._engines, random.Random(self._rng.random()))
+        try:
+            async with asyncio.timeout(_START_TIMEOUT_S):
+                while not clients.acknowledged:
+                    await clients.change_configuration()
+                    await asyncio.sleep(_POLL_S)
+            work = asyncio.create_task(clients.run())
+            for _ in range(self._count):
+                await self._provoke(programs)
+            clients.is_over = True
+            await work
+            await clients.finish(_FINISH_S)
+        finally:
+            await clients.close()
+        self.log.append(f"{len(clients.accepted)} batch jobs accepted")
+        return clients.broken
+
+    async def _add_engine(self, name: str, programs: Programs) -> None:
+        (port,) = free_ports(1)
+        relay = Relay(port)
+        await relay.start()
+        urls = [programs.http[each] for each in programs.controls]
+        engine = PlatformEngine(name, "engines", port, urls, MODEL)
+        engine.announced_port = relay.port
+        await engine.start()
+        self._relays.append(relay)
+        self._engines.append(engine)
+
+    async def _provoke(self, programs: Programs) -> None:
+        """Provoke one fault, at times a second one meanwhile, and mend both."""
+        faults: list[Callable[[Programs], Awaitable[None]]] = [
+            self._kill_control,
+            self._kill_entry,
+            self._pause,
+            self._terminate_entry,
+            self._lose_disk,
+            self._cut_engine,
+            self._kill_all,
+        ]
+        fault = self._rng.choice(faults)
+        self.log.append(fault.__name__)
+        second = self._rng.random() < 0.4
+        if second and fault not in (self._kill_all, self._lose_disk):
+            self.log.append("meanwhile _cut_engine")
+            await asyncio.gather(fault(programs), self._cut_engine(programs))
+        else:
+            await fault(programs)
+        await asyncio.sleep(self._rng.uniform(0.5, 2.0))
+
+    def _some_time_s(self) -> float:
+        return self._rng.uniform(0.1, 2.0)
+
+    async def _kill_control(self, programs: Programs) -> None:
+        name = self._rng.choice(programs.controls)
+        programs.kill(name)
+        await asyncio.sleep(self._some_time_s())
+        programs.start(name)
+
+    async def _kill_entry(self, programs: Programs) -> None:
+        name = self._rng.choice(programs.entries)
+        programs.kill(name)
+        await asyncio.sleep(self._some_time_s())
+        programs.start(name)
+
+    async def _pause(self, programs: Programs) -> None:
+        name = self._rng.choice(programs.controls + programs.entries)
+        programs.pause(name)
+        await asyncio.sleep(self._some_time_s())
+        programs.resume(name)
+
+    async def _terminate_entry(self, programs: Programs) -> None:
+        name = self._rng.choice(programs.entries)
+        await asyncio.to_thread(programs.terminate, name)
+        programs.start(name)
+
+    async def _lose_disk(self, programs: Programs) -> None:
+        name = self._rng.choice(programs.controls)
+        programs.kill(name)
+        programs.lose_disk(name)
+        await asyncio.sleep(self._some_time_s())
+        programs.start(name)
+        # The next loss may come once this one is repaired.
+        await asyncio.sleep(6.0)
+
+    async def _cut_engine(self, programs: Programs) -> None:
+        relay = self._rng.choice(self._relays)
+        relay.cut(self._rng.choice([Link.SILENT, Link.CLOSED]))
+        await asyncio.sleep(self._some_time_s())
+        relay.heal()
+
+    async def _kill_all(self, programs: Programs) -> None:
+        names = programs.controls + programs.entries
+        for name in names:
+            programs.kill(name)
+        await asyncio.sleep(self._some_time_s() / 2)
+        for name in names:
+            programs.start(name)
+        await asyncio.sleep(2.0)
--- a/tests/durable/replica_set.py
+++ b/tests/durable/replica_set.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from fakes.relay import Link, Relay
 from pollenlb.commands.control import _format
 from pollenlb.connection.rpc import RpcServer
 from pollenlb.durable.replica import Replica
@@ -19,7 +20,6 @@
 from pollenlb.settings.control import ControlSettings
 
 from ..local_system import control_settings, free_ports, until
-from ..relay import Link, Relay
 
 
 class Write(msgspec.Struct):
--- a/tests/durable/test_replica.py
+++ b/tests/durable/test_replica.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from fakes.relay import Link
 from pollenlb.commands.control import _format
 from pollenlb.exceptions import (
     CommitInDoubtError,
@@ -19,7 +20,6 @@
 )
 
 from ..local_system import until
-from ..relay import Link
 from .linearizability import Operation, is_linearizable
 from .replica_set import Node, ReplicaSet, Write, propose
 
--- a/tests/local_system.py
+++ b/tests/local_system.py
@@ -11,6 +11,7 @@
 
 from fakes.engine import FakeEngine
 from fakes.plain_service import FakePlainService
+from fakes.relay import Relay
 from pollenlb.commands.control import _format
 from pollenlb.connection.rpc import RpcChannel
 from pollenlb.process.control import ControlProcess
@@ -18,8 +19,6 @@
 from pollenlb.settings.control import ControlSettings
 from pollenlb.settings.entry import EntrySettings
 
-from .relay import Relay
-
 DOMAINS = ("north", "centre", "south")
 WAIT_S = 30.0
 POLL_S = 0.01
--- a/tests/system/test_at_most_once.py
+++ b/tests/system/test_at_most_once.py
@@ -6,10 +6,10 @@
 
 import pytest
 
+from fakes.relay import Link
 from pollenlb.request import once
 
 from ..local_system import LocalSystem, until
-from ..relay import Link
 
 KEY = "regrind-17"
 
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -6,11 +6,11 @@
 
 import pytest
 
+from fakes.relay import Relay
 from pollenlb.connection.rpc import RpcChannel
 from pollenlb.process.control import ControlProcess
 
 from ..local_system import SERVICES, LocalSystem, until
-from ..relay import Relay
 
 _LIFETIME_S = 2.0
 
