Settings are checked once a revision by the leader's orders; domains that may be lost count

Cause: the whole configuration was checked ten times a second, which grows with its routes; a deployment that bears the loss of a failure domain but of no single instance would have had one voter. One probe serves dialect and orders.

--- /dev/null
+++ b/pollenlb/connection/probe.py
@@ -0,0 +1,26 @@
+"""Probes of backend servers in the product's own protocol."""
+
+from __future__ import annotations
+
+import aiohttp
+import msgspec
+
+from ..ids import Address
+from .backend_api import PROBE_PATH, ProbeAnswer, decode_probe
+from .sessions import ConnectionLostError
+
+_PROBE_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
+
+
+async def probe_server(
+    session: aiohttp.ClientSession, address: Address, timeout_s: float
+) -> ProbeAnswer | None:
+    """Ask a backend server how it is; None without an answer that can be read."""
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    try:
+        async with session.get(
+            f"http://{address}{PROBE_PATH}", timeout=timeout
+        ) as response:
+            return decode_probe(await response.read())
+    except (*_PROBE_ERRORS, msgspec.MsgspecError):
+        return None
--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -177,7 +177,7 @@
     def goal(self) -> MembershipGoal:
         """What the members of the log should come to."""
         return MembershipGoal(
-            voters=2 * self._settings.tolerated_losses + 1,
+            voters=self._settings.voters,
             retiring=frozenset(self._retiring()),
             replace_after_s=self._settings.replace_after_s,
         )
--- a/pollenlb/request/own_dialect.py
+++ b/pollenlb/request/own_dialect.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
-import msgspec
 from aiohttp import web
 
 from ..connection.backend_api import (
@@ -14,12 +13,10 @@
     DEADLINE_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
-    PROBE_PATH,
     REQUEST_ID_HEADER,
     ProbeAnswer,
-    decode_probe,
 )
-from ..connection.sessions import ConnectionLostError
+from ..connection.probe import probe_server
 from ..durable.batch_job_commands import BatchItem, BatchJobSpec
 from ..durable.configuration_commands import Announcement
 from ..ids import BackendServerName, BootId, RequestId, ServiceName
@@ -51,7 +48,6 @@
     from .attempt import Attempt
 
 _MILLISECONDS_PER_SECOND = 1000
-_PROBE_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
 
 
 class OwnDialect:
@@ -131,13 +127,7 @@
         timeout_s: float,
     ) -> ProbeAnswer | None:
         """Ask a backend server how it is; None without an answer."""
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
-        url = f"http://{server.address}{PROBE_PATH}"
-        try:
-            async with session.get(url, timeout=timeout) as response:
-                return decode_probe(await response.read())
-        except (*_PROBE_ERRORS, msgspec.MsgspecError):
-            return None
+        return await probe_server(session, server.address, timeout_s)
 
     def read_batch_job(
         self,
--- a/pollenlb/settings/control.py
+++ b/pollenlb/settings/control.py
@@ -62,6 +62,9 @@
     tolerated_losses = Integer(0, 10, 1)
     """Control instances that may be lost at once; 1 makes three of them vote."""
 
+    tolerated_domain_losses = Integer(0, 10, 0)
+    """Failure domains that may be lost at once."""
+
     http_listen: Option[str] = SocketAddress("")
     """Address of the HTTP server for operators and backend servers, if any."""
 
@@ -95,6 +98,12 @@
     forget_after_s = Number(5, 86_400, 60.0)
     """Seconds without an announcement until a backend server is forgotten."""
 
+    @property
+    def voters(self) -> int:
+        """Control instances that should vote, so that a majority outlives losses."""
+        losses = max(self.tolerated_losses, self.tolerated_domain_losses)
+        return 2 * losses + 1
+
     @property
     def event_folder(self) -> Path | None:
         """Folder of the event file; None when events go to standard output."""
--- a/pollenlb/version/order_channel.py
+++ b/pollenlb/version/order_channel.py
@@ -8,7 +8,8 @@
 import aiohttp
 import msgspec
 
-from ..connection.backend_api import ORDER_PATH, PROBE_PATH, decode_probe
+from ..connection.backend_api import ORDER_PATH
+from ..connection.probe import probe_server
 from ..connection.sessions import ConnectionLostError
 from ..durable.configuration_commands import Announcement
 from ..ids import InstanceName, ModelName, Term, WeightVersion
@@ -95,12 +96,8 @@
         self, session: aiohttp.ClientSession, server: Announcement
     ) -> EngineReport | None:
         """Return what an engine tells of itself; None when it does not answer."""
-        timeout = aiohttp.ClientTimeout(total=_PROBE_TIMEOUT_S)
-        url = f"http://{server.address}{PROBE_PATH}"
-        try:
-            async with session.get(url, timeout=timeout) as response:
-                answer = decode_probe(await response.read())
-        except (*ORDER_ERRORS, msgspec.MsgspecError):
+        answer = await probe_server(session, server.address, _PROBE_TIMEOUT_S)
+        if answer is None:
             return None
         model = ModelName(server.service)
         versions = {} if answer.version is None else {model: answer.version}
--- a/pollenlb/version/orders.py
+++ b/pollenlb/version/orders.py
@@ -18,7 +18,14 @@
 )
 from ..durable.leadership import Leadership
 from ..exceptions import LogError
-from ..ids import BackendServerName, InstanceName, ModelName, ServiceName, WeightVersion
+from ..ids import (
+    BackendServerName,
+    InstanceName,
+    ModelName,
+    Revision,
+    ServiceName,
+    WeightVersion,
+)
 from ..process.clock import Deadline, deadline_in, now, remaining, sleep_until
 from ..process.control_context import ControlContext
 from ..settings.cluster import ClusterSettings, ServiceSettings
@@ -66,6 +73,8 @@
         self._seen: dict[BackendServerName, int] = {}
         self._seen_at: dict[BackendServerName, float] = {}
         self._own: set[int] = set()
+        self._services_at = Revision(-1)
+        self._services: dict[ServiceName, ServiceSettings] = {}
         self._releases: dict[ModelName, tuple[WeightVersion | None, float]] = {}
 
     async def run(self) -> None:
@@ -138,21 +147,27 @@
             await self._context.execute(command)
 
     async def _give_orders(self, leadership: Leadership) -> None:
-        document = self._context.machine.state.configuration.document
-        services = ClusterSettings.check(document).unwrap().services
-        for name, service in services.items():
+        for name, service in self._configured_services().items():
             goals = self._goals(name, service)
             if goals and service.kind == "engine":
                 await self._swap_service(name, service, goals, leadership)
 
+    def _configured_services(self) -> dict[ServiceName, ServiceSettings]:
+        """Return the services in force; they are checked once a revision."""
+        table = self._context.machine.state.configuration
+        if self._services_at != table.revision:
+            self._services_at = table.revision
+            self._services = ClusterSettings.check(table.document).unwrap().services
+        return self._services
+
     def _goals(self, name: ServiceName, service: ServiceSettings) -> list[ModelGoal]:
         state = self._context.machine.state
         goals = []
         for model in service.models or [name]:
             released = state.directory.releases.get(model)
-            if released is None and not service.models:
+            is_told = bool(service.models)  # versions come with announcements
+            if released is None and not is_told:
                 continue
-            is_told = bool(service.models)
             open_jobs = [
                 each
                 for each in state.batch_jobs.batch_jobs.values()
--- a/tests/settings/test_options.py
+++ b/tests/settings/test_options.py
@@ -143,3 +143,19 @@
 
 def test_the_reference_page_is_up_to_date():
     assert _PAGE.read_text() == reference()
+
+
+def test_voters_outlive_the_losses_of_instances_and_of_failure_domains():
+    table = {
+        "name": "a",
+        "failure_domain": "north",
+        "listen": "127.0.0.1:1",
+        "data_folder": "x",
+        "seeds": ["127.0.0.1:2"],
+        "seed_port": 3,
+        "tolerated_losses": 0,
+        "tolerated_domain_losses": 1,
+    }
+    settings = ControlSettings.check(table).unwrap()
+    assert settings.voters == 3
+    assert settings.seed_addresses == ["127.0.0.1:3"]
