An entry that stood still learns that its batch jobs are another's

Ruled out: a lost renewal (it held its lease 15 ms after the thaw). Change: the last 2,000 changes are remembered. A test failed before. A control process whose storage failed now stops in order before it exits.

--- a/pollenlb/commands/control.py
+++ b/pollenlb/commands/control.py
@@ -74,8 +74,9 @@
     if process.replica.failure.done():
         # A disk without room fails again at once; others may take the calls.
         await sleep_until(deadline_in(_FAILURE_PAUSE_S))
-        process.replica.failure.result()
     await process.stop()
+    if process.replica.failure.done():
+        process.replica.failure.result()
 
 
 async def _format_as_seed(settings: ControlSettings) -> None:
--- a/pollenlb/durable/batch_jobs.py
+++ b/pollenlb/durable/batch_jobs.py
@@ -21,6 +21,7 @@
 
 # Wall clocks of leaders may jump by some seconds, so jobs are kept longer.
 KEPT_MARGIN_MS = 30_000
+MOST_CHANGES = 2_000  # entry processes whose last change of work is remembered
 
 
 class BatchJob(msgspec.Struct):
@@ -87,7 +88,7 @@
             batch_job.results.append(result)
             batch_job.listed.add(result.item)
         self.batch_jobs[spec.batch_job] = batch_job
-        self.changed_at[command.owner] = index
+        self._note_change(command.owner, index)
         return BatchJobAccepted(command.owner)
 
     def commit(self, command: CommitItems, index: LogIndex) -> AnyResult:
@@ -101,7 +102,7 @@
                 batch_job.results.append(result)
                 batch_job.listed.add(result.item)
         if not batch_job.is_open and batch_job.owner is not None:
-            self.changed_at[batch_job.owner] = index
+            self._note_change(batch_job.owner, index)
         return Done()
 
     def end(self, command: EndBatchJob, index: LogIndex) -> AnyResult:
@@ -111,7 +112,7 @@
             return Refused(f"there is no batch job {command.batch_job}")
         batch_job.is_ended = True
         if batch_job.owner is not None:
-            self.changed_at[batch_job.owner] = index
+            self._note_change(batch_job.owner, index)
         return Done()
 
     def assign(self, command: AssignBatchJobs, index: LogIndex) -> AnyResult:
@@ -121,9 +122,9 @@
             if batch_job is None or not batch_job.is_open:
                 continue
             if batch_job.owner is not None:
-                self.changed_at[batch_job.owner] = index
+                self._note_change(batch_job.owner, index)
             batch_job.owner = owner
-            self.changed_at[owner] = index
+            self._note_change(owner, index)
         return Done()
 
     def owned_by(self, boot: BootId) -> list[BatchJob]:
@@ -142,6 +143,13 @@
             if each.is_open and each.owner is not None
         }
 
+    def _note_change(self, owner: BootId, index: LogIndex) -> None:
+        # An entry that stood still meanwhile must learn of it, however late.
+        self.changed_at.pop(owner, None)
+        self.changed_at[owner] = index
+        while len(self.changed_at) > MOST_CHANGES:
+            del self.changed_at[next(iter(self.changed_at))]
+
     def _carried(self, spec: BatchJobSpec) -> list[ItemResult]:
         """Return results of earlier jobs that this job's versions allow."""
         asked = {each.item: each for each in spec.items}
@@ -166,9 +174,6 @@
         ]
         for name in old:
             del self.batch_jobs[name]
-        owners = {each.owner for each in self.batch_jobs.values()}
-        for boot in [each for each in self.changed_at if each not in owners]:
-            del self.changed_at[boot]
 
 
 def _is_usable(result: ItemResult, spec: BatchJobSpec) -> bool:
--- a/tests/durable/test_batch_jobs.py
+++ b/tests/durable/test_batch_jobs.py
@@ -14,7 +14,7 @@
     ItemResult,
     SubmitBatchJob,
 )
-from pollenlb.durable.batch_jobs import BatchJobTable
+from pollenlb.durable.batch_jobs import MOST_CHANGES, BatchJobTable
 from pollenlb.durable.command import Refused
 from pollenlb.durable.commands import Proposal
 from pollenlb.durable.machine import Machine, encode_proposal
@@ -153,3 +153,21 @@
     restored = Machine()
     restored.restore(machine.snapshot())
     assert restored.state.batch_jobs == machine.state.batch_jobs
+
+
+def test_a_frozen_owner_still_learns_that_its_jobs_are_another_s():
+    # Found by hunt-6b5a-19 on Kitami: the next submission forgot the change,
+    # so that the owner ran items of an ended job after it was thawed.
+    table = _table()
+    table.assign(AssignBatchJobs({"job": "second"}), 5)
+    table.submit(SubmitBatchJob(_spec("next"), "second"), 6, _AT_MS)
+    assert table.changed_at["first"] == 5
+
+
+def test_changes_of_work_are_bounded_in_number():
+    table = BatchJobTable()
+    for index in range(MOST_CHANGES + 10):
+        spec = _spec(f"job-{index}", items=1)
+        table.submit(SubmitBatchJob(spec, f"boot-{index}"), index, _AT_MS)
+    assert len(table.changed_at) == MOST_CHANGES
+    assert f"boot-{MOST_CHANGES + 9}" in table.changed_at
