--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -14,6 +13,8 @@
 
 import aiohttp
 
+from fakes.ports import free_ports
+
 ROOT = Path(__file__).resolve().parent.parent
 DOMAINS = ("cba-norte", "cba-centro", "cba-sur")
 _STOP_TIMEOUT_S = 15
@@ -62,7 +63,6 @@
         self.processes: dict[str, subprocess.Popen] = {}
         self.commands: dict[str, list[str]] = {}
         self.ports: dict[str, int] = {}
-        self._sockets: list[socket.socket] = []
 
     @property
     def balancer(self) -> str:
@@ -156,13 +156,7 @@
             names += [f"entry-{i}", f"entry-{i}-peer"]
         for service, count in (self.plan.engines | self.plan.plains).items():
             names += [f"{service}-{i}" for i in range(count)]
-        for name in names:
-            taken = socket.socket()
-            taken.bind(("127.0.0.1", 0))
-            self.ports[name] = taken.getsockname()[1]
-            self._sockets.append(taken)
-        for taken in self._sockets:
-            taken.close()
+        self.ports.update(zip(names, free_ports(len(names))))
 
     def _prepare_controls(self) -> None:
         members = {
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -10,7 +10,8 @@
 import sys
 from pathlib import Path
 
-from tests.local_system import DOMAINS, free_ports
+from fakes.ports import free_ports
+from tests.local_system import DOMAINS
 
 ROOT = Path(__file__).resolve().parent.parent
 _STOP_TIMEOUT_S = 15
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 
 from fakes.platform_engine import PlatformEngine
+from fakes.ports import free_ports
 from fakes.relay import Link, Relay
-from tests.local_system import free_ports
 from tests.platform.platform_system import MODEL
 
 from .clients import Clients
--- a/tests/durable/replica_set.py
+++ b/tests/durable/replica_set.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from fakes.ports import free_ports
 from fakes.relay import Link, Relay
 from pollenlb.commands.control import _format
 from pollenlb.connection.rpc import RpcServer
@@ -19,7 +20,7 @@
 from pollenlb.process.events import EventLog
 from pollenlb.settings.control import ControlSettings
 
-from ..local_system import control_settings, free_ports, until
+from ..local_system import control_settings, until
 
 
 class Write(msgspec.Struct):
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins."""
--- a/tests/local_system.py
+++ b/tests/local_system.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable
 from pathlib import Path
 
@@ -11,6 +10,7 @@
 
 from fakes.engine import FakeEngine
 from fakes.plain_service import FakePlainService
+from fakes.ports import free_ports
 from fakes.relay import Relay
 from pollenlb.commands.control import _format
 from pollenlb.connection.rpc import RpcChannel
@@ -47,17 +47,6 @@
 }
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free now."""
-    taken = [socket.socket() for _ in range(count)]
-    for each in taken:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in taken]
-    for each in taken:
-        each.close()
-    return ports
-
-
 async def until(condition: Callable[[], object], timeout_s: float = WAIT_S) -> None:
     """Wait until a condition holds."""
     async with asyncio.timeout(timeout_s):
--- a/tests/platform/platform_system.py
+++ b/tests/platform/platform_system.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from fakes.platform_engine import PlatformEngine
+from fakes.ports import free_ports
 from pollenlb.commands.control import _format_as_seed
 from pollenlb.platform.control import make_control_application
 from pollenlb.platform.dialect import PlatformDialect
@@ -18,7 +19,7 @@
 from pollenlb.settings.control import ControlSettings
 from pollenlb.settings.entry import EntrySettings
 
-from ..local_system import DOMAINS, free_ports, until
+from ..local_system import DOMAINS, until
 
 HOST = "h.example"
 PREFIX = "/rollouts/"
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -7,7 +7,9 @@
 
 import pytest
 
-from ..local_system import free_ports, until
+from fakes.ports import free_ports
+
+from ..local_system import until
 from .platform_system import HOST, MODEL, PlatformSystem, configuration
 
 
