--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -219,7 +219,7 @@
 
 
 async def _renew_always(leader: str, number: int, events, renewed: list) -> None:
-    entry = EntryInfo(f"stand-in-{number}", f"boot-{number}", "a", "h", "d")
+    entry = EntryInfo(f"stand-in-{number}", f"boot-{number}", "h", "d")
     channel = RpcChannel(leader, events)
     views = [0, 0, 0, 0]
     while True:
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import itertools
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from benchmarks.fake_servers import FakeServer
 from pollenlb.request.admission import AdmissionPolicy, admitted
 from pollenlb.request.choice import ChoicePolicy, choose_server
+from pollenlb.request.item_placement import PlacementPolicy, place
 
 
 @dataclass
@@ -19,6 +21,7 @@
     choose: ChoicePolicy
     admit: AdmissionPolicy
     retry_share: float = 0.0
+    place: PlacementPolicy = place
 
 
 def _admit_all(servers, entries, deadline):
@@ -57,7 +60,23 @@
         drawn = rng.sample(list(found), min(2, len(found)))
         return min(drawn, key=lambda each: each.load.in_flight)
 
-    return Policy("random_two", choose, _admit_all)
+    def place_two(waiting, rooms, running):
+        rng = random.Random(len(waiting))
+        placed = []
+        for item in waiting:
+            free = [
+                room
+                for room in rooms
+                if room.taken < room.slots and room.version >= item.least_version
+            ]
+            if free:
+                drawn = rng.sample(free, min(2, len(free)))
+                room = min(drawn, key=lambda each: each.taken)
+                room.taken += 1
+                placed.append((item.key, room.server))
+        return placed
+
+    return Policy("random_two", choose, _admit_all, place=place_two)
 
 
 def oracle(servers: list[FakeServer]) -> Policy:
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -153,7 +153,7 @@
         names = ["balancer"]
         names += [f"control-{i}" for i in range(self.plan.controls)]
         for i in range(self.plan.entries):
-            names += [f"entry-{i}", f"entry-{i}-peer"]
+            names.append(f"entry-{i}")
         for service, count in (self.plan.engines | self.plan.plains).items():
             names += [f"{service}-{i}" for i in range(count)]
         self.ports.update(zip(names, free_ports(len(names))))
@@ -189,7 +189,6 @@
                 "name": name,
                 "failure_domain": DOMAINS[i % len(DOMAINS)],
                 "listen": f"127.0.0.1:{self.ports[name]}",
-                "peer_listen": f"127.0.0.1:{self.ports[name + '-peer']}",
                 "control": control,
                 "data_folder": str(self.plan.folder / name),
                 "balancer_delay_s": 0.7,
--- a/pollenlb/commands/entry.py
+++ b/pollenlb/commands/entry.py
@@ -6,8 +6,7 @@
 import signal
 from pathlib import Path
 
-from ..process.entry import AddRoutes, EntryProcess
-from ..request.dialect import Dialect
+from ..process.entry import EntryProcess, EntryProtocol
 from ..settings.entry import EntrySettings
 
 
@@ -19,31 +18,27 @@
     settings_file : Path
         TOML file of ``EntrySettings``.
     """
+    from ..request.own_protocol import own_protocol
+
     settings = EntrySettings.load(settings_file)
-    asyncio.run(run_entry(settings))
+    asyncio.run(run_entry(settings, own_protocol()))
 
 
-async def run_entry(
-    settings: EntrySettings,
-    dialect: Dialect | None = None,
-    add_routes: AddRoutes | None = None,
-) -> None:
+async def run_entry(settings: EntrySettings, protocol: EntryProtocol) -> None:
     """Run an entry process until a signal ends it.
 
     Parameters
     ----------
     settings : EntrySettings
         Settings of the instance.
-    dialect : Dialect, optional
-        Protocol towards callers and backend servers; by default our own.
-    add_routes : callable, optional
-        Adds what the protocol offers beside callers' requests.
+    protocol : EntryProtocol
+        What it speaks with callers and backend servers.
     """
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    process = EntryProcess(settings, dialect, add_routes)
+    process = EntryProcess(settings, protocol)
     loop.add_signal_handler(signal.SIGHUP, process.note_hangup)
     await process.start()
     await stopped.wait()
--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -19,6 +19,7 @@
     [aiohttp.ClientSession, Announcement, float], Awaitable[ProbeAnswer | None]
 ]
 
+_NO_VERSION = WeightVersion(-1)
 _FIRST_PAUSE_S = 0.4
 _MOST_PAUSE_S = 3.2
 _CRASH_PROBE_TIMEOUT_S = 0.8
@@ -86,8 +87,14 @@
         return self._version
 
     def version_of(self, model: ModelName) -> WeightVersion:
-        """Return the version of a model that it announced; 0 for none."""
-        return self._announcement.models.get(model, WeightVersion(0))
+        """Return the version of a model that it serves; 0 when it is not told.
+
+        An engine that announces no models tells its version when it is probed,
+        and none while it changes weights.
+        """
+        if self._announcement.models or not self._is_probed:
+            return self._announcement.models.get(model, WeightVersion(0))
+        return self._version if self._version is not None else _NO_VERSION
 
     @property
     def url(self) -> str:
--- /dev/null
+++ b/pollenlb/connection/entries.py
@@ -0,0 +1,29 @@
+"""The entries that live, as an entry knows them."""
+
+from __future__ import annotations
+
+from ..durable.leases import EntryInfo
+from .control_api import EntriesView
+
+
+class KnownEntries:
+    """Entry processes with a live lease, this one included."""
+
+    def __init__(self) -> None:
+        self._version = 0
+        self._entries: list[EntryInfo] = []
+
+    @property
+    def version(self) -> int:
+        """Version of the list that was applied last."""
+        return self._version
+
+    @property
+    def all(self) -> list[EntryInfo]:
+        """The entry processes."""
+        return list(self._entries)
+
+    def apply(self, view: EntriesView) -> None:
+        """Take note of the entry processes that live."""
+        self._version = view.version
+        self._entries = view.entries
--- a/pollenlb/connection/trainer_messages.py
+++ b/pollenlb/connection/trainer_messages.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from ..durable.job_commands import Span
 from ..ids import BatchNumber, JobName, RequestId, StepNumber, WeightVersion
 
 COMMAND_ID_HEADER = "Pollenlb-Command-Id"
@@ -16,6 +15,20 @@
 NameText = Annotated[str, msgspec.Meta(pattern="^[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?$")]
 
 
+class Span(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens of a sample that one weight version produced.
+
+    Attributes
+    ----------
+    first, last : int
+        Positions of the first and last token, from 0.
+    """
+
+    version: WeightVersion
+    first: int
+    last: int
+
+
 class JobBody(msgspec.Struct, forbid_unknown_fields=True):
     """Body of a request that creates a job."""
 
--- a/pollenlb/durable/batch_job_commands.py
+++ b/pollenlb/durable/batch_job_commands.py
@@ -10,10 +10,13 @@
 from ..ids import (
     BatchJobId,
     BootId,
+    GroupIndex,
     GroupName,
     ItemId,
+    JobName,
     ModelName,
     ServiceName,
+    StepNumber,
     WeightVersion,
 )
 from .command import Command, CommandResult
@@ -47,13 +50,42 @@
     group: GroupName = GroupName("")
 
 
+class SampleTerms(msgspec.Struct, frozen=True):
+    """What the samples of a step have in common.
+
+    Attributes
+    ----------
+    scorer : ServiceName or None
+        Plain service that scores samples.
+    """
+
+    job: JobName
+    step: StepNumber
+    max_tokens: int
+    scorer: ServiceName | None = None
+
+
+class SampleSlot(msgspec.Struct, frozen=True):
+    """Place of a sample in a rollout job."""
+
+    job: JobName
+    step: StepNumber
+    group: GroupIndex
+    position: int
+
+    @property
+    def item(self) -> ItemId:
+        """Name of the item that fills it."""
+        return ItemId(f"{self.job}/{self.step}/{self.group}/{self.position}")
+
+
 class BatchJobSpec(msgspec.Struct, frozen=True):
     """What a trainer handed in, with the terms of its route at that time.
 
     Attributes
     ----------
     host : str
-        Host that the backend server is asked for.
+        Host that the backend server is asked for; empty for samples.
     model : ModelName
         Model that generates; empty when the job does not name one.
     least_version : WeightVersion
@@ -63,13 +95,17 @@
     needed_groups : int
         Whole groups that the trainer waits for; 0 when it waits for all.
     due_s : float
-        Seconds after the submission at which the results are wanted.
+        Seconds after the submission at which the results are wanted; infinite
+        for a job that shares the engines with others.
     give_up_s : float
         Seconds after the submission from which items may be given up.
     max_attempts : int
         Failed runs after which an item may be given up.
     kept_s : float
         Seconds after the submission for which results can be read.
+    sample : SampleTerms or None
+        For a step of a rollout job: its items are prompts, their results
+        samples, which stay until the trainer has acknowledged them.
     """
 
     batch_job: BatchJobId
@@ -84,6 +120,7 @@
     give_up_s: float = 0.0
     max_attempts: int = 1
     kept_s: float = 120.0
+    sample: SampleTerms | None = None
 
 
 class ItemState(Enum):
@@ -99,10 +136,11 @@
     Attributes
     ----------
     packed : bytes
-        Data of all events in order, separated by line feeds; compressed, since
-        it crosses failure domains several times and is kept for minutes.
+        What was generated, for a request the data of all events in order,
+        separated by line feeds; compressed, since it crosses failure domains
+        several times and is kept for minutes.
     versions : list of WeightVersion
-        Weights that generated the text, in order.
+        Weights that generated it, in order.
     """
 
     item: ItemId
@@ -112,16 +150,20 @@
 
     @classmethod
     def completed(
-        cls, item: ItemId, text: str, versions: list[WeightVersion]
+        cls, item: ItemId, content: bytes, versions: list[WeightVersion]
     ) -> ItemResult:
-        """Return the result of an item whose whole text was generated."""
-        packed = zlib.compress(text.encode(), _COMPRESSION_LEVEL)
+        """Return the result of an item that was generated whole."""
+        packed = zlib.compress(content, _COMPRESSION_LEVEL)
         return cls(item, ItemState.COMPLETED, packed, versions)
 
     @property
-    def text(self) -> str:
-        """Data of all events in order, separated by line feeds."""
-        return zlib.decompress(self.packed).decode() if self.packed else ""
+    def content(self) -> bytes:
+        """What was generated."""
+        return zlib.decompress(self.packed) if self.packed else b""
+
+    def is_fresh(self, least_version: WeightVersion) -> bool:
+        """Whether no older weights than allowed generated any of it."""
+        return not self.versions or min(self.versions) >= least_version
 
 
 class SubmitBatchJob(Command, frozen=True):
@@ -150,6 +192,13 @@
     results: list[ItemResult]
 
 
+class ItemsCommitted(CommandResult, frozen=True):
+    """How many results were entered, and how many were too old."""
+
+    entered: int
+    stale: int
+
+
 class EndBatchJob(Command, frozen=True):
     """Ends a batch job; nothing more of it need run."""
 
--- a/pollenlb/durable/batch_jobs.py
+++ b/pollenlb/durable/batch_jobs.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..ids import BatchJobId, BootId, ItemId, LogIndex
+from ..ids import BatchJobId, BootId, ItemId, LogIndex, WeightVersion
 from .batch_job_commands import (
     AssignBatchJobs,
     BatchItem,
@@ -13,6 +13,7 @@
     CommitItems,
     EndBatchJob,
     ItemResult,
+    ItemsCommitted,
     ItemState,
     SubmitBatchJob,
 )
@@ -37,6 +38,8 @@
         Results in the positions at which they were first entered.
     listed : set of ItemId
         Items that have a result.
+    changed_at : LogIndex
+        Log index at which it last changed what its owner has to run.
     """
 
     spec: BatchJobSpec
@@ -45,6 +48,7 @@
     results: list[ItemResult] = []
     listed: set[ItemId] = set()
     is_ended: bool = False
+    changed_at: LogIndex = LogIndex(0)
 
     @property
     def is_open(self) -> bool:
@@ -52,9 +56,9 @@
         return not self.is_ended and len(self.results) < len(self.spec.items)
 
     @property
-    def kept_until_ms(self) -> int:
+    def kept_until_ms(self) -> float:
         """Wall time until which results can be read, in milliseconds."""
-        return self.at_ms + int(1000 * self.spec.kept_s) + KEPT_MARGIN_MS
+        return self.at_ms + 1000 * self.spec.kept_s + KEPT_MARGIN_MS
 
     def find_item(self, item: ItemId) -> BatchItem | None:
         """Return an item of the job, or None."""
@@ -83,7 +87,7 @@
         if known is not None:
             return BatchJobAccepted(known.owner)
         self._drop_old(at_ms)
-        batch_job = BatchJob(spec, at_ms, command.owner)
+        batch_job = BatchJob(spec, at_ms, command.owner, changed_at=index)
         for result in self._carried(spec):
             batch_job.results.append(result)
             batch_job.listed.add(result.item)
@@ -92,18 +96,24 @@
         return BatchJobAccepted(command.owner)
 
     def commit(self, command: CommitItems, index: LogIndex) -> AnyResult:
-        """Enter results of items that have none yet."""
+        """Enter results of items that have none yet, but for stale ones."""
         batch_job = self.batch_jobs.get(command.batch_job)
         if batch_job is None:
             return Refused(f"there is no batch job {command.batch_job}")
         named = {each.item for each in batch_job.spec.items}
+        stale = 0
+        listed = len(batch_job.listed)
         for result in command.results:
-            if result.item in named and result.item not in batch_job.listed:
-                batch_job.results.append(result)
-                batch_job.listed.add(result.item)
+            if result.item not in named or result.item in batch_job.listed:
+                continue
+            if not result.is_fresh(batch_job.spec.least_version):
+                stale += 1
+                continue
+            batch_job.results.append(result)
+            batch_job.listed.add(result.item)
         if not batch_job.is_open and batch_job.owner is not None:
             self._note_change(batch_job.owner, index)
-        return Done()
+        return ItemsCommitted(len(batch_job.listed) - listed, stale)
 
     def end(self, command: EndBatchJob, index: LogIndex) -> AnyResult:
         """End a batch job; the same again changes nothing."""
@@ -124,9 +134,42 @@
             if batch_job.owner is not None:
                 self._note_change(batch_job.owner, index)
             batch_job.owner = owner
+            batch_job.changed_at = index
             self._note_change(owner, index)
         return Done()
 
+    def raise_least_version(
+        self, name: BatchJobId, version: WeightVersion, index: LogIndex
+    ) -> set[ItemId]:
+        """Allow only newer weights; return the items whose results are dropped."""
+        batch_job = self.batch_jobs[name]
+        if version <= batch_job.spec.least_version:
+            return set()
+        batch_job.spec = msgspec.structs.replace(batch_job.spec, least_version=version)
+        stale = {each.item for each in batch_job.results if not each.is_fresh(version)}
+        batch_job.results = [
+            each for each in batch_job.results if each.is_fresh(version)
+        ]
+        batch_job.listed -= stale
+        batch_job.changed_at = index
+        if batch_job.owner is not None:
+            self._note_change(batch_job.owner, index)
+        return stale
+
+    def empty_results(self, name: BatchJobId, items: set[ItemId]) -> None:
+        """Give back the space of results that nobody will read again."""
+        batch_job = self.batch_jobs[name]
+        batch_job.results = [
+            ItemResult(each.item, each.state) if each.item in items else each
+            for each in batch_job.results
+        ]
+
+    def drop(self, name: BatchJobId, index: LogIndex) -> None:
+        """Forget a batch job that nobody will read again."""
+        batch_job = self.batch_jobs.pop(name)
+        if batch_job.owner is not None:
+            self._note_change(batch_job.owner, index)
+
     def owned_by(self, boot: BootId) -> list[BatchJob]:
         """Return the open batch jobs that an entry process runs."""
         return [
--- a/pollenlb/durable/commands.py
+++ b/pollenlb/durable/commands.py
@@ -10,6 +10,7 @@
     BatchJobAccepted,
     CommitItems,
     EndBatchJob,
+    ItemsCommitted,
     SubmitBatchJob,
 )
 from .command import Done, Refused
@@ -40,18 +41,12 @@
 from .job_commands import (
     BatchNotReady,
     BatchSealed,
-    ClaimGroups,
-    CommitSamples,
     CreateJob,
-    GroupsClaimed,
-    LoseHolders,
     PullBatch,
-    ReportMissing,
-    SamplesCommitted,
     SetTrainerVersion,
     SubmitStep,
 )
-from .key_commands import ClaimKey, KeyClaimed, KeyHeld, SettleKey
+from .key_commands import ClaimKey, KeyClaimed, KeyHeld, LoseClaimants, SettleKey
 
 AnyCommand = (
     ChangeConfiguration
@@ -72,11 +67,8 @@
     | CreateJob
     | SetTrainerVersion
     | SubmitStep
-    | ClaimGroups
-    | CommitSamples
     | PullBatch
-    | LoseHolders
-    | ReportMissing
+    | LoseClaimants
     | ReportCrash
     | StartTrial
     | EndTrial
@@ -94,8 +86,7 @@
     | BatchJobAccepted
     | KeyClaimed
     | KeyHeld
-    | GroupsClaimed
-    | SamplesCommitted
+    | ItemsCommitted
     | BatchSealed
     | BatchNotReady
     | CrashReported
--- a/pollenlb/durable/crash_commands.py
+++ b/pollenlb/durable/crash_commands.py
@@ -6,7 +6,7 @@
 
 from ..ids import BackendServerName, BootId, Fingerprint
 from .command import Command, CommandResult
-from .key_commands import BodyHolder
+from .key_commands import Claimant
 
 
 class ReportCrash(Command, frozen=True):
@@ -28,7 +28,7 @@
 
     fingerprint: Fingerprint
     server: BackendServerName
-    holder: BodyHolder
+    claimant: Claimant
 
 
 class TrialStarted(CommandResult, frozen=True):
@@ -54,7 +54,7 @@
     """Ends a trial in which the backend server did not crash."""
 
     fingerprint: Fingerprint
-    holder: BodyHolder
+    claimant: Claimant
     end: TrialEnd
 
 
--- a/pollenlb/durable/job.py
+++ b/pollenlb/durable/job.py
@@ -1,57 +1,24 @@
-"""A rollout job: its open steps, their groups and samples."""
+"""A rollout job: its open steps and the batch that its trainer counts next."""
 
 from __future__ import annotations
 
-import msgspec
-
-from ..ids import BatchNumber, BodyDigest, BootId, GroupIndex, StepNumber, WeightVersion
-from .job_commands import Batch, JobSettings, SampleRecord
-from .key_commands import BodyHolder
-
-
-class Group(msgspec.Struct):
-    """Samples of one prompt.
-
-    Attributes
-    ----------
-    samples : list
-        One record a position, None while it is missing.
-    claimants : list
-        Entry process that generates each missing sample, or None.
-    """
-
-    samples: list[SampleRecord | None]
-    claimants: list[BodyHolder | None]
-    batch: BatchNumber | None = None
+import math
+from collections.abc import Collection
 
-    @property
-    def open_positions(self) -> list[int]:
-        """Positions whose sample is missing and that nobody generates."""
-        return [
-            at
-            for at, sample in enumerate(self.samples)
-            if sample is None and self.claimants[at] is None
-        ]
-
-    def claim(self, holder: BodyHolder, most: int) -> list[int]:
-        """Let a process generate some open samples; return their positions."""
-        positions = self.open_positions[:most]
-        for at in positions:
-            self.claimants[at] = holder
-        return positions
-
-    def drop_claims(self, boots: set[BootId]) -> None:
-        """Open the samples that ended processes were to generate."""
-        self.claimants = [
-            None if each is not None and each.boot in boots else each
-            for each in self.claimants
-        ]
+import msgspec
 
-    def reopen(self, position: int) -> None:
-        """Give up the sample at a position so that it is generated again."""
-        self.samples[position] = None
-        self.claimants[position] = None
-        self.batch = None
+from ..ids import (
+    BatchJobId,
+    BatchNumber,
+    GroupIndex,
+    GroupName,
+    ItemId,
+    ModelName,
+    StepNumber,
+    WeightVersion,
+)
+from .batch_job_commands import BatchItem, BatchJobSpec, SampleSlot, SampleTerms
+from .job_commands import Batch, JobSettings, SubmitStep
 
 
 class Step(msgspec.Struct):
@@ -61,12 +28,13 @@
     ----------
     at_ms : int
         Wall time of the submission, milliseconds since the epoch.
+    batch_job : BatchJobId
+        Batch job whose items are the step's samples.
     """
 
     at_ms: int
-    prompts: BodyDigest
-    prompt_holders: list[BodyHolder]
-    groups: dict[GroupIndex, Group]
+    batch_job: BatchJobId
+    groups: list[GroupIndex]
 
 
 class Job(msgspec.Struct):
@@ -96,15 +64,49 @@
     wasted: int = 0
     delivered: int = 0
 
-    def is_fresh(self, sample: SampleRecord) -> bool:
-        """Whether a sample is within the staleness bound now."""
-        age = self.trainer_version - sample.oldest_version
-        return age <= self.settings.staleness_bound
-
-    def open_samples(self) -> int:
-        """Return the number of samples that nobody generates."""
-        return sum(
-            len(group.open_positions)
-            for step in self.steps.values()
-            for group in step.groups.values()
+    @property
+    def least_version(self) -> WeightVersion:
+        """Oldest weights that the staleness bound allows now."""
+        oldest = self.trainer_version - self.settings.staleness_bound
+        return WeightVersion(max(0, oldest))
+
+    def items_of(self, step: StepNumber, groups: Collection[GroupIndex]) -> set[ItemId]:
+        """Return the items of some groups."""
+        return {
+            SampleSlot(self.settings.name, step, group, position).item
+            for group in groups
+            for position in range(self.settings.group_size)
+        }
+
+    def spec_of(self, command: SubmitStep) -> BatchJobSpec:
+        """Return the batch job that generates a step's samples."""
+        settings = self.settings
+        items = [
+            BatchItem(
+                item=SampleSlot(settings.name, command.step, group, position).item,
+                path="",
+                headers={},
+                body=prompt.encode(),
+                group=GroupName(str(group)),
+            )
+            for group, prompt in _numbered(command.prompts)
+            for position in range(settings.group_size)
+        ]
+        return BatchJobSpec(
+            batch_job=BatchJobId(f"{settings.name}/{command.step}"),
+            service=settings.service,
+            host="",
+            items=items,
+            model=ModelName(settings.service),
+            least_version=self.least_version,
+            due_s=math.inf,
+            give_up_s=math.inf,
+            kept_s=math.inf,
+            sample=SampleTerms(
+                settings.name, command.step, settings.max_tokens, settings.scorer
+            ),
         )
+
+
+def _numbered(prompts: list[str]) -> list[tuple[GroupIndex, str]]:
+    return [(GroupIndex(index), prompt) for index, prompt in enumerate(prompts)]
--- a/pollenlb/durable/key_commands.py
+++ b/pollenlb/durable/key_commands.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
-from ..ids import BodyDigest, BootId, Fingerprint, InstanceName, RequestKey
+from ..ids import BootId, Fingerprint, InstanceName, RequestKey
 from .command import Command, CommandResult
 
 
-class BodyHolder(msgspec.Struct, frozen=True, array_like=True):
-    """An entry process that holds a body in memory."""
+class Claimant(msgspec.Struct, frozen=True, array_like=True):
+    """An entry process that alone may do something."""
 
     instance: InstanceName
     boot: BootId
@@ -22,7 +22,7 @@
 
     key: RequestKey
     fingerprint: Fingerprint
-    holder: BodyHolder
+    claimant: Claimant
 
 
 class KeyClaimed(CommandResult, frozen=True):
@@ -42,21 +42,18 @@
 
     Attributes
     ----------
-    answer : BodyDigest or None
-        Digest of the stored answer, once it ran.
-    holders : list of BodyHolder
-        Entry processes that hold the answer.
+    answer : bytes or None
+        The answer, once it ran; None when it is not kept any more.
     at_ms : int
         Wall time of the claim, milliseconds since the epoch.
     """
 
     key: RequestKey
     fingerprint: Fingerprint
-    claimant: BodyHolder
+    claimant: Claimant
     state: KeyState
     at_ms: int
-    answer: BodyDigest | None = None
-    holders: list[BodyHolder] = []
+    answer: bytes | None = None
 
 
 class KeyHeld(CommandResult, frozen=True):
@@ -75,7 +72,12 @@
     """
 
     key: RequestKey
-    claimant: BodyHolder
+    claimant: Claimant
     state: KeyState | None
-    answer: BodyDigest | None = None
-    holders: list[BodyHolder] = []
+    answer: bytes | None = None
+
+
+class LoseClaimants(Command, frozen=True):
+    """Tells that entry processes ended or cannot be reached."""
+
+    boots: list[BootId]
--- a/pollenlb/durable/keys.py
+++ b/pollenlb/durable/keys.py
@@ -11,6 +11,8 @@
 
 KEY_LIFETIME_MS = 24 * 3600 * 1000
 MOST_KEYS = 200_000
+# All answers together; a tenth of the memory of a small control instance.
+MOST_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 class KeyTable(msgspec.Struct):
@@ -20,9 +22,12 @@
     ----------
     records : dict
         Record by key.
+    answered : dict
+        Size in bytes of each answer that is kept, the oldest first, by key.
     """
 
     records: dict[RequestKey, KeyRecord] = {}
+    answered: dict[RequestKey, int] = {}
 
     def claim(self, command: ClaimKey, at_ms: int) -> AnyResult:
         """Grant a claim if the key was never claimed."""
@@ -35,7 +40,7 @@
         if len(self.records) >= MOST_KEYS:
             return Refused("the table of request keys is full")
         self.records[command.key] = KeyRecord(
-            command.key, command.fingerprint, command.holder, KeyState.CLAIMED, at_ms
+            command.key, command.fingerprint, command.claimant, KeyState.CLAIMED, at_ms
         )
         return KeyClaimed()
 
@@ -50,25 +55,32 @@
             del self.records[command.key]
             return Done()
         record.state = command.state
-        record.answer = command.answer
-        record.holders = list(command.holders)
+        if command.answer is not None:
+            record.answer = command.answer
+            self.answered[command.key] = len(command.answer)
+            self._drop_answers()
         return Done()
 
-    def lose_holders(self, boots: set[BootId]) -> None:
-        """Settle the claims of ended processes as unknown, drop them as holders."""
+    def lose_claimants(self, boots: set[BootId]) -> None:
+        """Settle the claims of ended processes as unknown."""
         for record in self.records.values():
             if record.state is KeyState.CLAIMED and record.claimant.boot in boots:
                 record.state = KeyState.UNKNOWN
-            record.holders = [each for each in record.holders if each.boot not in boots]
 
     def boots(self) -> set[BootId]:
-        """Return the processes that claims and holders name."""
-        found = set()
-        for record in self.records.values():
-            if record.state is KeyState.CLAIMED:
-                found.add(record.claimant.boot)
-            found.update(holder.boot for holder in record.holders)
-        return found
+        """Return the processes whose claims are not settled."""
+        return {
+            record.claimant.boot
+            for record in self.records.values()
+            if record.state is KeyState.CLAIMED
+        }
+
+    def _drop_answers(self) -> None:
+        size = sum(self.answered.values())
+        while size > MOST_ANSWER_BYTES:
+            oldest = next(iter(self.answered))
+            size -= self.answered.pop(oldest)
+            self.records[oldest].answer = None
 
     def _expire(self, at_ms: int) -> None:
         while self.records:
@@ -76,3 +88,4 @@
             if oldest.at_ms + KEY_LIFETIME_MS > at_ms:
                 return
             del self.records[oldest.key]
+            self.answered.pop(oldest.key, None)
--- a/pollenlb/durable/leases.py
+++ b/pollenlb/durable/leases.py
@@ -18,6 +18,7 @@
     Revision,
 )
 from ..process.clock import Deadline, now, remaining
+from .key_commands import Claimant
 
 
 class EntryInfo(msgspec.Struct, frozen=True):
@@ -25,18 +26,20 @@
 
     Attributes
     ----------
-    address : Address
-        gRPC address for other entries.
     http : Address
         HTTP address for callers and operators.
     """
 
     instance: InstanceName
     boot: BootId
-    address: Address
     http: Address
     failure_domain: FailureDomain
 
+    @property
+    def claimant(self) -> Claimant:
+        """The process as one that claims something for itself."""
+        return Claimant(self.instance, self.boot)
+
 
 class InForceAt(msgspec.Struct, frozen=True):
     """How far an entry has put changes in force.
--- a/pollenlb/durable/machine.py
+++ b/pollenlb/durable/machine.py
@@ -12,6 +12,7 @@
     AssignBatchJobs,
     CommitItems,
     EndBatchJob,
+    ItemsCommitted,
     SubmitBatchJob,
 )
 from .batch_jobs import BatchJobTable
@@ -32,17 +33,8 @@
 from .crash_commands import EndTrial, Pardon, ReportCrash, StartTrial
 from .deduplication import CommandTable
 from .directory import Directory
-from .job_commands import (
-    ClaimGroups,
-    CommitSamples,
-    CreateJob,
-    LoseHolders,
-    PullBatch,
-    ReportMissing,
-    SetTrainerVersion,
-    SubmitStep,
-)
-from .key_commands import ClaimKey, SettleKey
+from .job_commands import CreateJob, PullBatch, SetTrainerVersion, SubmitStep
+from .key_commands import ClaimKey, LoseClaimants, SettleKey
 from .keys import KeyTable
 from .ledger import Ledger
 from .quarantine import Quarantine
@@ -102,7 +94,7 @@
 
     def touches_views(self, command: Any) -> bool:
         """Whether a command changes a table that entries keep a view of."""
-        return type(command) in _TOUCHED
+        return bool(self._touched(command))
 
     def apply(self, index: LogIndex, payload: bytes) -> AnyResult:
         """Carry out one committed command."""
@@ -113,7 +105,7 @@
         position = Position(index, proposal.at_ms)
         result = apply_command(proposal.command, self._state, position)
         self._state.commands.remember(proposal.command_id, result)
-        for table in _TOUCHED.get(type(proposal.command), ()):
+        for table in self._touched(proposal.command):
             self._versions[table] = index
         return result
 
@@ -129,6 +121,13 @@
         self._versions = versions
         self._state = _decode_state(encoded)
 
+    def _touched(self, command: Any) -> tuple[str, ...]:
+        if isinstance(command, CommitItems):
+            batch_job = self._state.batch_jobs.batch_jobs.get(command.batch_job)
+            is_step = batch_job is not None and batch_job.spec.sample is not None
+            return ("ledger",) if is_step else ()
+        return _TOUCHED.get(type(command), ())
+
 
 def encode_proposal(proposal: Proposal) -> bytes:
     """Return a command in the form it has in the log."""
@@ -189,7 +188,12 @@
 
 @apply_command.register
 def _(command: CommitItems, state: State, position: Position) -> AnyResult:
-    return state.batch_jobs.commit(command, position.index)
+    result = state.batch_jobs.commit(command, position.index)
+    if isinstance(result, ItemsCommitted):
+        sample = state.batch_jobs.batch_jobs[command.batch_job].spec.sample
+        if sample is not None:
+            state.ledger.note_commit(sample.job, result)
+    return result
 
 
 @apply_command.register
@@ -234,43 +238,29 @@
 
 @apply_command.register
 def _(command: SetTrainerVersion, state: State, position: Position) -> AnyResult:
-    return state.ledger.set_trainer_version(command)
+    return state.ledger.set_trainer_version(command, state.batch_jobs, position.index)
 
 
 @apply_command.register
 def _(command: SubmitStep, state: State, position: Position) -> AnyResult:
-    return state.ledger.submit(command, position.at_ms)
-
-
-@apply_command.register
-def _(command: ClaimGroups, state: State, position: Position) -> AnyResult:
-    return state.ledger.claim(command)
-
-
-@apply_command.register
-def _(command: CommitSamples, state: State, position: Position) -> AnyResult:
-    return state.ledger.commit(command)
+    return state.ledger.submit(
+        command, state.batch_jobs, position.index, position.at_ms
+    )
 
 
 @apply_command.register
 def _(command: PullBatch, state: State, position: Position) -> AnyResult:
-    return state.ledger.pull(command, position.index)
+    return state.ledger.pull(command, state.batch_jobs, position.index)
 
 
 @apply_command.register
-def _(command: LoseHolders, state: State, position: Position) -> AnyResult:
+def _(command: LoseClaimants, state: State, position: Position) -> AnyResult:
     boots = set(command.boots)
-    state.keys.lose_holders(boots)
-    state.ledger.lose_holders(boots)
-    state.quarantine.lose_holders(boots)
+    state.keys.lose_claimants(boots)
+    state.quarantine.lose_claimants(boots)
     return Done()
 
 
-@apply_command.register
-def _(command: ReportMissing, state: State, position: Position) -> AnyResult:
-    return state.ledger.report_missing(command)
-
-
 @apply_command.register
 def _(command: ReportCrash, state: State, position: Position) -> AnyResult:
     return state.quarantine.report(command, position.at_ms)
@@ -302,11 +292,7 @@
     CreateJob: ("ledger",),
     SetTrainerVersion: ("ledger",),
     SubmitStep: ("ledger",),
-    ClaimGroups: ("ledger",),
-    CommitSamples: ("ledger",),
     PullBatch: ("ledger",),
-    LoseHolders: ("ledger",),
-    ReportMissing: ("ledger",),
     ReportCrash: ("quarantine",),
     EndTrial: ("quarantine",),
     Pardon: ("quarantine",),
--- a/pollenlb/durable/quarantine.py
+++ b/pollenlb/durable/quarantine.py
@@ -16,7 +16,7 @@
     TrialEnd,
     TrialStarted,
 )
-from .key_commands import BodyHolder
+from .key_commands import Claimant
 
 MOST_RECORDS = 10_000
 RECORD_LIFETIME_MS = 24 * 3600 * 1000
@@ -26,7 +26,7 @@
     """A suspect that runs at one backend server, where no other suspect runs."""
 
     server: BackendServerName
-    holder: BodyHolder
+    claimant: Claimant
 
 
 class Suspect(msgspec.Struct):
@@ -84,7 +84,7 @@
         for other in self.suspects.values():
             if other.trial is not None and other.trial.server == command.server:
                 return Refused("another suspect is running at the backend server")
-        suspect.trial = Trial(command.server, command.holder)
+        suspect.trial = Trial(command.server, command.claimant)
         return TrialStarted(is_needed=True)
 
     def end_trial(self, command: EndTrial) -> AnyResult:
@@ -92,7 +92,7 @@
         suspect = self.suspects.get(command.fingerprint)
         if suspect is None or suspect.trial is None:
             return Done()
-        if suspect.trial.holder != command.holder:
+        if suspect.trial.claimant != command.claimant:
             return Refused("the trial is another entry's")
         suspect.trial = None
         if command.end is TrialEnd.CLEARED:
@@ -105,16 +105,16 @@
             return Refused("there is no such suspect")
         return Done()
 
-    def lose_holders(self, boots: set[BootId]) -> None:
+    def lose_claimants(self, boots: set[BootId]) -> None:
         """End the trials of ended entry processes without a verdict."""
         for suspect in self.suspects.values():
-            if suspect.trial is not None and suspect.trial.holder.boot in boots:
+            if suspect.trial is not None and suspect.trial.claimant.boot in boots:
                 suspect.trial = None
 
     def boots(self) -> set[BootId]:
         """Return the entry processes that hold a trial."""
         trials = [suspect.trial for suspect in self.suspects.values()]
-        return {trial.holder.boot for trial in trials if trial is not None}
+        return {trial.claimant.boot for trial in trials if trial is not None}
 
     def _expire(self, at_ms: int) -> None:
         while self.suspects:
--- a/pollenlb/durable/views.py
+++ b/pollenlb/durable/views.py
@@ -9,7 +9,8 @@
     LedgerView,
     QuarantineView,
 )
-from .ledger import Job
+from .batch_jobs import BatchJobTable
+from .job import Job
 from .machine import Machine
 
 
@@ -32,9 +33,10 @@
 def ledger_view(machine: Machine) -> LedgerView:
     """Return a summary of each job."""
     jobs = machine.state.ledger.jobs
+    batch_jobs = machine.state.batch_jobs
     return LedgerView(
         machine.version_of("ledger"),
-        {name: _job_view(job) for name, job in jobs.items()},
+        {name: _job_view(job, batch_jobs) for name, job in jobs.items()},
     )
 
 
@@ -47,11 +49,12 @@
     )
 
 
-def _job_view(job: Job) -> JobView:
+def _job_view(job: Job, batch_jobs: BatchJobTable) -> JobView:
+    steps = [batch_jobs.batch_jobs[each.batch_job] for each in job.steps.values()]
     return JobView(
         settings=job.settings,
         trainer_version=job.trainer_version,
-        open_samples=job.open_samples(),
+        open_samples=sum(len(each.spec.items) - len(each.listed) for each in steps),
         oldest_step=min(job.steps, default=job.next_step),
         oldest_step_at_ms=min((step.at_ms for step in job.steps.values()), default=0),
         steps=len(job.steps),
--- a/pollenlb/exceptions.py
+++ b/pollenlb/exceptions.py
@@ -57,6 +57,13 @@
     """A command was sent, but whether it took effect is not known."""
 
 
+class RequestCondemnedError(PollenError):
+    """A request crashed backend servers and is not run again."""
+
+    def __init__(self) -> None:
+        super().__init__("the request crashed backend servers and is not run again")
+
+
 class RequestRefusedError(PollenError):
     """An entry refused a request of an operator or a trainer.
 
--- a/pollenlb/platform/__main__.py
+++ b/pollenlb/platform/__main__.py
@@ -24,11 +24,10 @@
     if role == "entry":
         from ..commands.entry import run_entry
         from ..settings.entry import EntrySettings
-        from .dialect import PlatformDialect
-        from .front import add_front_routes
+        from .front import platform_protocol
 
         entry = EntrySettings.load(settings_file)
-        asyncio.run(run_entry(entry, PlatformDialect(), add_front_routes))
+        asyncio.run(run_entry(entry, platform_protocol()))
     elif role == "control":
         from ..commands.control import run_control
         from ..settings.control import ControlSettings
--- a/pollenlb/platform/batch_jobs.py
+++ b/pollenlb/platform/batch_jobs.py
@@ -71,7 +71,7 @@
         {
             "id": each.item,
             "state": each.state.value,
-            "text": each.text,
+            "text": each.content.decode(),
             "versions": each.versions,
         }
         for each in read.results
--- a/pollenlb/platform/configuration.py
+++ b/pollenlb/platform/configuration.py
@@ -113,6 +113,7 @@
         service["models"] = [each.name for each in wire.engine.models]
         service["max_swaps"] = 2
         service["swap_share"] = _SWAP_SHARE
+        service["long_share"] = 1.0  # engines here run nothing but items
     return service
 
 
--- a/pollenlb/platform/front.py
+++ b/pollenlb/platform/front.py
@@ -8,9 +8,12 @@
 
 from ..ids import BatchJobId, ItemId, RequestId
 from ..process.context import EntryContext
+from ..process.entry import EntryProtocol
 from ..request.batch_job import end_batch_job, read_batch_job, read_item
+from ..request.item import RequestItems
 from ..request.outcome import RefusedError, bad_request
 from .batch_jobs import batch_job_page
+from .dialect import PlatformDialect
 from .names import BATCH_JOB_PATH, ITEM_PATH, REQUEST_ID, WAIT_MS
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -75,6 +78,10 @@
         return handle
 
 
-def add_front_routes(router: web.UrlDispatcher, context: EntryContext) -> None:
-    """Add what the platform asks of an entry beside callers' requests."""
+def platform_protocol() -> EntryProtocol:
+    """Return what an entry speaks on the platform."""
+    return EntryProtocol(PlatformDialect(), RequestItems(), _add_routes)
+
+
+def _add_routes(router: web.UrlDispatcher, context: EntryContext) -> None:
     BatchJobApi(context).add_routes(router)
--- a/pollenlb/process/batch_job_service.py
+++ b/pollenlb/process/batch_job_service.py
@@ -14,6 +14,7 @@
 )
 from ..durable.batch_job_commands import AssignBatchJobs, ItemResult, SubmitBatchJob
 from ..durable.batch_jobs import BatchJob
+from ..durable.job_commands import SubmitStep
 from ..exceptions import NotLeaderError
 from ..ids import Address, BatchJobId, BootId, ModelName
 from .assignment import Candidate, choose_owner
@@ -63,9 +64,12 @@
         body = item.body if item is not None else None
         return ItemRead(CallStatus.DONE, Address(""), body)
 
-    def with_owner(self, command: SubmitBatchJob, duties: TermDuties) -> SubmitBatchJob:
+    def with_owner(
+        self, command: SubmitBatchJob | SubmitStep, duties: TermDuties
+    ) -> SubmitBatchJob | SubmitStep:
         """Return a submission with the entry process that should run it."""
-        previous = self._last_owner(command.spec.model)
+        model = self._model_of(command)
+        previous = self._last_owner(model) if model is not None else None
         owner = choose_owner(self._candidates(duties), previous)
         if owner is None:
             return command
@@ -94,6 +98,12 @@
         )
         await self._context.execute(AssignBatchJobs(owners))
 
+    def _model_of(self, command: SubmitBatchJob | SubmitStep) -> ModelName | None:
+        if isinstance(command, SubmitBatchJob):
+            return command.spec.model
+        job = self._context.machine.state.ledger.jobs.get(command.job)
+        return ModelName(job.settings.service) if job is not None else None
+
     def _find(self, name: BatchJobId) -> BatchJob | None:
         return self._context.machine.state.batch_jobs.batch_jobs.get(name)
 
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -11,6 +11,7 @@
 from ..connection.backend import BackendServer
 from ..connection.control_api import BatchWork, WorkView
 from ..durable.batch_job_commands import (
+    BatchItem,
     BatchJobSpec,
     CommitItems,
     ItemResult,
@@ -27,7 +28,6 @@
     WeightVersion,
     new_id,
 )
-from ..request.item import ItemProgress, RunEnd, run_item
 from ..request.item_moves import (
     EnginePace,
     RunningItem,
@@ -35,13 +35,13 @@
     slowness_of,
     typical_piece_s,
 )
-from ..request.item_placement import EngineRoom, WaitingItem, place
+from ..request.item_placement import EngineRoom, WaitingItem
+from ..request.item_progress import ItemProgress, RunEnd
 from ..version.swap_plan import EngineView, ModelGoal, homes
 from .clock import Deadline, deadline_in, now, remaining, sleep_until
 from .context import EntryContext
 
 _ROUND_S = 0.04
-_STALL_S = 1.5  # a change of weights holds running streams for 0.9 s
 _AVOID_S = 0.5
 _LENGTH_WEIGHT = 0.05  # of one item in the smoothed number of events a token
 _PARTIAL_KEPT_S = 30.0
@@ -55,9 +55,11 @@
 class _OwnedJob:
     spec: BatchJobSpec
     due_at: Deadline
-    items: dict[ItemId, ItemProgress]
+    give_up_at: Deadline
+    items: dict[ItemId, ItemProgress] = field(default_factory=dict)
     tasks: dict[ItemId, asyncio.Task] = field(default_factory=dict)
     results: list[ItemResult] = field(default_factory=list)
+    committing: set[ItemId] = field(default_factory=set)
     has_results: asyncio.Event = field(default_factory=asyncio.Event)
     committer: asyncio.Task | None = None
 
@@ -85,6 +87,11 @@
         self._events_per_token = 0.0
         self.became_idle = asyncio.Event()
 
+    @property
+    def context(self) -> EntryContext:
+        """Parts of the entry process."""
+        return self._context
+
     @property
     def batch_jobs(self) -> list[BatchJobId]:
         """Batch jobs that are run here."""
@@ -122,8 +129,11 @@
         for name in [each for each in self._jobs if each not in work.owned]:
             self._give_up(name)
         for added in work.added:
-            if added.spec.batch_job not in self._jobs:
+            job = self._jobs.get(added.spec.batch_job)
+            if job is None:
                 self._take(added)
+            else:
+                self._take_change(job, added)
         self._changed.set()
 
     async def finish(self, timeout_s: float) -> None:
@@ -141,18 +151,22 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._note_task_ended)
         return task
 
+    def _note_task_ended(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._context.events.record(
+                "batch_runner.task_failed", reason=repr(task.exception())
+            )
+
     def _take(self, work: BatchWork) -> None:
         spec = work.spec
-        give_up_at = deadline_in(spec.give_up_s + _GIVE_UP_MARGIN_S - work.age_s)
-        items = {
-            item.item: self._resumed(item.item, ItemProgress(item, spec, give_up_at))
-            for item in spec.items
-            if item.item not in work.listed
-        }
-        job = _OwnedJob(spec, deadline_in(spec.due_s - work.age_s), items)
+        give_up_s = spec.give_up_s + _GIVE_UP_MARGIN_S - work.age_s
+        due_at = deadline_in(spec.due_s - work.age_s)
+        job = _OwnedJob(spec, due_at, deadline_in(give_up_s))
+        items = self._add_missing(job, work)
         self._jobs[spec.batch_job] = job
         job.committer = self._spawn(self._commit_results(job))
         self._context.events.record(
@@ -162,15 +176,41 @@
             age_s=round(work.age_s, 3),
         )
 
-    def _resumed(self, name: ItemId, fresh: ItemProgress) -> ItemProgress:
-        partial, _ = self._partials.pop(name, (None, None))
-        if partial is None or not partial.pieces:
+    def _take_change(self, job: _OwnedJob, work: BatchWork) -> None:
+        """Allow only newer weights; what is too old by now is run again."""
+        job.spec = work.spec
+        for progress in job.items.values():
+            progress.spec = work.spec
+            if progress.item.item not in job.tasks and not progress.fits(work.spec):
+                progress.output.start_over()
+        reopened = self._add_missing(job, work)
+        self._context.events.record(
+            "batch_job.changed",
+            batch_job=work.spec.batch_job,
+            least_version=work.spec.least_version,
+            reopened=len(reopened),
+        )
+
+    def _add_missing(self, job: _OwnedJob, work: BatchWork) -> list[ItemId]:
+        """Add the items that have no result and are not on the way to one."""
+        spec = work.spec
+        known = work.listed | job.items.keys() | job.committing
+        missing = [each for each in spec.items if each.item not in known]
+        for item in missing:
+            job.items[item.item] = self._begin(item, spec, job.give_up_at)
+        return [each.item for each in missing]
+
+    def _begin(
+        self, item: BatchItem, spec: BatchJobSpec, give_up_at: Deadline
+    ) -> ItemProgress:
+        output = self._context.items.begin(item, spec)
+        fresh = ItemProgress(item, spec, give_up_at, output)
+        partial, _ = self._partials.pop(item.item, (None, None))
+        if partial is None or not partial.output.events:
             return fresh
-        if partial.item.body != fresh.item.body or not partial.fits(fresh.spec):
+        if partial.item.body != item.body or not partial.fits(spec):
             return fresh
-        fresh.pieces = partial.pieces
-        fresh.versions = partial.versions
-        fresh.last_number = partial.last_number
+        fresh.output = partial.output
         return fresh
 
     def _give_up(self, name: BatchJobId) -> None:
@@ -195,7 +235,12 @@
             for service, model in {
                 (job.spec.service, job.spec.model) for job in self._jobs.values()
             }:
-                self._place(service, model)
+                try:
+                    self._place(service, model)
+                except Exception as error:  # the other models' items go on
+                    self._context.events.record(
+                        "items.not_placed", model=model, reason=repr(error)
+                    )
 
     def _forget_partials(self) -> None:
         for item, (_, kept_until) in list(self._partials.items()):
@@ -208,16 +253,22 @@
             for name, job in self._jobs.items()
             if (job.spec.service, job.spec.model) == (service, model)
         }
+        servers = {each.name: each for each in self._context.usable(service)}
+        rooms = self._rooms(list(servers.values()), service, model)
+        is_full = all(room.taken >= room.slots for room in rooms)
+        if is_full and any(len(job.items) > len(job.tasks) for job in jobs.values()):
+            return
         waiting = [
             _waiting_item(name, job, progress)
             for name, job in jobs.items()
             for progress in job.items.values()
             if progress.item.item not in job.tasks
         ]
-        servers = {each.name: each for each in self._context.usable(service)}
-        rooms = self._rooms(list(servers.values()), service, model)
+        running = {name: len(job.tasks) for name, job in jobs.items()}
         if waiting:
-            for (name, item), server in place(waiting, rooms):
+            room = self._context.settings.max_items_in_flight - sum(running.values())
+            placed = self._context.place(waiting, rooms, running)
+            for (name, item), server in placed[: max(0, room)]:
                 self._start(jobs[name], item, servers[server])
         else:
             self._move(jobs, rooms, servers)
@@ -233,7 +284,7 @@
                 (name, progress.item.item),
                 name,
                 progress.server,
-                len(progress.pieces),
+                progress.output.events,
                 self._expected_events(progress),
             )
             for name, job in jobs.items()
@@ -264,7 +315,7 @@
     def _silent_s(self, server: BackendServerName) -> float:
         """Return the seconds since any stream at an engine had an event."""
         heard = [
-            progress.piece_at
+            progress.event_at
             for job in self._jobs.values()
             for progress in job.items.values()
             if progress.server == server
@@ -284,7 +335,7 @@
             EngineRoom(
                 server.name,
                 server.load.slots,
-                server.load.expected_in_flight,
+                self._taken(server),
                 server.version_of(model),
                 home.get(server.name, model) == model,
                 slowness_of(paces[server.name], typical_s),
@@ -293,6 +344,12 @@
             for server in servers
         ]
 
+    def _taken(self, server: BackendServer) -> int:
+        """Return the slots that items cannot have, since work runs there or may."""
+        load = server.load
+        kept = load.slots - self._context.most_long(server)
+        return max(load.expected_in_flight, load.long_in_flight + kept)
+
     def _homes(
         self, servers: list[BackendServer], service: ServiceName
     ) -> dict[BackendServerName, ModelName]:
@@ -328,7 +385,9 @@
     def _note_run_ended(
         self, job: _OwnedJob, progress: ItemProgress, server: BackendServer
     ) -> None:
-        job.tasks.pop(progress.item.item, None)
+        task = job.tasks.pop(progress.item.item, None)
+        if task is not None and not task.cancelled() and task.exception() is not None:
+            progress.avoided[server.name] = deadline_in(_AVOID_S)
         progress.server = None
         progress.is_moving = False
         self._changed.set()
@@ -339,8 +398,9 @@
     ) -> None:
         item = progress.item.item
         started_at = now()
+        progress.event_at = started_at
         try:
-            end = await run_item(progress, server, _STALL_S, self._context)
+            end = await self._context.items.run(progress, server, self._context)
         except asyncio.CancelledError:
             if not progress.is_moving:
                 raise
@@ -361,7 +421,7 @@
                 server=server.name,
                 end=end.value,
                 seconds=round(now() - started_at, 3),
-                events=len(progress.pieces),
+                events=progress.output.events,
             )
 
     def _note_end(
@@ -377,14 +437,14 @@
         elif end in (RunEnd.BROKEN, RunEnd.SILENT):
             progress.losses += 1
         elif end is RunEnd.TOO_OLD and not progress.fits(job.spec):
-            progress.start_over()
+            progress.output.start_over()
         is_late = not remaining(progress.give_up_at)
         if is_late or progress.failures >= _MOST_FAILURES * job.spec.max_attempts:
             self._enter(job, progress, ItemState.EXPIRED)
 
     def _note_length(self, progress: ItemProgress) -> None:
-        if progress.item.length_hint and progress.pieces:
-            ratio = len(progress.pieces) / progress.item.length_hint
+        if progress.item.length_hint and progress.output.events:
+            ratio = progress.output.events / progress.item.length_hint
             if not self._events_per_token:
                 self._events_per_token = ratio
             self._events_per_token += _LENGTH_WEIGHT * (ratio - self._events_per_token)
@@ -397,6 +457,7 @@
     def _enter(self, job: _OwnedJob, progress: ItemProgress, state: ItemState) -> None:
         job.items.pop(progress.item.item, None)
         job.results.append(progress.result(state))
+        job.committing.add(progress.item.item)
         job.has_results.set()
 
     async def _commit_results(self, job: _OwnedJob) -> None:
@@ -408,6 +469,22 @@
             command_id = CommandId(new_id("items"))
             while not await self._commit(command, command_id):
                 await sleep_until(deadline_in(_COMMIT_PAUSE_S))
+            self._note_committed(job, results)
+
+    def _note_committed(self, job: _OwnedJob, results: list[ItemResult]) -> None:
+        """Run those again that were too old by the time they were committed.
+
+        A later change of the job may reach this process before the answer to
+        the commit that came first.
+        """
+        items = {each.item: each for each in job.spec.items}
+        for result in results:
+            job.committing.discard(result.item)
+            if not result.is_fresh(job.spec.least_version):
+                job.items[result.item] = self._begin(
+                    items[result.item], job.spec, job.give_up_at
+                )
+                self._changed.set()
 
     async def _commit(self, command: CommitItems, command_id: CommandId) -> bool:
         try:
@@ -436,9 +513,10 @@
     group = progress.item.group
     return WaitingItem(
         key=(name, progress.item.item),
+        batch_job=name,
         due_at=job.due_at,
         group=group,
-        is_group_begun=bool(progress.pieces),
+        is_group_begun=progress.output.events > 0,
         length=progress.item.length_hint or progress.item.tokens,
         least_version=job.spec.least_version,
         avoided=frozenset(progress.avoided),
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -11,16 +11,17 @@
 from ..connection.control import ControlConnection
 from ..connection.control_api import LedgerView, QuarantineView
 from ..connection.directory import BackendDirectory
+from ..connection.entries import KnownEntries
 from ..connection.long_slots import deal_long_slots
-from ..connection.peers import Peers
 from ..durable.leases import EntryInfo
 from ..ids import BackendServerName, ServiceName
 from ..request.admission import AdmissionPolicy, admitted
 from ..request.choice import ChoicePolicy, choose_server
 from ..request.dialect import Dialect
+from ..request.item_placement import PlacementPolicy, place
+from ..request.item_progress import ItemRunner
 from ..settings.entry import EntrySettings
 from ..version.configuration import InForce
-from .bodies import BodyStore
 from .budget import RetryBudget
 from .events import EventLog
 from .latencies import RecentLatencies
@@ -35,6 +36,10 @@
 
     Attributes
     ----------
+    entries : KnownEntries
+        Entry processes that live.
+    items : ItemRunner
+        Runs the items of batch jobs.
     ledger : LedgerView
         Latest view of the rollout jobs.
     quarantine : QuarantineView
@@ -47,6 +52,8 @@
         Chooses among the backend servers that may get a request.
     admit : AdmissionPolicy
         Leaves out the backend servers that cannot serve a request in time.
+    place : PlacementPolicy
+        Decides which items start next, and where.
     announced : set of BackendServerName
         Backend servers that announced themselves since the last renewal.
     work_version : int
@@ -66,8 +73,8 @@
     control: ControlConnection
     in_force: InForce
     directory: BackendDirectory
-    bodies: BodyStore
-    peers: Peers
+    entries: KnownEntries
+    items: ItemRunner
     ledger: LedgerView
     quarantine: QuarantineView
     budgets: dict[ServiceName, RetryBudget]
@@ -75,6 +82,7 @@
     announced: set[BackendServerName]
     choose: ChoicePolicy = choose_server
     admit: AdmissionPolicy = admitted
+    place: PlacementPolicy = place
     work_version: int = 0
     is_draining: bool = False
 
@@ -112,7 +120,7 @@
         usable = self.usable(service)
         dealt = deal_long_slots(
             [server.announcement for server in usable],
-            [entry.boot for entry in self.peers.entries],
+            [entry.boot for entry in self.entries.all],
             self.own.boot,
             settings.long_share,
         )
@@ -122,15 +130,8 @@
             if server.load.long_in_flight < dealt.get(server.name, 0)
         ]
 
-    def long_slots(self, service: ServiceName) -> int:
-        """Return how much long work this entry may have at a service."""
-        settings = self.in_force.settings.services.get(service)
-        if settings is None:
-            return 0
-        dealt = deal_long_slots(
-            [server.announcement for server in self.usable(service)],
-            [entry.boot for entry in self.peers.entries],
-            self.own.boot,
-            settings.long_share,
-        )
-        return sum(dealt.values())
+    def most_long(self, server: BackendServer) -> int:
+        """Return how much long work a backend server may have at the same time."""
+        settings = self.in_force.settings.services.get(server.announcement.service)
+        share = settings.long_share if settings is not None else 1.0
+        return max(1, int(server.load.slots * share))
--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -36,7 +36,8 @@
     WithdrawServer,
 )
 from ..durable.crash_commands import CrashReported
-from ..durable.job_commands import LoseHolders
+from ..durable.job_commands import SubmitStep
+from ..durable.key_commands import LoseClaimants
 from ..durable.leases import InForceAt
 from ..durable.machine import Machine
 from ..durable.replica import Replica
@@ -180,7 +181,7 @@
 
     def _prepare(self, command: AnyCommand, duties: TermDuties) -> AnyCommand | None:
         """Return the command for the log; None when it would change nothing."""
-        if isinstance(command, SubmitBatchJob):
+        if isinstance(command, (SubmitBatchJob, SubmitStep)):
             return self._batch_jobs.with_owner(command, duties)
         if not isinstance(command, AnnounceServer) or not duties.leadership.is_ready:
             return command
@@ -277,10 +278,10 @@
             return
         live = {lease.entry.boot for lease in duties.leases.live()}
         state = self.machine.state
-        named = state.keys.boots() | state.ledger.boots() | state.quarantine.boots()
+        named = state.keys.boots() | state.quarantine.boots()
         ended = named - live
         if ended:
-            await self.execute(LoseHolders(sorted(ended)))
+            await self.execute(LoseClaimants(sorted(ended)))
 
     async def _forget_servers(self, duties: TermDuties) -> None:
         for announcement in list(self.machine.state.directory.servers.values()):
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import aiohttp
 from aiohttp import web
@@ -13,35 +14,48 @@
 from ..connection.control import ControlConnection
 from ..connection.control_api import LedgerView, QuarantineView
 from ..connection.directory import BackendDirectory
-from ..connection.peers import Peers
-from ..connection.rpc import RpcServer
+from ..connection.entries import KnownEntries
 from ..connection.sessions import open_session
 from ..durable.configuration_commands import Announcement
 from ..durable.leases import EntryInfo
 from ..ids import Address, BootId, FailureDomain, InstanceName, new_id
-from ..request.announce_api import AnnounceApi
 from ..request.dialect import Dialect
 from ..request.handler import RequestHandler
-from ..request.operator_api import OperatorApi
-from ..request.own_dialect import OwnDialect
-from ..request.trainer_api import TrainerApi
+from ..request.item_progress import ItemRunner
 from ..settings.entry import EntrySettings
 from ..version.configuration import InForce
 from .batch_runner import BatchRunner
-from .bodies import BodyStore
 from .clock import deadline_in, remaining, sleep_until
 from .context import EntryContext
 from .events import EventLog
 from .http_server import HttpServer
 from .metrics import Metrics
 from .renewals import Renewals
-from .rollouts import Rollouts
 
 AddRoutes = Callable[[web.UrlDispatcher, EntryContext], None]
 
 _LEAST_GRACE_S = 0.01  # the HTTP server takes 0 as no limit
 
 
+@dataclass(frozen=True)
+class EntryProtocol:
+    """What an entry speaks with callers and backend servers.
+
+    Attributes
+    ----------
+    dialect : Dialect
+        Names and formats.
+    items : ItemRunner
+        Runs the items of batch jobs.
+    add_routes : callable
+        Adds what the protocol offers beside callers' requests.
+    """
+
+    dialect: Dialect
+    items: ItemRunner
+    add_routes: AddRoutes
+
+
 class EntryProcess:
     """Takes requests and routes them.
 
@@ -49,25 +63,16 @@
     ----------
     settings : EntrySettings
         Settings of the instance.
+    protocol : EntryProtocol
+        What it speaks with callers and backend servers.
     """
 
-    def __init__(
-        self,
-        settings: EntrySettings,
-        dialect: Dialect | None = None,
-        add_routes: AddRoutes | None = None,
-    ) -> None:
+    def __init__(self, settings: EntrySettings, protocol: EntryProtocol) -> None:
         self._settings = settings
-        self._context = _open_context(settings, dialect or OwnDialect())
-        self._add_routes = add_routes or add_own_routes
-        self._rollouts = Rollouts(self._context)
+        self._context = _open_context(settings, protocol)
+        self._add_routes = protocol.add_routes
         self._batch_runner = BatchRunner(self._context)
-        self._renewals = Renewals(
-            self._context, self._rollouts.wake, self._batch_runner
-        )
-        self._peer_server = RpcServer(
-            Address(settings.peer_listen), self._context.events
-        )
+        self._renewals = Renewals(self._context, self._batch_runner)
         self._http = HttpServer(
             self._application(),
             settings.listen,
@@ -90,10 +95,7 @@
     async def start(self) -> None:
         """Start to listen and to renew the lease."""
         self._context.events.record("entry.started", boot=self._context.own.boot)
-        self._context.peers.offer(self._peer_server)
-        await self._peer_server.start()
         self._renewals.start()
-        self._rollouts.start()
         self._batch_runner.start()
         await self._http.start()
         if self._ready_http is not None:
@@ -112,7 +114,6 @@
         await sleep_until(deadline_in(self._settings.balancer_delay_s))
         await self._http.stop_listening()
         await asyncio.gather(
-            self._rollouts.finish(remaining(deadline)),
             self._batch_runner.finish(remaining(deadline)),
             self._http.stop(),
         )
@@ -120,8 +121,6 @@
             await self._ready_http.stop()
         await self._renewals.stop()
         await context.directory.close()
-        await self._peer_server.stop()
-        await context.peers.close()
         await context.control.close()
         await context.session.close()
         await context.single_use_session.close()
@@ -173,25 +172,16 @@
         )
 
 
-def add_own_routes(router: web.UrlDispatcher, context: EntryContext) -> None:
-    """Add what the product's own protocol offers beside callers' requests."""
-    AnnounceApi(context).add_routes(router)
-    TrainerApi(context).add_routes(router)
-    OperatorApi(context).add_routes(router)
-
-
-def _open_context(settings: EntrySettings, dialect: Dialect) -> EntryContext:
+def _open_context(settings: EntrySettings, protocol: EntryProtocol) -> EntryContext:
     events = EventLog(settings.name, settings.data_folder)
     rng = random.Random()
     own = EntryInfo(
         InstanceName(settings.name),
         BootId(new_id(settings.name)),
-        Address(settings.peer_listen),
         Address(settings.listen),
         FailureDomain(settings.failure_domain),
     )
     session: aiohttp.ClientSession = open_session(is_pooled=True)
-    bodies = BodyStore(settings.body_store_bytes)
     in_force = InForce()
 
     async def ask(
@@ -199,11 +189,11 @@
     ) -> ProbeAnswer | None:
         service = in_force.settings.services.get(server.service)
         health_path = service.health_path if service is not None else "/"
-        return await dialect.probe(session, server, health_path, timeout_s)
+        return await protocol.dialect.probe(session, server, health_path, timeout_s)
 
     return EntryContext(
         settings=settings,
-        dialect=dialect,
+        dialect=protocol.dialect,
         own=own,
         events=events,
         metrics=Metrics(),
@@ -213,8 +203,8 @@
         control=ControlConnection(settings.control_addresses, events),
         in_force=in_force,
         directory=BackendDirectory(settings, session, events, ask),
-        bodies=bodies,
-        peers=Peers(own, bodies, events, rng),
+        entries=KnownEntries(),
+        items=protocol.items,
         ledger=LedgerView(-1, {}),
         quarantine=QuarantineView(-1, {}),
         budgets={},
--- a/pollenlb/process/lease_service.py
+++ b/pollenlb/process/lease_service.py
@@ -164,6 +164,7 @@
                 batch_work(each, self._context)
                 for each in owned
                 if each.spec.batch_job not in request.health.batch_jobs
+                or each.changed_at > request.work
             ],
         )
 
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -22,7 +22,7 @@
     completion_body,
     decode_event,
 )
-from ..durable.job_commands import Span
+from ..connection.trainer_messages import Span
 from ..ids import BootId, Fingerprint, RequestId, ServiceName, WeightVersion
 from ..process.clock import Deadline, deadline_in, now
 from ..process.context import EntryContext
@@ -53,8 +53,6 @@
         Body of the completion request.
     least_version : WeightVersion
         Engines with older weights are not used.
-    is_patient : bool
-        Whether to wait for an engine until the deadline, as samples do.
     spans : list of Span
         Weight versions that produced the tokens so far.
     """
@@ -65,7 +63,6 @@
     request_class: RequestClass
     deadline: Deadline
     is_repeatable: bool = True
-    is_patient: bool = False
     least_version: WeightVersion = WeightVersion(0)
     text: list[str] = field(default_factory=list)
     tokens: int = 0
@@ -133,20 +130,19 @@
             generation.deadline,
             generation.request_class,
             generation.is_repeatable,
-            generation.is_patient,
             generation.least_version,
         ),
     )
     while True:
         server = await retries.next_server()
-        generation.attempts += 1
-        generation.server = server
         is_over = False
         try:
-            async for event in _attempt(generation, server, retries.session, context):
+            async for event in generate_at(
+                generation, server, retries.session, context
+            ):
                 yield event
             is_over = True
-        except _AttemptError as error:
+        except AttemptError as error:
             await retries.failed(server, error.failed)
         except (GeneratorExit, asyncio.CancelledError, RefusedError):
             await retries.abandoned()
@@ -156,18 +152,37 @@
             return
 
 
-class _AttemptError(Exception):
+class AttemptError(Exception):
+    """An attempt ended without a whole completion.
+
+    Parameters
+    ----------
+    failed : AttemptFailed
+        What became of it.
+    """
+
     def __init__(self, failed: AttemptFailed) -> None:
         super().__init__(failed.reason)
         self.failed = failed
 
 
-async def _attempt(
+async def generate_at(
     generation: Generation,
     server: BackendServer,
     session: aiohttp.ClientSession,
     context: EntryContext,
 ) -> AsyncIterator[StreamEvent]:
+    """Yield the events of one attempt at an engine.
+
+    Raises
+    ------
+    AttemptError
+        When it ends without the last event.
+    RefusedError
+        When the engine refuses the completion.
+    """
+    generation.attempts += 1
+    generation.server = server
     attempt_id = RequestId(f"{generation.request_id}/{generation.attempts}")
     attempt = Attempt(
         request_id=attempt_id,
@@ -207,7 +222,7 @@
     )
     match result:
         case Err(failed):
-            raise _AttemptError(failed)
+            raise AttemptError(failed)
         case Ok(answer):
             await _check_status(answer)
             return answer
@@ -226,7 +241,7 @@
     if 400 <= status < 500:
         reason = f"{answer.server.name} refused the request: {body[:300]!r}"
         raise RefusedError(Refusal(status, Outcome.RAN, reason))
-    raise _AttemptError(
+    raise AttemptError(
         AttemptFailed(Outcome.UNKNOWN, f"{answer.server.name} answered {status}")
     )
 
@@ -252,8 +267,8 @@
                 # Held back, so that it can be resumed if the end mark is missing.
                 last = event
     except (*SEND_ERRORS, StreamBroken, msgspec.MsgspecError) as error:
-        raise _AttemptError(_stream_failure(answer, error)) from error
-    raise _AttemptError(
+        raise AttemptError(_stream_failure(answer, error)) from error
+    raise AttemptError(
         _stream_failure(answer, StreamBroken("the stream has no end mark"))
     )
 
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -1,47 +1,31 @@
-"""One item of a batch job: its text so far, and one run at an engine."""
+"""Items of batch jobs that are requests with numbered events in their answers."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum
+from typing import cast
 
 from result import Err
 
 from ..connection.backend import BackendServer
-from ..durable.batch_job_commands import (
-    BatchItem,
-    BatchJobSpec,
-    ItemResult,
-    ItemState,
-)
-from ..ids import BackendServerName, RequestId, WeightVersion
+from ..durable.batch_job_commands import BatchItem, BatchJobSpec
+from ..ids import RequestId, WeightVersion
 from ..process.clock import Deadline, now
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, send
 from .dialect import StreamPiece
 from .event_blocks import event_blocks
+from .item_progress import ItemOutput, ItemProgress, RunEnd
 from .outcome import Outcome
 
 _IMPOSSIBLE_STATUS = 422
 _FAILED_STATUS = 500
-
-
-class RunEnd(Enum):
-    """How a run of an item ended."""
-
-    WHOLE = "whole"
-    NOT_RUN = "not-run"
-    FAILED = "failed"
-    IMPOSSIBLE = "impossible"
-    TOO_OLD = "too-old"
-    BROKEN = "broken"
-    SILENT = "silent"
-    MOVED = "moved"
+_STALL_S = 1.5  # a change of weights holds running streams for 0.9 s
 
 
 @dataclass
-class ItemProgress:
-    """An item as far as it was generated.
+class EventText:
+    """Events of an item's answer; satisfies ``item_progress.ItemOutput``.
 
     Attributes
     ----------
@@ -51,111 +35,83 @@
         Number of the last event, from which another engine can go on.
     versions : list of WeightVersion
         Weights that generated them, each once.
-    failures : int
-        Runs that the engine ended with an error.
-    losses : int
-        Runs whose connection broke.
-    server : BackendServerName or None
-        Engine that runs it now.
-    avoided : dict
-        Until when an engine is not asked again, by name.
-    piece_at : float
-        Monotonic time of the last event or of the start, in seconds.
-    is_moving : bool
-        Whether its run is broken off to go on at another engine.
     """
 
-    item: BatchItem
-    spec: BatchJobSpec
-    give_up_at: Deadline
     pieces: list[str] = field(default_factory=list)
     last_number: int | None = None
     versions: list[WeightVersion] = field(default_factory=list)
-    failures: int = 0
-    losses: int = 0
-    runs: int = 0
-    server: BackendServerName | None = None
-    avoided: dict[BackendServerName, Deadline] = field(default_factory=dict)
-    piece_at: float = 0.0
-    is_moving: bool = False
+
+    @property
+    def events(self) -> int:
+        """Events so far."""
+        return len(self.pieces)
 
     def add(self, piece: StreamPiece, version: WeightVersion | None) -> None:
         """Append an event."""
         self.pieces.append(piece.data)
         self.last_number = piece.number
-        self.piece_at = now()
         if version is not None and version not in self.versions:
             self.versions.append(version)
 
     def start_over(self) -> None:
-        """Drop what was generated."""
+        """Drop all events."""
         self.pieces.clear()
         self.versions.clear()
         self.last_number = None
 
-    def fits(self, spec: BatchJobSpec) -> bool:
-        """Whether what was generated may be part of a batch job's results."""
-        if spec.is_single_version and len(self.versions) > 1:
-            return False
-        return all(each >= spec.least_version for each in self.versions)
-
-    def result(self, state: ItemState) -> ItemResult:
-        """Return the item's result."""
-        if state is ItemState.EXPIRED:
-            return ItemResult(self.item.item, state)
-        text = "\n".join(self.pieces)
-        return ItemResult.completed(self.item.item, text, sorted(self.versions))
-
+    def content(self) -> bytes:
+        """Return the data of all events in order, separated by line feeds."""
+        return "\n".join(self.pieces).encode()
+
+
+class RequestItems:
+    """Runs items that are requests; satisfies ``item_progress.ItemRunner``."""
+
+    def begin(self, item: BatchItem, spec: BatchJobSpec) -> ItemOutput:
+        """Return the empty output of an item."""
+        return EventText()
+
+    async def run(
+        self, progress: ItemProgress, server: BackendServer, context: EntryContext
+    ) -> RunEnd:
+        """Run an item at an engine, from where an earlier run broke off.
+
+        Parameters
+        ----------
+        progress : ItemProgress
+            Holds the text as it grows.
+        server : BackendServer
+            The engine.
+        context : EntryContext
+            Parts of the entry process.
+        """
+        item, text = progress.item, _text_of(progress)
+        headers = context.dialect.item_headers(item, progress.spec)
+        if text.last_number is not None:
+            headers.update(context.dialect.resume_headers(text.last_number))
+        attempt = Attempt(
+            request_id=RequestId(item.item),
+            method="POST",
+            path=item.path,
+            headers=headers,
+            body=item.body,
+            deadline=progress.give_up_at,
+        )
+        with server.load.running(is_long=True):
+            return await _run(progress, attempt, server, context)
 
-async def run_item(
-    progress: ItemProgress,
-    server: BackendServer,
-    stall_s: float,
-    context: EntryContext,
-) -> RunEnd:
-    """Run an item at an engine, from where an earlier run broke off.
 
-    Parameters
-    ----------
-    progress : ItemProgress
-        Holds the text as it grows.
-    server : BackendServer
-        The engine.
-    stall_s : float
-        Seconds without an event after which the run counts as lost.
-    context : EntryContext
-        Parts of the entry process.
-    """
-    item, spec = progress.item, progress.spec
-    headers = context.dialect.item_headers(item, spec)
-    if progress.last_number is not None:
-        headers.update(context.dialect.resume_headers(progress.last_number))
-    attempt = Attempt(
-        request_id=RequestId(item.item),
-        method="POST",
-        path=item.path,
-        headers=headers,
-        body=item.body,
-        deadline=progress.give_up_at,
-    )
-    progress.runs += 1
-    progress.server = server.name
-    progress.piece_at = now()
-    try:
-        with server.load.running(is_long=True):
-            return await _run(progress, attempt, server, stall_s, context)
-    finally:
-        progress.server = None
+def _text_of(progress: ItemProgress) -> EventText:
+    return cast(EventText, progress.output)
 
 
 async def _run(
     progress: ItemProgress,
     attempt: Attempt,
     server: BackendServer,
-    stall_s: float,
     context: EntryContext,
 ) -> RunEnd:
-    head_deadline = Deadline(min(attempt.deadline, now() + stall_s))
+    head_deadline = Deadline(min(attempt.deadline, now() + _STALL_S))
     sent = await send(
         attempt,
         server,
@@ -180,14 +136,14 @@
         return RunEnd.SILENT if failed.is_timeout else RunEnd.BROKEN
     answer = sent.ok_value
     try:
-        return await _take_answer(progress, answer, stall_s, context)
+        return await _take_answer(progress, answer, context)
     except (*SEND_ERRORS, ValueError) as error:
         is_silent = isinstance(error, TimeoutError)
         context.events.record(
             "item.broken",
             item=attempt.request_id,
             server=server.name,
-            events=len(progress.pieces),
+            events=progress.output.events,
             reason=str(error) or type(error).__name__,
         )
         return RunEnd.SILENT if is_silent else RunEnd.BROKEN
@@ -196,7 +152,7 @@
 
 
 async def _take_answer(
-    progress: ItemProgress, answer: Answer, stall_s: float, context: EntryContext
+    progress: ItemProgress, answer: Answer, context: EntryContext
 ) -> RunEnd:
     status = answer.response.status
     if status == _IMPOSSIBLE_STATUS:
@@ -208,15 +164,16 @@
     version = answer.head.version
     if not _is_allowed(progress, version):
         return RunEnd.TOO_OLD
-    async for block in event_blocks(answer.response.content, stall_s):
+    text = _text_of(progress)
+    async for block in event_blocks(answer.response.content, _STALL_S):
         piece = context.dialect.read_piece(block)
         version = piece.version or version
         if not _is_allowed(progress, version):
             return RunEnd.TOO_OLD
-        if progress.last_number is not None and piece.number <= progress.last_number:
+        if text.last_number is not None and piece.number <= text.last_number:
             raise ValueError(f"event {piece.number} came twice")
-        answer.server.load.note_piece(now() - progress.piece_at)
-        progress.add(piece, version)
+        progress.note_event(answer.server)
+        text.add(piece, version)
     answer.server.note_answer(0.0)
     return RunEnd.WHOLE
 
@@ -228,4 +185,5 @@
         return False
     if not progress.spec.is_single_version:
         return True
-    return not progress.versions or progress.versions == [version]
+    known = progress.output.versions
+    return not known or known == [version]
--- a/pollenlb/request/item_placement.py
+++ b/pollenlb/request/item_placement.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
-from collections.abc import Hashable, Sequence
+from collections.abc import Callable, Hashable, Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import Generic, TypeVar
+from types import MappingProxyType
+from typing import Any, Generic, TypeVar
 
-from ..ids import BackendServerName, GroupName, WeightVersion
+from ..ids import BackendServerName, BatchJobId, GroupName, WeightVersion
 
 K = TypeVar("K", bound=Hashable)
 
@@ -23,8 +25,11 @@
     ----------
     key : hashable
         Names the item to the caller of ``place``.
+    batch_job : BatchJobId
+        Batch job that it belongs to.
     due_at : float
-        Monotonic time at which its batch job is wanted, in seconds.
+        Monotonic time at which its batch job is wanted, in seconds; infinite
+        for a job that shares the engines with others.
     is_group_begun : bool
         Whether another item of its group has started.
     length : float
@@ -34,6 +39,7 @@
     """
 
     key: K
+    batch_job: BatchJobId
     due_at: float
     group: GroupName
     is_group_begun: bool
@@ -68,15 +74,19 @@
 
 
 def place(
-    waiting: Sequence[WaitingItem[K]], rooms: Sequence[EngineRoom]
+    waiting: Sequence[WaitingItem[K]],
+    rooms: Sequence[EngineRoom],
+    running: Mapping[BatchJobId, int] = MappingProxyType({}),
 ) -> list[tuple[K, BackendServerName]]:
     """Return the items to start now, each with its engine.
 
     Answers the load of a step that comes all at once, at a time when its
     trainer waits for whole groups: the earlier due job goes first, within it
     groups that have begun, and within these the longest items, as the last
-    one to finish decides. An item waits here rather than in an engine's queue
-    when all slots are taken, since it could not be moved from there.
+    one to finish decides. Jobs without a due time get the same number of
+    slots each, so that a small one does not wait for a large one. An item waits
+    here rather than in an engine's queue when all slots are taken, since it
+    could not be moved from there.
 
     Parameters
     ----------
@@ -84,14 +94,11 @@
         Items of one model.
     rooms : sequence of EngineRoom
         Engines that have the model; changed in place.
+    running : mapping
+        Number of items that run, by batch job.
     """
-    begun = Counter(each.group for each in waiting if each.is_group_begun)
-    ordered = sorted(
-        waiting,
-        key=lambda each: (each.due_at, not begun[each.group], -each.length),
-    )
     placed: list[tuple[K, BackendServerName]] = []
-    for item in ordered:
+    for item in _ordered(waiting, running):
         fit = [
             room
             for room in rooms
@@ -100,6 +107,8 @@
             and room.server not in item.avoided
         ]
         if not fit:
+            if all(room.taken >= room.slots for room in rooms):
+                break
             continue
         room = min(fit, key=lambda each: _cost(each, item))
         room.taken += 1
@@ -108,6 +117,28 @@
     return placed
 
 
+def _ordered(
+    waiting: Sequence[WaitingItem[K]], running: Mapping[BatchJobId, int]
+) -> list[WaitingItem[K]]:
+    begun = {(each.batch_job, each.group) for each in waiting if each.is_group_begun}
+    urgent = sorted(
+        waiting,
+        key=lambda each: (
+            each.due_at,
+            (each.batch_job, each.group) not in begun,
+            -each.length,
+        ),
+    )
+    ahead = Counter(running)
+    ranks = []
+    for item in urgent:
+        ranks.append(ahead[item.batch_job] if math.isinf(item.due_at) else 0)
+        ahead[item.batch_job] += 1
+    # Sorting is stable: items of equal rank keep their order.
+    order = sorted(range(len(urgent)), key=lambda at: (urgent[at].due_at, ranks[at]))
+    return [urgent[at] for at in order]
+
+
 def _cost(room: EngineRoom, item: WaitingItem) -> float:
     cost = room.slowness * (1 + room.taken / room.slots)
     if not room.is_home:
@@ -115,3 +146,9 @@
     if item.group in room.groups:
         cost -= _GROUP_GAIN
     return cost
+
+
+PlacementPolicy = Callable[
+    [Sequence[WaitingItem[Any]], Sequence[EngineRoom], Mapping[BatchJobId, int]],
+    list[tuple[Any, BackendServerName]],
+]
--- a/pollenlb/request/once.py
+++ b/pollenlb/request/once.py
@@ -4,11 +4,9 @@
 
 import msgspec
 from aiohttp import web
-from result import Err, Ok
 
 from ..durable.command import Refused
 from ..durable.key_commands import (
-    BodyHolder,
     ClaimKey,
     KeyClaimed,
     KeyHeld,
@@ -16,10 +14,8 @@
     KeyState,
     SettleKey,
 )
-from ..durable.keys import KEY_LIFETIME_MS
 from ..exceptions import CommandInDoubtError, ControlError
-from ..ids import BodyDigest, CommandId, new_id
-from ..process.bodies import BodyLabel
+from ..ids import CommandId, new_id
 from ..process.clock import deadline_in, remaining, sleep_until
 from ..process.context import EntryContext
 from .caller_request import CallerRequest
@@ -29,7 +25,6 @@
 _SETTLE_TIMEOUT_S = 5.0
 _POLL_S = 0.2
 _MOST_ANSWER_BYTES = 262_144
-_LIFETIME_S = KEY_LIFETIME_MS / 1000
 _REPLAY_HEADER = "Pollenlb-Replayed"
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -50,7 +45,7 @@
         if held is None:
             return await _run_claimed(caller, context)
         if held.state is KeyState.RAN:
-            return await _replay(caller, held, context)
+            return _replay(caller, held, context)
         if held.state is KeyState.UNKNOWN or remaining(caller.deadline) < 2 * _POLL_S:
             raise _unknown("an earlier attempt may have run; it is not run again")
         await sleep_until(deadline_in(_POLL_S))
@@ -58,7 +53,7 @@
 
 async def _claim(caller: CallerRequest, context: EntryContext) -> KeyRecord | None:
     assert caller.key is not None
-    command = ClaimKey(caller.key, caller.fingerprint, context.peers.holder)
+    command = ClaimKey(caller.key, caller.fingerprint, context.own.claimant)
     command_id = CommandId(new_id("claim"))
     try:
         result = await context.control.propose(command, command_id, caller.deadline)
@@ -98,26 +93,18 @@
     caller: CallerRequest, context: EntryContext, answer: WholeAnswer
 ) -> None:
     body = _encode(answer)
-    digest: BodyDigest | None = None
-    holders: list[BodyHolder] = []
-    if len(body) <= _MOST_ANSWER_BYTES:
-        try:
-            label = BodyLabel(None, lifetime_s=_LIFETIME_S)
-            digest, holders = await context.peers.store_twice(body, label)
-        except ControlError:
-            digest = None
-    await _settle(caller, context, KeyState.RAN, digest, holders)
+    is_kept = len(body) <= _MOST_ANSWER_BYTES
+    await _settle(caller, context, KeyState.RAN, body if is_kept else None)
 
 
 async def _settle(
     caller: CallerRequest,
     context: EntryContext,
     state: KeyState | None,
-    answer: BodyDigest | None = None,
-    holders: list[BodyHolder] | None = None,
+    answer: bytes | None = None,
 ) -> None:
     assert caller.key is not None
-    command = SettleKey(caller.key, context.peers.holder, state, answer, holders or [])
+    command = SettleKey(caller.key, context.own.claimant, state, answer)
     command_id = CommandId(new_id("settle"))
     try:
         await context.control.propose(
@@ -131,20 +118,16 @@
     await _settle(caller, context, None)
 
 
-async def _replay(
+def _replay(
     caller: CallerRequest, record: KeyRecord, context: EntryContext
 ) -> web.StreamResponse:
-    if record.answer is not None:
-        match await context.peers.fetch(record.answer, record.holders):
-            case Ok(body):
-                response = whole_response(caller, _decode(body), context.dialect)
-                response.headers[_REPLAY_HEADER] = "yes"
-                return response
-            case Err(_):
-                pass
-    raise RefusedError(
-        Refusal(410, Outcome.RAN, "it ran once; its answer is no longer held")
-    )
+    if record.answer is None:
+        raise RefusedError(
+            Refusal(410, Outcome.RAN, "it ran once; its answer is no longer held")
+        )
+    response = whole_response(caller, _decode(record.answer), context.dialect)
+    response.headers[_REPLAY_HEADER] = "yes"
+    return response
 
 
 def _unknown(reason: str) -> RefusedError:
--- /dev/null
+++ b/pollenlb/request/own_protocol.py
@@ -0,0 +1,24 @@
+"""The product's own protocol for entries."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from ..process.context import EntryContext
+from ..process.entry import EntryProtocol
+from .announce_api import AnnounceApi
+from .operator_api import OperatorApi
+from .own_dialect import OwnDialect
+from .sample import SampleItems
+from .trainer_api import TrainerApi
+
+
+def own_protocol() -> EntryProtocol:
+    """Return what an entry speaks unless an adapter says otherwise."""
+    return EntryProtocol(OwnDialect(), SampleItems(), _add_routes)
+
+
+def _add_routes(router: web.UrlDispatcher, context: EntryContext) -> None:
+    AnnounceApi(context).add_routes(router)
+    TrainerApi(context).add_routes(router)
+    OperatorApi(context).add_routes(router)
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -7,25 +7,14 @@
 import aiohttp
 
 from ..connection.backend import BackendServer
-from ..durable.command import Refused
-from ..durable.crash_commands import (
-    CrashReported,
-    EndTrial,
-    ReportCrash,
-    StartTrial,
-    TrialEnd,
-    TrialStarted,
-)
-from ..exceptions import ControlError
+from ..durable.crash_commands import TrialEnd
+from ..exceptions import ControlError, RequestCondemnedError
 from ..ids import (
     BackendServerName,
-    BootId,
-    CommandId,
     Fingerprint,
     RequestId,
     ServiceName,
     WeightVersion,
-    new_id,
 )
 from ..process.clock import Deadline, deadline_in, remaining, sleep_until
 from ..process.context import EntryContext
@@ -33,10 +22,10 @@
 from .attempt import AttemptFailed
 from .caller_request import RequestClass
 from .choice import is_slow, typical_latency_s
+from .crash_trial import CrashTrial
 from .outcome import CONDEMNED_STATUS, Outcome, Refusal, RefusedError
 
 _PAUSE_S = 0.1
-_REPORT_TIMEOUT_S = 10.0
 _RETRY_AFTER_S = 1.0
 
 
@@ -48,9 +37,6 @@
     ----------
     is_repeatable : bool
         Whether it may run more than once.
-    is_patient : bool
-        Whether to wait for a backend server until the deadline and to try as
-        often as needed, as samples do.
     least_version : WeightVersion or None
         Oldest weights that will do; None for a plain service.
     retry_share : float
@@ -65,7 +51,6 @@
     deadline: Deadline
     request_class: RequestClass
     is_repeatable: bool
-    is_patient: bool = False
     least_version: WeightVersion | None = None
     retry_share: float = 0.1
     most_attempts: int = 4
@@ -100,13 +85,12 @@
         self._context = context
         self._service = service
         self._request_id = request_id
-        self._fingerprint = fingerprint
         self._policy = policy
         self._tried: set[BackendServerName] = set()
         self._silent: set[BackendServerName] = set()
         self._attempts = 0
         self._was_sent = False
-        self._is_on_trial = False
+        self._trial = CrashTrial(context, request_id, fingerprint)
         context.budget(service).add_request(policy.retry_share)
 
     @property
@@ -117,7 +101,7 @@
     @property
     def is_on_trial(self) -> bool:
         """Whether the request runs as a suspect."""
-        return self._is_on_trial
+        return self._trial.is_on_trial
 
     @property
     def session(self) -> aiohttp.ClientSession:
@@ -140,9 +124,7 @@
             if server is not None and await self._may_run(server):
                 self._attempts += 1
                 return server
-            if server is None and self._tried and self._policy.is_patient:
-                self._tried.clear()
-            elif server is None and not self._may_wait():
+            if server is None and not self._may_wait():
                 raise self._refusal(
                     503, f"no backend server of {self._service} is usable"
                 )
@@ -156,11 +138,11 @@
     async def succeeded(self, server: BackendServer) -> None:
         """Take note that an attempt led to a whole answer."""
         self._context.metrics.attempts.labels(self._service, "whole").inc()
-        await self._end_trial(TrialEnd.CLEARED)
+        await self._trial.end(TrialEnd.CLEARED)
 
     async def abandoned(self) -> None:
         """Take note that nobody waits for the answer any more."""
-        await self._end_trial(TrialEnd.OPEN)
+        await self._trial.end(TrialEnd.OPEN)
 
     async def failed(self, server: BackendServer, failed: AttemptFailed) -> None:
         """Take note of a failed attempt; return if another may follow.
@@ -171,7 +153,7 @@
             When the request is given up.
         """
         await self.note_failure(server, failed)
-        await self._end_trial(TrialEnd.OPEN)
+        await self._trial.end(TrialEnd.OPEN)
         self._check_may_retry(failed)
 
     async def note_failure(self, server: BackendServer, failed: AttemptFailed) -> None:
@@ -190,11 +172,10 @@
         self._record(server, failed)
         if failed.is_other_server:
             server.note_failure()
-        if failed.is_connection_lost:
-            boot = server.boot
+        if failed.is_connection_lost and not is_sent:
             server.note_failure()
-            if is_sent and await server.has_crashed(boot):
-                await self._report_crash(server, boot)
+        elif failed.is_connection_lost:
+            await self._note_lost_connection(server)
 
     def hedge_server(self, first: BackendServer) -> BackendServer | None:
         """Return the backend server for a hedge, or None without budget."""
@@ -206,7 +187,7 @@
             and each.name not in self._tried
             and not is_slow(each, typical_s)
         ]
-        entries = len(self._context.peers.entries)
+        entries = len(self._context.entries.all)
         servers = self._context.admit(servers, entries, self._policy.deadline)
         if not servers or self._attempts >= self._policy.most_attempts:
             return None
@@ -229,7 +210,7 @@
         if not fresh:
             return None
         if self._policy.request_class is not RequestClass.LONG:
-            entries = len(self._context.peers.entries)
+            entries = len(self._context.entries.all)
             admissible = self._context.admit(fresh, entries, self._policy.deadline)
             if not admissible:
                 raise self._refusal(
@@ -239,8 +220,6 @@
         return self._context.choose(fresh, self._context.rng)
 
     def _may_wait(self) -> bool:
-        if self._policy.is_patient:
-            return True
         is_long = self._policy.request_class is RequestClass.LONG
         return is_long and not self._tried and bool(self._context.usable(self._service))
 
@@ -259,50 +238,20 @@
         ]
 
     async def _may_run(self, server: BackendServer) -> bool:
-        is_condemned = self._context.quarantine.suspects.get(self._fingerprint)
-        if is_condemned is None:
-            return True
-        if is_condemned:
-            raise self._condemned()
-        command = StartTrial(self._fingerprint, server.name, self._context.peers.holder)
-        match await self._propose(command):
-            case TrialStarted(is_needed=is_needed):
-                self._is_on_trial = is_needed
-                return True
-            case Refused():
-                return False
-        raise self._refusal(503, "the control instances cannot be reached")
-
-    async def _end_trial(self, end: TrialEnd) -> None:
-        if not self._is_on_trial:
-            return
-        self._is_on_trial = False
-        command = EndTrial(self._fingerprint, self._context.peers.holder, end)
-        await self._propose(command)
-
-    async def _report_crash(self, server: BackendServer, boot: BootId) -> None:
-        self._context.events.record(
-            "server.crashed", server=server.name, boot=boot, request=self._request_id
-        )
-        command = ReportCrash(self._fingerprint, server.name, boot)
-        match await self._propose(command):
-            case CrashReported(is_condemned=is_condemned):
-                self._is_on_trial = self._is_on_trial and not is_condemned
-                if is_condemned:
-                    self._context.events.record(
-                        "request.condemned", request=self._request_id
-                    )
-                    raise self._condemned()
-            case None:
-                raise self._refusal(503, "a crash could not be reported")
-
-    async def _propose(self, command: ReportCrash | StartTrial | EndTrial):
-        command_id = CommandId(new_id("trial"))
-        deadline = deadline_in(_REPORT_TIMEOUT_S)
         try:
-            return await self._context.control.propose(command, command_id, deadline)
-        except ControlError:
-            return None
+            return await self._trial.may_run(server)
+        except RequestCondemnedError as error:
+            raise self._condemned(error) from error
+        except ControlError as error:
+            raise self._refusal(503, str(error)) from error
+
+    async def _note_lost_connection(self, server: BackendServer) -> None:
+        try:
+            await self._trial.note_lost_connection(server)
+        except RequestCondemnedError as error:
+            raise self._condemned(error) from error
+        except ControlError as error:
+            raise self._refusal(503, "a crash could not be reported") from error
 
     def _check_may_retry(self, failed: AttemptFailed) -> None:
         policy = self._policy
@@ -311,8 +260,6 @@
             raise self._refusal(status, failed.reason)
         if self._was_sent and not policy.is_repeatable:
             raise self._refusal(status, failed.reason)
-        if policy.is_patient:
-            return
         is_spent = self._attempts >= policy.most_attempts
         if is_spent or not self._context.budget(self._service).try_spend():
             raise self._refusal(status, failed.reason, failed.retry_after_s)
@@ -336,7 +283,6 @@
             Refusal(status, outcome, reason, retry_after_s or _RETRY_AFTER_S)
         )
 
-    def _condemned(self) -> RefusedError:
+    def _condemned(self, error: RequestCondemnedError) -> RefusedError:
         outcome = Outcome.UNKNOWN if self._was_sent else Outcome.NOT_RUN
-        reason = "the request crashed backend servers and is not run again"
-        return RefusedError(Refusal(CONDEMNED_STATUS, outcome, reason))
+        return RefusedError(Refusal(CONDEMNED_STATUS, outcome, str(error)))
--- a/pollenlb/request/trainer_api.py
+++ b/pollenlb/request/trainer_api.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import msgspec
 from aiohttp import web
-from result import Err, Ok
 
 from ..connection.trainer_messages import (
     DeliveredBatch,
@@ -23,25 +20,19 @@
     CreateJob,
     JobSettings,
     PullBatch,
-    ReportMissing,
-    SampleRecord,
     SetTrainerVersion,
     SubmitStep,
 )
-from ..exceptions import ControlError
 from ..ids import BatchNumber, JobName, ServiceName, StepNumber, WeightVersion
-from ..process.bodies import BodyLabel
 from ..process.clock import Deadline, deadline_in, remaining, sleep_until
 from ..process.context import EntryContext
 from .api import command_id_of, execute, json_response, read_json, refusing
-from .outcome import bad_request, unavailable
+from .outcome import bad_request
 
 _MOST_WAIT_S = 60.0
 _POLL_S = 0.1
-_FETCHES_AT_ONCE = 32
 
 _decode_sample = msgspec.msgpack.Decoder(SampleBody).decode
-_encode = msgspec.msgpack.Encoder().encode
 
 
 class TrainerApi:
@@ -95,17 +86,8 @@
     async def submit(self, request: web.Request) -> web.Response:
         """Add a step of prompts to a job."""
         body = await read_json(request, StepBody)
-        job = _job_of(request)
-        label = BodyLabel(job, StepNumber(body.step))
-        try:
-            digest, holders = await self._context.peers.store_twice(
-                _encode(body.prompts), label
-            )
-        except ControlError as error:
-            raise unavailable(str(error)) from error
-        command = SubmitStep(
-            job, StepNumber(body.step), len(body.prompts), digest, holders
-        )
+        own = self._context.own.boot
+        command = SubmitStep(_job_of(request), StepNumber(body.step), body.prompts, own)
         await execute(self._context, command, command_id_of(request))
         return json_response({"step": body.step, "groups": len(body.prompts)}, 201)
 
@@ -123,10 +105,10 @@
         command = PullBatch(_job_of(request), number)
         while True:
             result = await execute(self._context, command, None)
-            if isinstance(result, BatchSealed):
-                batch = await self._deliver(command.job, result)
-                if batch is not None:
-                    return json_response(batch)
+            if isinstance(result, BatchSealed) and not self._is_outdated(
+                command, result
+            ):
+                return json_response(_delivered(command.job, result))
             if not remaining(deadline):
                 if isinstance(result, BatchNotReady):
                     waiting = NotReady(result.whole_groups, result.needed_groups)
@@ -142,41 +124,26 @@
             if self._context.ledger.jobs.get(job) != before:
                 return
 
-    async def _deliver(
-        self, job: JobName, sealed: BatchSealed
-    ) -> DeliveredBatch | None:
-        limit = asyncio.Semaphore(_FETCHES_AT_ONCE)
-        fetches = [self._fetch(limit, record) for record in sealed.samples]
-        bodies = await asyncio.gather(*fetches)
-        view = self._context.ledger.jobs.get(job)
-        is_version_later = (
-            view is not None and view.trainer_version > sealed.trainer_version
-        )
-        if None in bodies or is_version_later:
-            return None
-        samples = [
-            DeliveredSample(record.step, record.group, record.position, body)
-            for record, body in zip(sealed.samples, bodies)
-            if body is not None
-        ]
-        batch = sealed.batch
-        return DeliveredBatch(
-            job, batch.number, batch.step, batch.seal, sealed.trainer_version, samples
-        )
+    def _is_outdated(self, command: PullBatch, sealed: BatchSealed) -> bool:
+        """Whether the trainer's version rose after the batch was checked."""
+        view = self._context.ledger.jobs.get(command.job)
+        return view is not None and view.trainer_version > sealed.trainer_version
+
 
-    async def _fetch(
-        self, limit: asyncio.Semaphore, record: SampleRecord
-    ) -> SampleBody | None:
-        async with limit:
-            fetched = await self._context.peers.fetch(record.body, record.holders)
-        match fetched:
-            case Ok(body):
-                return _decode_sample(body)
-            case Err(unreachable):
-                for boot in unreachable.without_it:
-                    command = ReportMissing(record.job, record.body, boot)
-                    await execute(self._context, command, None)
-        return None
+def _delivered(job: JobName, sealed: BatchSealed) -> DeliveredBatch:
+    batch = sealed.batch
+    samples = [
+        DeliveredSample(
+            batch.step,
+            each.group,
+            each.position,
+            _decode_sample(each.result.content),
+        )
+        for each in sealed.samples
+    ]
+    return DeliveredBatch(
+        job, batch.number, batch.step, batch.seal, sealed.trainer_version, samples
+    )
 
 
 def _job_of(request: web.Request) -> JobName:
--- a/pollenlb/settings/entry.py
+++ b/pollenlb/settings/entry.py
@@ -32,9 +32,6 @@
     listen: Option[str] = SocketAddress()
     """Address of the HTTP server for callers, backend servers and operators."""
 
-    peer_listen: Option[str] = SocketAddress()
-    """Address of the gRPC server for other entries."""
-
     control: Option[list] = ListOf(SocketAddress(), least=1)
     """Addresses of the control instances."""
 
@@ -62,9 +59,6 @@
     replay_body_bytes = Integer(0, 16_777_216, 65_536)
     """Bodies up to this size, in bytes, are kept to be sent a second time."""
 
-    body_store_bytes = Integer(1024, 4_294_967_296, 33_554_432)
-    """Memory for prompts and samples, in bytes."""
-
     max_timeout_s = Number(0.1, 86_400, 3600.0)
     """Greatest timeout, in seconds, that a caller may ask for."""
 
@@ -86,8 +80,8 @@
     shutdown_grace_s = Number(0, 3600, 60.0)
     """Seconds that requests in flight have to finish at a shutdown."""
 
-    max_samples_in_flight = Integer(1, 100_000, 256)
-    """Samples that this instance generates at the same time."""
+    max_items_in_flight = Integer(1, 100_000, 4096)
+    """Samples and items of batch jobs that this instance runs at the same time."""
 
     @property
     def control_addresses(self) -> list[Address]:
--- a/pollenlb/version/orders.py
+++ b/pollenlb/version/orders.py
@@ -168,10 +168,11 @@
             is_told = bool(service.models)  # versions come with announcements
             if released is None and not is_told:
                 continue
+            # Other engines hold running streams while they change weights.
             open_jobs = [
                 each
                 for each in state.batch_jobs.batch_jobs.values()
-                if each.is_open and each.spec.model == model
+                if is_told and each.is_open and each.spec.model == model
             ]
             specs = [each.spec for each in open_jobs]
             goals.append(
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -129,7 +129,7 @@
         )
 
     def _prepare_entry(self, name: str, number: int, seeds: list[str]) -> None:
-        port, peer_port, ready_port = free_ports(3)
+        port, ready_port = free_ports(2)
         self.http[name] = f"http://127.0.0.1:{port}"
         self._prepare(
             name,
@@ -138,7 +138,6 @@
                 "failure_domain": DOMAINS[number % len(DOMAINS)],
                 "listen": f"127.0.0.1:{port}",
                 "ready_listen": f"127.0.0.1:{ready_port}",
-                "peer_listen": f"127.0.0.1:{peer_port}",
                 "control": seeds,
                 "serves_without_lease": True,
                 "probe_interval_s": 0,
--- a/tests/durable/replica_set.py
+++ b/tests/durable/replica_set.py
@@ -13,6 +13,7 @@
 from fakes.relay import Link, Relay
 from pollenlb.commands.control import _format
 from pollenlb.connection.rpc import RpcServer
+from pollenlb.durable.records import Member
 from pollenlb.durable.replica import Replica
 from pollenlb.durable.storage import Storage
 from pollenlb.exceptions import LogError
@@ -88,6 +89,12 @@
         leadership = self.replica.leadership if self.replica else None
         return leadership is not None and leadership.is_ready
 
+    @property
+    def committed_members(self) -> list[Member]:
+        """Members that outlive the loss of any minority."""
+        assert self.replica is not None
+        return self.replica.storage.members_at(self.replica.commit_index)
+
     async def start(self) -> None:
         """Start the replica from what its folder holds."""
         events = EventLog(self.settings.name, None)
--- a/tests/request/test_item_placement.py
+++ b/tests/request/test_item_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from pollenlb.request.item_moves import EnginePace, RunningItem, choose_moves
@@ -13,6 +14,7 @@
 
 def _waiting(key: int, length: float = 100.0, **options) -> WaitingItem:
     values = {
+        "batch_job": "job",
         "due_at": 7.5,
         "group": f"group-{key // 4}",
         "is_group_begun": False,
@@ -52,6 +54,33 @@
     assert place(waiting, rooms) == [(4, "engine-0")]
 
 
+def test_jobs_without_a_due_time_share_the_slots():
+    """Replay of a small step that comes after a large one has taken all slots."""
+    never = {"due_at": math.inf, "is_group_begun": False}
+    large = [_waiting(key, batch_job="large", **never) for key in range(40)]
+    small = [_waiting(100 + key, batch_job="small", **never) for key in range(8)]
+    first = place(large, _rooms(4))
+    assert len(first) == 4 * _SLOTS
+    running = {"large": len(first), "small": 0}
+    for _ in range(8):
+        running["large"] -= 1
+        rooms = [EngineRoom("engine-0", 1, 0, 2)]
+        ((key, _),) = place(large[16:] + small, rooms, running)
+        name = "small" if key >= 100 else "large"
+        running[name] += 1
+        small = [each for each in small if each.key != key]
+    assert running == {"large": 8, "small": 8}
+
+
+def test_a_job_with_a_due_time_goes_before_those_without():
+    waiting = [
+        _waiting(0, batch_job="steps", due_at=math.inf),
+        _waiting(1, batch_job="due"),
+    ]
+    rooms = [EngineRoom("engine-0", 1, 0, 2)]
+    assert place(waiting, rooms, {"due": 30}) == [(1, "engine-0")]
+
+
 def test_an_engine_with_older_weights_gets_nothing():
     rooms = [EngineRoom("old", _SLOTS, 0, 1)]
     assert place([_waiting(0)], rooms) == []
