--- a/pollenlb/__main__.py
+++ b/pollenlb/__main__.py
@@ -102,6 +102,9 @@
     last_s: Annotated[
         float | None, cappa.Arg(long="--last-s", help="Only the last seconds.")
     ] = None
+    svg: Annotated[
+        Path | None, cappa.Arg(long="--svg", help="Draw lanes into this file.")
+    ] = None
 
 
 @cappa.command(name="set")
@@ -262,7 +265,7 @@
     from .commands.timeline import timeline
 
     folders = action.folders or [Path(each) for each in settings.event_folders]
-    timeline(folders, action.about, action.last_s, is_json)
+    timeline(folders, action.about, action.last_s, action.svg, is_json)
 
 
 @carry_out.register
--- a/pollenlb/commands/timeline.py
+++ b/pollenlb/commands/timeline.py
@@ -9,11 +9,14 @@
 
 import msgspec
 
+from ..clock import Timestamp
+from ..events import EVENT_FILE
 from ..exceptions import PollenError
-from ..process.clock import Timestamp
-from ..process.events import EVENT_FILE
+from .lanes import draw_lanes
 from .output import print_json
 
+_LOG_SUFFIX = ".log"
+
 _FRAME_KEYS = frozenset(
     ("process", "hlc", "timestamp", "task_uuid", "task_level", "message_type")
 )
@@ -45,23 +48,34 @@
 
 
 def timeline(
-    folders: list[Path], about: str | None, last_s: float | None, is_json: bool
+    folders: list[Path],
+    about: str | None,
+    last_s: float | None,
+    svg: Path | None,
+    is_json: bool,
 ) -> None:
     """Print the events of all processes in causal order.
 
     Parameters
     ----------
     folders : list of Path
-        Folders that hold event files, at any depth.
+        Folders that hold event files or what processes wrote on standard
+        output (``*.log``), at any depth; or such files.
     about : str or None
         Only events with this text in a field: a request, sample, order,
         backend server or command.
     last_s : float or None
         Only events of so many seconds before the last one.
+    svg : Path or None
+        Where to draw them, a lane for each process, instead of printing.
     is_json : bool
         Whether to print JSON instead of lines.
     """
     events = select(merge(folders), about, last_s)
+    if svg is not None:
+        svg.write_bytes(draw_lanes(events))
+        print(f"{len(events)} events are drawn in {svg}")
+        return
     if is_json:
         print_json(events)
         return
@@ -82,10 +96,11 @@
     files = [
         path
         for folder in folders
-        for path in ([folder] if folder.is_file() else folder.rglob(EVENT_FILE))
+        for path in ([folder] if folder.is_file() else _event_files(folder))
     ]
     if not files:
-        raise PollenError(f"no {EVENT_FILE} below {', '.join(map(str, folders))}")
+        names = ", ".join(map(str, folders))
+        raise PollenError(f"no {EVENT_FILE} and no *{_LOG_SUFFIX} below {names}")
     events = [event for path in files for event in _read(path)]
     return sorted(events, key=lambda each: (each.at, each.process))
 
@@ -100,6 +115,10 @@
     return events
 
 
+def _event_files(folder: Path) -> list[Path]:
+    return [*folder.rglob(EVENT_FILE), *folder.rglob(f"*{_LOG_SUFFIX}")]
+
+
 def _is_about(event: Event, about: str) -> bool:
     return about == event.process or any(
         about in str(value) for value in event.fields.values()
@@ -108,8 +127,10 @@
 
 def _read(path: Path) -> Iterator[Event]:
     for line in path.read_bytes().splitlines():
+        # A collector may have put the time and the process before the message.
+        _, brace, rest = line.partition(b"{")
         try:
-            message = msgspec.json.decode(line)
+            message = msgspec.json.decode(brace + rest)
             at = Timestamp.parse(message["hlc"])
         except (msgspec.DecodeError, KeyError, ValueError):
             continue
