Clock and events stand below all packages; the parts of a replica import one way

Cause: connection/ and durable/ imported clock and events from process/ above them; replica, leadership, follower, election and answers imported each other in a circle, hidden behind TYPE_CHECKING. Change: pollenlb/clock.py, pollenlb/events.py; durable/replica_parts.py says what the parts of a replica may ask of it.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -4,11 +4,11 @@
 
 import asyncio
 
+from pollenlb.clock import now
 from pollenlb.connection.control_api import BatchWork, WorkView
 from pollenlb.durable.commands import Proposal
 from pollenlb.durable.machine import Machine, encode_proposal
 from pollenlb.durable.views import ledger_view, quarantine_view
-from pollenlb.process.clock import now
 
 COMMAND_S = 0.008
 VIEW_S = 0.004
--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -17,13 +17,13 @@
 from aiohttp import web
 
 from demo.cluster import Cluster, ClusterPlan
+from pollenlb.clock import deadline_in
 from pollenlb.connection.control import ControlConnection
 from pollenlb.connection.control_api import RENEW, RenewRequest
 from pollenlb.connection.rpc import RpcChannel
 from pollenlb.durable.job_commands import CreateJob, JobSettings
 from pollenlb.durable.leases import EntryInfo
-from pollenlb.process.clock import deadline_in
-from pollenlb.process.events import EventLog
+from pollenlb.events import EventLog
 
 OUTPUT = Path("build/cost.json")
 SERVER_COUNTS = (10, 100, 600)
--- a/benchmarks/entries.py
+++ b/benchmarks/entries.py
@@ -17,8 +17,8 @@
 from pollenlb.connection.entries import KnownEntries
 from pollenlb.durable.configuration_commands import Announcement
 from pollenlb.durable.leases import EntryInfo
+from pollenlb.events import EventLog
 from pollenlb.process.context import EntryContext
-from pollenlb.process.events import EventLog
 from pollenlb.process.metrics import Metrics
 from pollenlb.request.own_dialect import OwnDialect
 from pollenlb.request.sample import SampleItems
--- a/benchmarks/fake_servers.py
+++ b/benchmarks/fake_servers.py
@@ -13,7 +13,7 @@
 
 import aiohttp
 
-from pollenlb.process.clock import now
+from pollenlb.clock import now
 
 NETWORK_S = 0.001
 TOKENS_PER_EVENT = 4
--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -14,7 +14,7 @@
 from benchmarks.fake_servers import FakeServer
 from benchmarks.policies import Policy
 from benchmarks.virtual_time import run
-from pollenlb.process.clock import deadline_in, now
+from pollenlb.clock import deadline_in, now
 from pollenlb.process.context import EntryContext
 from pollenlb.request.caller_request import CallerRequest, RequestBody, RequestClass
 from pollenlb.request.outcome import RefusedError
--- a/benchmarks/trainer.py
+++ b/benchmarks/trainer.py
@@ -11,6 +11,7 @@
 from benchmarks.fake_servers import FakeServer
 from benchmarks.policies import Policy
 from benchmarks.virtual_time import run
+from pollenlb.clock import now
 from pollenlb.durable.job_commands import (
     BatchSealed,
     CreateJob,
@@ -20,7 +21,6 @@
     SubmitStep,
 )
 from pollenlb.process.batch_runner import BatchRunner
-from pollenlb.process.clock import now
 from pollenlb.request import sample as sample_module
 
 SERVICE = "model"
--- a/benchmarks/virtual_time.py
+++ b/benchmarks/virtual_time.py
@@ -7,7 +7,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from pollenlb.process import clock
+from pollenlb import clock
 
 
 class _JumpingSelector(selectors.SelectSelector):
--- a/pollenlb/client.py
+++ b/pollenlb/client.py
@@ -9,10 +9,10 @@
 import aiohttp
 import msgspec
 
+from .clock import Deadline, deadline_in, remaining
 from .connection.trainer_messages import COMMAND_ID_HEADER, DeliveredBatch, JobBody
 from .exceptions import ControlError, RequestRefusedError
 from .ids import BatchNumber, JobName, StepNumber, WeightVersion, new_id
-from .process.clock import Deadline, deadline_in, remaining
 
 __all__ = ["DeliveredBatch", "JobBody", "TrainerClient"]
 
--- a/pollenlb/commands/control.py
+++ b/pollenlb/commands/control.py
@@ -7,12 +7,12 @@
 import signal
 from pathlib import Path
 
+from ..clock import deadline_in, sleep_until
 from ..durable.records import Member
 from ..durable.replica import first_entries
 from ..durable.storage import Storage, first_hard_state
 from ..exceptions import PollenError
 from ..ids import Address, ClusterId, InstanceName, ReplicaId
-from ..process.clock import deadline_in, sleep_until
 from ..process.control import ControlProcess, MakeApplication
 from ..settings.control import ControlSettings
 from ..version.order_channel import OrderChannel
--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -7,10 +7,10 @@
 
 import aiohttp
 
+from ..clock import Deadline, deadline_in, now, sleep_until
 from ..durable.configuration_commands import Announcement, ServerState
+from ..events import EventLog
 from ..ids import BackendServerName, BootId, ModelName, WeightVersion
-from ..process.clock import Deadline, deadline_in, now, sleep_until
-from ..process.events import EventLog
 from ..settings.entry import EntrySettings
 from .backend_api import ProbeAnswer
 from .load import ServerLoad
--- a/pollenlb/connection/control.py
+++ b/pollenlb/connection/control.py
@@ -7,11 +7,11 @@
 
 from result import Err, Ok
 
+from ..clock import Deadline, deadline_in, remaining, sleep_until
 from ..durable.commands import AnyCommand, AnyResult
+from ..events import EventLog
 from ..exceptions import CommandInDoubtError, ControlError
 from ..ids import Address, CommandId
-from ..process.clock import Deadline, deadline_in, remaining, sleep_until
-from ..process.events import EventLog
 from .control_api import (
     PROPOSE,
     READ_BATCH_JOB,
--- a/pollenlb/connection/directory.py
+++ b/pollenlb/connection/directory.py
@@ -7,8 +7,8 @@
 import aiohttp
 
 from ..durable.configuration_commands import Announcement
+from ..events import EventLog
 from ..ids import BackendServerName, ModelName, ServiceName, WeightVersion
-from ..process.events import EventLog
 from ..settings.entry import EntrySettings
 from .backend import AskServer, BackendServer
 from .control_api import DirectoryView
--- a/pollenlb/connection/load.py
+++ b/pollenlb/connection/load.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from ..process.clock import now
+from ..clock import now
 
 _LATENCY_WEIGHT = 0.2
 _RACE_WEIGHT = 1.0
--- a/pollenlb/connection/operator.py
+++ b/pollenlb/connection/operator.py
@@ -8,9 +8,9 @@
 import aiohttp
 import msgspec
 
+from ..clock import deadline_in, remaining
 from ..exceptions import CommandInDoubtError, ControlError, RequestRefusedError
 from ..ids import CommandId, new_id
-from ..process.clock import deadline_in, remaining
 from ..settings.ctl import CtlSettings
 from .trainer_messages import COMMAND_ID_HEADER
 
--- a/pollenlb/connection/rpc.py
+++ b/pollenlb/connection/rpc.py
@@ -11,8 +11,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from ..events import EventLog
 from ..ids import Address
-from ..process.events import EventLog
 
 Q = TypeVar("Q")
 A = TypeVar("A")
--- a/pollenlb/durable/answers.py
+++ b/pollenlb/durable/answers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, TypeVar
+from typing import TypeVar
 
 import msgspec
 
@@ -32,9 +32,7 @@
     VoteAnswer,
     VoteRequest,
 )
-
-if TYPE_CHECKING:
-    from .replica import Replica
+from .replica_parts import ReplicaParts
 
 Q = TypeVar("Q")
 A = TypeVar("A")
@@ -45,11 +43,11 @@
 
     Parameters
     ----------
-    replica : Replica
+    replica : ReplicaParts
         The replica that is asked.
     """
 
-    def __init__(self, replica: Replica) -> None:
+    def __init__(self, replica: ReplicaParts) -> None:
         self._replica = replica
 
     def offer(self, server: RpcServer) -> None:
--- a/pollenlb/durable/election.py
+++ b/pollenlb/durable/election.py
@@ -3,25 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 
 import msgspec
 from result import Err, Ok
 
+from ..clock import deadline_in, now, remaining
 from ..ids import Term
-from ..process.clock import deadline_in, now, remaining
 from .records import VOTE, Member, VoteRequest
+from .replica_parts import ReplicaParts
 
-if TYPE_CHECKING:
-    from .replica import Replica
 
-
-async def hold_election(replica: Replica) -> None:
+async def hold_election(replica: ReplicaParts) -> None:
     """Ask for pre-votes, then for votes, and lead when a majority grants them.
 
     Parameters
     ----------
-    replica : Replica
+    replica : ReplicaParts
         The candidate.
     """
     if replica.storage.unanswered_s:
@@ -47,7 +44,7 @@
             replica.lead(asked, asked_at)
 
 
-def _vote_request(replica: Replica, term: Term, is_pre_vote: bool) -> VoteRequest:
+def _vote_request(replica: ReplicaParts, term: Term, is_pre_vote: bool) -> VoteRequest:
     state = replica.storage.hard_state
     return VoteRequest(
         cluster=state.cluster,
@@ -60,7 +57,7 @@
     )
 
 
-async def _is_elected(replica: Replica, request: VoteRequest) -> bool:
+async def _is_elected(replica: ReplicaParts, request: VoteRequest) -> bool:
     voters = [member for member in replica.storage.members if member.is_voter]
     needed = len(voters) // 2 + 1
     granted = sum(member.replica == request.sender for member in voters)
@@ -85,7 +82,7 @@
     return granted >= needed
 
 
-async def _ask(replica: Replica, request: VoteRequest, member: Member) -> bool:
+async def _ask(replica: ReplicaParts, request: VoteRequest, member: Member) -> bool:
     addressed = msgspec.structs.replace(request, receiver=member.replica)
     timeout_s = replica.settings.election_timeout_s
     match await replica.channel(member.address).call(VOTE, addressed, timeout_s):
--- a/pollenlb/durable/follower.py
+++ b/pollenlb/durable/follower.py
@@ -4,13 +4,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 from result import Err, Ok
 
+from ..clock import deadline_in, now, sleep_until
 from ..ids import Address, LogIndex, Term
-from ..process.clock import deadline_in, now, sleep_until
 from .records import (
     APPEND,
     SNAPSHOT,
@@ -19,9 +19,7 @@
     Member,
     SnapshotRequest,
 )
-
-if TYPE_CHECKING:
-    from .replica import Replica
+from .replica_parts import ReplicaParts
 
 _ENTRIES_PER_MESSAGE = 256
 _SNAPSHOT_TIMEOUT_S = 30.0
@@ -32,7 +30,7 @@
 
     Parameters
     ----------
-    replica : Replica
+    replica : ReplicaParts
         The replica that leads.
     term : Term
         The term that it leads.
@@ -44,7 +42,7 @@
 
     def __init__(
         self,
-        replica: Replica,
+        replica: ReplicaParts,
         term: Term,
         member: Member,
         on_answer: Callable[[], Awaitable[None]],
--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -4,19 +4,17 @@
 
 import asyncio
 from collections import deque
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from msgspec.structs import replace
 
+from ..clock import deadline_in, now, remaining, sleep_until
 from ..exceptions import CommitInDoubtError, LogError, NotLeaderError
 from ..ids import FailureDomain, InstanceName, LogIndex, ReplicaId, Term
-from ..process.clock import deadline_in, now, remaining, sleep_until
 from .follower import Follower
 from .membership import MemberHealth, next_members
 from .records import EntryKind, JoinRequest, LogEntry, Member, encode_members
-
-if TYPE_CHECKING:
-    from .replica import Replica
+from .replica_parts import ReplicaParts
 
 
 class Leadership:
@@ -24,7 +22,7 @@
 
     Parameters
     ----------
-    replica : Replica
+    replica : ReplicaParts
         The replica that leads.
     term : Term
         The term that it won.
@@ -32,7 +30,7 @@
         Monotonic time at which the votes were asked for, in seconds.
     """
 
-    def __init__(self, replica: Replica, term: Term, asked_at: float) -> None:
+    def __init__(self, replica: ReplicaParts, term: Term, asked_at: float) -> None:
         self._replica = replica
         self._term = term
         self._started_at = asked_at
--- a/pollenlb/durable/leases.py
+++ b/pollenlb/durable/leases.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..clock import Deadline, now, remaining
 from ..exceptions import ControlError
 from ..ids import (
     Address,
@@ -17,7 +18,6 @@
     ModelName,
     Revision,
 )
-from ..process.clock import Deadline, now, remaining
 from .key_commands import Claimant
 
 
--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -12,7 +12,9 @@
 import msgspec
 from result import Err, Ok
 
+from ..clock import Deadline, deadline_in, now, sleep_until
 from ..connection.rpc import RpcChannel, RpcServer
+from ..events import EventLog
 from ..exceptions import NotLeaderError
 from ..ids import (
     Address,
@@ -23,8 +25,6 @@
     Term,
     new_id,
 )
-from ..process.clock import Deadline, deadline_in, now, sleep_until
-from ..process.events import EventLog
 from ..settings.control import ControlSettings
 from .answers import Answers
 from .election import hold_election
--- a/pollenlb/durable/storage.py
+++ b/pollenlb/durable/storage.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
+from ..clock import now
 from ..exceptions import StorageDamagedError, StorageError
 from ..ids import ClusterId, LogIndex, ReplicaId, Term
-from ..process.clock import now
 from .files import frame, read_frames, read_whole, sync_folder, write_whole
 from .records import EntryKind, HardState, LogEntry, Member, Snapshot, decode_members
 
--- a/pollenlb/platform/control.py
+++ b/pollenlb/platform/control.py
@@ -8,13 +8,13 @@
 from aiohttp import web
 from result import Err, Ok
 
+from ..clock import deadline_in
 from ..connection.control import ControlConnection
 from ..connection.control_api import Retirement, RetireRequest
 from ..durable.commands import AnyCommand, AnyResult
 from ..durable.configuration_commands import ConfigurationInvalid, ReleaseVersion
 from ..exceptions import ControlError
 from ..ids import CommandId, InstanceName, ModelName, WeightVersion, new_id
-from ..process.clock import deadline_in
 from ..process.control_context import ControlContext
 from .announcements import read_deregistration, read_heartbeat
 from .configuration import read_configuration
--- a/pollenlb/platform/dialect.py
+++ b/pollenlb/platform/dialect.py
@@ -8,12 +8,12 @@
 import msgspec
 from aiohttp import web
 
+from ..clock import Deadline, deadline_in, remaining
 from ..connection.backend_api import ProbeAnswer
 from ..connection.sessions import ConnectionLostError
 from ..durable.batch_job_commands import BatchItem, BatchJobSpec
 from ..durable.configuration_commands import Announcement
 from ..ids import BackendServerName, RequestId, WeightVersion
-from ..process.clock import Deadline, deadline_in, remaining
 from ..request.attempt import Attempt
 from ..request.caller_request import RequestClass
 from ..request.dialect import AnswerHead, CallerTerms, StreamPiece
--- a/pollenlb/process/batch_job_service.py
+++ b/pollenlb/process/batch_job_service.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..clock import deadline_in, now, remaining
 from ..connection.control_api import (
     BatchJobRead,
     BatchWork,
@@ -18,7 +19,6 @@
 from ..exceptions import NotLeaderError
 from ..ids import Address, BatchJobId, BootId, ServiceName
 from .assignment import Candidate, choose_owner
-from .clock import deadline_in, now, remaining
 from .control_context import ControlContext, TermDuties
 
 MOST_ANSWER_BYTES = 600_000  # an answer to a reader is at most 1 MB
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from ..clock import Deadline, deadline_in, now, remaining, sleep_until
 from ..connection.backend import BackendServer
 from ..connection.control_api import BatchWork, WorkView
 from ..durable.batch_job_commands import (
@@ -38,7 +39,6 @@
 from ..request.item_placement import EngineRoom, WaitingItem
 from ..request.item_progress import ItemProgress, RunEnd
 from ..version.swap_plan import EngineView, ModelGoal, homes
-from .clock import Deadline, deadline_in, now, remaining, sleep_until
 from .context import EntryContext
 
 _ROUND_S = 0.04
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -14,6 +14,7 @@
 from ..connection.entries import KnownEntries
 from ..connection.long_slots import deal_long_slots
 from ..durable.leases import EntryInfo
+from ..events import EventLog
 from ..ids import BackendServerName, ServiceName
 from ..request.admission import AdmissionPolicy, admitted
 from ..request.choice import ChoicePolicy, choose_server
@@ -23,7 +24,6 @@
 from ..settings.entry import EntrySettings
 from ..version.configuration import InForce
 from .budget import RetryBudget
-from .events import EventLog
 from .latencies import RecentLatencies
 from .metrics import Metrics
 
--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from ..clock import deadline_in, now, sleep_until
 from ..connection.control import ControlConnection
 from ..connection.control_api import (
     PROPOSE,
@@ -43,15 +44,14 @@
 from ..durable.replica import Replica
 from ..durable.storage import Storage
 from ..durable.views import quarantine_view
+from ..events import EventLog
 from ..exceptions import CommitInDoubtError, ControlError, LogError, NotLeaderError
 from ..ids import Address, CommandId
 from ..settings.control import ControlSettings
 from ..version.order_channel import OrderChannel, OwnOrderChannel
 from ..version.orders import OrderIssuer
 from .batch_job_service import BatchJobService
-from .clock import deadline_in, now, sleep_until
 from .control_context import ControlContext, TermDuties
-from .events import EventLog
 from .http_server import HttpServer
 from .lease_service import LeaseService
 from .retirement import RetirementService
--- a/pollenlb/process/control_context.py
+++ b/pollenlb/process/control_context.py
@@ -7,6 +7,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from ..clock import deadline_in, now, remaining
 from ..durable.batch_job_commands import (
     AssignBatchJobs,
     CommitItems,
@@ -18,11 +19,10 @@
 from ..durable.leases import LeaseTable
 from ..durable.machine import Machine, encode_proposal
 from ..durable.replica import Replica
+from ..events import EventLog
 from ..exceptions import NotLeaderError
 from ..ids import BackendServerName, BatchJobId, CommandId, Term
 from ..settings.control import ControlSettings
-from .clock import deadline_in, now, remaining
-from .events import EventLog
 
 # Share of the election timeout in which no other replica can have been elected.
 _SAFE_SHARE = 0.8
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -10,6 +10,7 @@
 import aiohttp
 from aiohttp import web
 
+from ..clock import deadline_in, remaining, sleep_until
 from ..connection.backend_api import ProbeAnswer
 from ..connection.control import ControlConnection
 from ..connection.control_api import LedgerView, QuarantineView
@@ -18,6 +19,7 @@
 from ..connection.sessions import open_session
 from ..durable.configuration_commands import Announcement
 from ..durable.leases import EntryInfo
+from ..events import EventLog
 from ..ids import Address, BootId, FailureDomain, InstanceName, new_id
 from ..request.dialect import Dialect
 from ..request.handler import RequestHandler
@@ -25,9 +27,7 @@
 from ..settings.entry import EntrySettings
 from ..version.configuration import InForce
 from .batch_runner import BatchRunner
-from .clock import deadline_in, remaining, sleep_until
 from .context import EntryContext
-from .events import EventLog
 from .http_server import HttpServer
 from .metrics import Metrics
 from .renewals import Renewals
--- a/pollenlb/process/lease_service.py
+++ b/pollenlb/process/lease_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from ..clock import now
 from ..connection.control_api import (
     CallStatus,
     EntriesView,
@@ -22,7 +23,6 @@
 from ..exceptions import NotLeaderError
 from ..ids import Address
 from .batch_job_service import batch_work
-from .clock import now
 from .control_context import ControlContext, TermDuties
 
 _VERSIONS_PER_TERM = 1_000_000
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -4,10 +4,10 @@
 
 import asyncio
 
+from ..clock import Deadline, deadline_in, now, sleep_until
 from ..connection.control_api import RenewAnswer, RenewRequest
 from ..durable.leases import EntryHealth
 from .batch_runner import BatchRunner
-from .clock import Deadline, deadline_in, now, sleep_until
 from .context import EntryContext
 from .loop_lag import LoopLag
 
--- a/pollenlb/request/admission.py
+++ b/pollenlb/request/admission.py
@@ -5,8 +5,8 @@
 import math
 from collections.abc import Callable, Sequence
 
+from ..clock import Deadline, remaining
 from ..connection.backend import BackendServer
-from ..process.clock import Deadline, remaining
 from .choice import typical_latency_s
 
 AdmissionPolicy = Callable[
--- a/pollenlb/request/api.py
+++ b/pollenlb/request/api.py
@@ -8,12 +8,12 @@
 import msgspec
 from aiohttp import web
 
+from ..clock import Deadline, deadline_in
 from ..connection.trainer_messages import COMMAND_ID_HEADER
 from ..durable.command import Refused
 from ..durable.commands import AnyCommand, AnyResult
 from ..exceptions import CommandInDoubtError, ControlError
 from ..ids import CommandId, new_id
-from ..process.clock import Deadline, deadline_in
 from ..process.context import EntryContext
 from .caller_request import request_id_of
 from .outcome import (
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -10,10 +10,10 @@
 import msgspec
 from result import Err, Ok, Result
 
+from ..clock import Deadline, remaining
 from ..connection.backend import BackendServer
 from ..connection.sessions import ConnectionLostError, SendTracker
 from ..ids import BootId, RequestId
-from ..process.clock import Deadline, remaining
 from ..settings.entry import EntrySettings
 from .dialect import AnswerHead, Dialect
 from .outcome import Outcome
--- a/pollenlb/request/batch_job.py
+++ b/pollenlb/request/batch_job.py
@@ -4,12 +4,12 @@
 
 from aiohttp import web
 
+from ..clock import Deadline, deadline_in
 from ..connection.control_api import BatchJobRead, ReadBatchJob, ReadItem
 from ..durable.batch_job_commands import EndBatchJob, SubmitBatchJob
 from ..durable.command import Refused
 from ..exceptions import CommandInDoubtError, ControlError
 from ..ids import BatchJobId, CommandId, ItemId
-from ..process.clock import Deadline, deadline_in
 from ..process.context import EntryContext
 from .caller_request import CallerRequest
 from .outcome import Outcome, Refusal, RefusedError, bad_request, unavailable
--- a/pollenlb/request/caller_request.py
+++ b/pollenlb/request/caller_request.py
@@ -9,9 +9,9 @@
 
 from aiohttp import web
 
+from ..clock import Deadline, deadline_in
 from ..connection.backend_api import REQUEST_ID_HEADER
 from ..ids import Fingerprint, RequestId, RequestKey, ServiceName, new_id
-from ..process.clock import Deadline, deadline_in
 from ..settings.cluster import CLASSES, RouteSettings, ServiceSettings
 from ..settings.entry import EntrySettings
 from .outcome import bad_request
--- a/pollenlb/request/crash_trial.py
+++ b/pollenlb/request/crash_trial.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ..clock import deadline_in
 from ..connection.backend import BackendServer
 from ..durable.command import Refused
 from ..durable.commands import AnyResult
@@ -15,7 +16,6 @@
 )
 from ..exceptions import ControlError, RequestCondemnedError
 from ..ids import CommandId, Fingerprint, RequestId, new_id
-from ..process.clock import deadline_in
 from ..process.context import EntryContext
 
 _REPORT_TIMEOUT_S = 10.0
--- a/pollenlb/request/dialect.py
+++ b/pollenlb/request/dialect.py
@@ -14,11 +14,11 @@
 import msgspec
 from aiohttp import web
 
+from ..clock import Deadline
 from ..connection.backend_api import ProbeAnswer
 from ..durable.batch_job_commands import BatchItem, BatchJobSpec
 from ..durable.configuration_commands import Announcement
 from ..ids import BackendServerName, BootId, RequestId, RequestKey, WeightVersion
-from ..process.clock import Deadline
 from ..settings.cluster import RouteSettings
 from ..settings.entry import EntrySettings
 from .outcome import Refusal
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -12,6 +12,7 @@
 import msgspec
 from result import Err, Ok
 
+from ..clock import Deadline, deadline_in, now
 from ..connection.backend import BackendServer
 from ..connection.backend_api import BOOT_HEADER
 from ..connection.engine_api import (
@@ -24,7 +25,6 @@
 )
 from ..connection.trainer_messages import Span
 from ..ids import BootId, Fingerprint, RequestId, ServiceName, WeightVersion
-from ..process.clock import Deadline, deadline_in, now
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailed, send
 from .caller_request import RequestClass
--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -6,9 +6,9 @@
 
 from aiohttp import web
 
+from ..clock import now
 from ..connection.engine_api import COMPLETIONS_PATH
 from ..ids import ServiceName
-from ..process.clock import now
 from ..process.context import EntryContext
 from ..settings.cluster import RouteSettings
 from .batch_job import submit_batch_job
--- a/pollenlb/request/hedging.py
+++ b/pollenlb/request/hedging.py
@@ -7,8 +7,8 @@
 
 from result import Ok, Result
 
+from ..clock import now
 from ..connection.backend import BackendServer
-from ..process.clock import now
 from ..process.context import EntryContext
 from .attempt import Answer, AttemptFailed
 from .caller_request import CallerRequest, RequestClass
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -7,10 +7,10 @@
 
 from result import Err
 
+from ..clock import Deadline, now
 from ..connection.backend import BackendServer
 from ..durable.batch_job_commands import BatchItem, BatchJobSpec
 from ..ids import RequestId, WeightVersion
-from ..process.clock import Deadline, now
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, send
 from .dialect import StreamPiece
--- a/pollenlb/request/item_progress.py
+++ b/pollenlb/request/item_progress.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
+from ..clock import Deadline, now
 from ..connection.backend import BackendServer
 from ..durable.batch_job_commands import (
     BatchItem,
@@ -14,7 +15,6 @@
     ItemState,
 )
 from ..ids import BackendServerName, WeightVersion
-from ..process.clock import Deadline, now
 
 if TYPE_CHECKING:
     from ..process.context import EntryContext
--- a/pollenlb/request/once.py
+++ b/pollenlb/request/once.py
@@ -5,6 +5,7 @@
 import msgspec
 from aiohttp import web
 
+from ..clock import deadline_in, remaining, sleep_until
 from ..durable.command import Refused
 from ..durable.key_commands import (
     ClaimKey,
@@ -16,7 +17,6 @@
 )
 from ..exceptions import CommandInDoubtError, ControlError
 from ..ids import CommandId, new_id
-from ..process.clock import deadline_in, remaining, sleep_until
 from ..process.context import EntryContext
 from .caller_request import CallerRequest
 from .outcome import Outcome, Refusal, RefusedError, bad_request, unavailable
--- a/pollenlb/request/own_dialect.py
+++ b/pollenlb/request/own_dialect.py
@@ -8,6 +8,7 @@
 import aiohttp
 from aiohttp import web
 
+from ..clock import remaining
 from ..connection.backend_api import (
     BOOT_HEADER,
     DEADLINE_HEADER,
@@ -20,7 +21,6 @@
 from ..durable.batch_job_commands import BatchItem, BatchJobSpec
 from ..durable.configuration_commands import Announcement
 from ..ids import BackendServerName, BootId, RequestId, ServiceName
-from ..process.clock import remaining
 from ..settings.cluster import RouteSettings
 from ..settings.entry import EntrySettings
 from .caller_request import (
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -9,9 +9,9 @@
 from aiohttp import web
 from result import Err, Ok, Result
 
+from ..clock import Deadline, deadline_in, now, remaining
 from ..connection.backend import BackendServer
 from ..ids import BackendServerName
-from ..process.clock import Deadline, deadline_in, now, remaining
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailed, send
 from .caller_request import CallerRequest, RequestClass
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from ..clock import Deadline, deadline_in, remaining, sleep_until
 from ..connection.backend import BackendServer
 from ..durable.crash_commands import TrialEnd
 from ..exceptions import ControlError, RequestCondemnedError
@@ -16,7 +17,6 @@
     ServiceName,
     WeightVersion,
 )
-from ..process.clock import Deadline, deadline_in, remaining, sleep_until
 from ..process.context import EntryContext
 from .admission import retry_after_s
 from .attempt import AttemptFailed
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -9,13 +9,13 @@
 import msgspec
 from result import Err, Ok
 
+from ..clock import deadline_in, now, remaining
 from ..connection.backend import BackendServer
 from ..connection.trainer_messages import SampleBody
 from ..durable.batch_job_commands import BatchItem, BatchJobSpec, SampleTerms
 from ..durable.crash_commands import TrialEnd
 from ..exceptions import ControlError, RequestCondemnedError
 from ..ids import RequestId, WeightVersion, new_id
-from ..process.clock import deadline_in, now, remaining
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Attempt, AttemptFailed, send
 from .caller_request import RequestClass
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -7,8 +7,8 @@
 from aiohttp import web
 from result import Err
 
+from ..clock import Deadline, deadline_in, now
 from ..connection.backend import BackendServer
-from ..process.clock import Deadline, deadline_in, now
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailed, send
 from .caller_request import CallerRequest
--- a/pollenlb/request/trainer_api.py
+++ b/pollenlb/request/trainer_api.py
@@ -5,6 +5,7 @@
 import msgspec
 from aiohttp import web
 
+from ..clock import Deadline, deadline_in, remaining, sleep_until
 from ..connection.trainer_messages import (
     DeliveredBatch,
     DeliveredSample,
@@ -24,7 +25,6 @@
     SubmitStep,
 )
 from ..ids import BatchNumber, JobName, ServiceName, StepNumber, WeightVersion
-from ..process.clock import Deadline, deadline_in, remaining, sleep_until
 from ..process.context import EntryContext
 from .api import command_id_of, execute, json_response, read_json, refusing
 from .outcome import bad_request
--- a/pollenlb/version/configuration.py
+++ b/pollenlb/version/configuration.py
@@ -4,9 +4,9 @@
 
 from result import Err, Ok
 
+from ..clock import Deadline, now
 from ..connection.control_api import ConfigurationView
 from ..ids import Revision
-from ..process.clock import Deadline, now
 from ..settings.cluster import ClusterSettings
 
 
--- a/pollenlb/version/orders.py
+++ b/pollenlb/version/orders.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from ..clock import Deadline, deadline_in, now, remaining, sleep_until
 from ..connection.sessions import open_session
 from ..durable.batch_jobs import BatchJob
 from ..durable.command import Refused
@@ -26,7 +27,6 @@
     ServiceName,
     WeightVersion,
 )
-from ..process.clock import Deadline, deadline_in, now, remaining, sleep_until
 from ..process.control_context import ControlContext
 from ..settings.cluster import ClusterSettings, ServiceSettings
 from .order_channel import EngineReport, OrderChannel, OrderOutcome, SwapOrder
--- a/tests/connection/test_rpc.py
+++ b/tests/connection/test_rpc.py
@@ -8,7 +8,7 @@
 from result import Err, Ok
 
 from pollenlb.connection.rpc import Method, RpcChannel, RpcServer
-from pollenlb.process.events import EventLog
+from pollenlb.events import EventLog
 
 from ..local_system import free_ports
 
--- a/tests/durable/replica_set.py
+++ b/tests/durable/replica_set.py
@@ -16,9 +16,9 @@
 from pollenlb.durable.records import Member
 from pollenlb.durable.replica import Replica
 from pollenlb.durable.storage import Storage
+from pollenlb.events import EventLog
 from pollenlb.exceptions import LogError
 from pollenlb.ids import Address
-from pollenlb.process.events import EventLog
 from pollenlb.settings.control import ControlSettings
 
 from ..local_system import control_settings, until
--- a/tests/request/test_decisions.py
+++ b/tests/request/test_decisions.py
@@ -10,12 +10,12 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from pollenlb import clock
 from pollenlb.connection.backend import BackendServer
 from pollenlb.connection.long_slots import deal_long_slots
 from pollenlb.durable.configuration_commands import Announcement, ServerState
-from pollenlb.process import clock
+from pollenlb.events import EventLog
 from pollenlb.process.budget import RetryBudget
-from pollenlb.process.events import EventLog
 from pollenlb.process.latencies import RecentLatencies
 from pollenlb.request.admission import admitted
 from pollenlb.request.choice import choose_server, is_slow, typical_latency_s
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from pollenlb.process.clock import now
+from pollenlb.clock import now
 
 from ..local_system import LocalSystem, until
 
--- a/tests/system/test_leaving.py
+++ b/tests/system/test_leaving.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from demo.cluster import Cluster, ClusterPlan
-from pollenlb.process.clock import deadline_in, sleep_until
+from pollenlb.clock import deadline_in, sleep_until
 
 from ..local_system import until
 
