--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -317,7 +317,6 @@
             server.load.piece_s,
             self._silent_s(server.name),
             free,
-            server.load.reported_slowness,
         )
 
     def _silent_s(self, server: BackendServerName) -> float:
@@ -346,7 +345,10 @@
                 self._taken(server),
                 server.version_of(model),
                 home.get(server.name, model) == model,
-                slowness_of(paces[server.name], typical_s),
+                max(
+                    slowness_of(paces[server.name], typical_s),
+                    server.load.reported_slowness,
+                ),
                 self._groups_at(server.name),
             )
             for server in servers
