--- a/pollenlb/connection/load.py
+++ b/pollenlb/connection/load.py
@@ -11,7 +11,7 @@
 _LATENCY_WEIGHT = 0.2
 _RACE_WEIGHT = 1.0
 _FORGET_S = 4.0
-_PIECE_MEMORY_S = 1.5  # spells of a machine that is shared last 0.2 to 0.5 s
+_PIECE_WEIGHT = 0.25
 _SLOWNESS_VALID_S = 0.3  # it changes several times a second
 _REPORT_VALID_S = 1.0
 
@@ -37,7 +37,6 @@
         self._reported_at = float("-inf")
         self._own_at_report = 0
         self._piece_s = 0.0
-        self._piece_at = float("-inf")
         self._slowness = 0.0
         self._slowness_at = float("-inf")
         self._latency_s = 0.0
@@ -148,10 +147,7 @@
         """Take note of the time between two events of a stream."""
         if not self._piece_s:
             self._piece_s = seconds
-        # By time, not by count: many streams at once tell no more than one.
-        weight = 1 - math.exp((self._piece_at - now()) / _PIECE_MEMORY_S)
-        self._piece_s += weight * (seconds - self._piece_s)
-        self._piece_at = now()
+        self._piece_s += _PIECE_WEIGHT * (seconds - self._piece_s)
 
     def note_slowness(self, slowness: float) -> None:
         """Take note of how many times longer than usual work takes there."""
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -317,6 +317,7 @@
             server.load.piece_s,
             self._silent_s(server.name),
             free,
+            server.load.reported_slowness,
         )
 
     def _silent_s(self, server: BackendServerName) -> float:
@@ -345,10 +346,7 @@
                 self._taken(server),
                 server.version_of(model),
                 home.get(server.name, model) == model,
-                max(
-                    slowness_of(paces[server.name], typical_s),
-                    server.load.reported_slowness,
-                ),
+                slowness_of(paces[server.name], typical_s),
                 self._groups_at(server.name),
             )
             for server in servers
--- a/pollenlb/request/item_moves.py
+++ b/pollenlb/request/item_moves.py
@@ -10,9 +10,10 @@
 
 K = TypeVar("K", bound=Hashable)
 
-SLOW_RATIO = 1.5  # an engine this much slower than is typical is left
-_LEAST_SILENCE_S = 0.2  # events are 0.05 s apart, 0.2 s in a slow spell
+SLOW_RATIO = 1.7  # an engine this much slower than is typical is left
+_LEAST_SILENCE_S = 0.03  # less may be the network's or this process's delay
 _MOVE_COST_S = 0.08  # a new connection, and the prompt and text read again
+_SPELL_S = 0.5  # an engine that shares its machine is slow for about so long
 _LATE_SHARE = 0.5  # of the time that the slowest item of its job has left
 _LEAST_RUN_S = 0.4  # the first event of a run may come late for many reasons
 _LEAST_EVENTS_LEFT = 6.0  # an item that outlived its expected length may go on
@@ -53,6 +54,9 @@
     ----------
     piece_s : float
         Smoothed time between events of a stream, in seconds; 0 when unknown.
+    reported : float
+        How many times longer than usual work takes there, as it told a moment
+        ago; 0 when it did not.
     silent_s : float
         Seconds since any of its streams had an event; 0 when none runs.
     free : int
@@ -63,6 +67,7 @@
     piece_s: float
     silent_s: float
     free: int
+    reported: float = 0.0
 
 
 def typical_piece_s(paces: Sequence[EnginePace]) -> float:
@@ -79,12 +84,10 @@
 ) -> list[K]:
     """Return the items to break off, so that they go on where it is faster.
 
-    Answers engines that turn slow for seconds, or fall silent, when a step's last
-    items run there: a resumed stream is read again in a few milliseconds, so the
-    longest items move as long as there are free slots at engines that are not
-    slow. Engines that share their machines are also slow for a few tenths of a
-    second several times a second; a move would cost as much as it gains then, so
-    the time between events is smoothed over longer than that. Items that will be done
+    Answers engines that share their machines with others and turn slow for a
+    while, or fall silent, when a step's last items run there: a resumed stream
+    is read again in a few milliseconds, so the longest items move as long as
+    there are free slots at engines that are not slow. Items that will be done
     long before their job's last one stay, as each move costs a connection. So do
     items that have just begun: without that, items went round engines that were
     all busy, thirteen times in one step.
@@ -132,11 +135,11 @@
         itself makes every engine look silent.
     """
     if not typical_s:
-        return 1.0
+        return max(1.0, pace.reported)
     silent_s = pace.silent_s - least_silent_s
     silence = silent_s / typical_s if silent_s > typical_s + _LEAST_SILENCE_S else 0.0
-    return max(1.0, pace.piece_s / typical_s, silence)
+    return max(1.0, pace.piece_s / typical_s, pace.reported, silence)
 
 
 def _gain_s(item: RunningItem, slowness: float, typical_s: float) -> float:
-    return item.events_left * typical_s * (slowness - 1)
+    return min(item.events_left * typical_s, _SPELL_S) * (slowness - 1)
