--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -43,7 +43,7 @@
 
 _ROUND_S = 0.04
 _AVOID_S = 0.5
-_REFUSED_S = 0.06  # a change of weights takes 0.9 s; its end should be found soon
+_REFUSED_S = 0.2  # a change of weights takes 0.9 s; its end should be found soon
 _LENGTH_WEIGHT = 0.05  # of one item in the smoothed number of events a token
 _PARTIAL_KEPT_S = 30.0
 _COMMIT_TIMEOUT_S = 2.0
--- a/pollenlb/request/item_moves.py
+++ b/pollenlb/request/item_moves.py
@@ -15,7 +15,7 @@
 _MOVE_COST_S = 0.08  # a new connection, and the prompt and text read again
 _SPELL_S = 0.5  # an engine that shares its machine is slow for about so long
 _LATE_SHARE = 0.5  # of the time that the slowest item of its job has left
-_LEAST_RUN_S = 0.15  # the first event of a run may come late for many reasons
+_LEAST_RUN_S = 0.4  # the first event of a run may come late for many reasons
 _LEAST_EVENTS_LEFT = 6.0  # an item that outlived its expected length may go on
 
 
