A batch that its trainer counted stays counted when its samples grow too old

Found by make demo: 'batch 4 cannot be asked for; the next is 3'. Cause: since steps are batch jobs a rise of the trainer's version unsealed a batch that was delivered and counted but not acknowledged yet, as the acknowledgement comes with the next pull. Ruled out: the kill of an engine in the same step. Change: the samples of a sealed batch stay until it is asked for again; only then is it made anew.

--- a/pollenlb/durable/batch_jobs.py
+++ b/pollenlb/durable/batch_jobs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import msgspec
 
 from ..ids import BatchJobId, BootId, ItemId, LogIndex, WeightVersion
@@ -140,20 +142,44 @@
 
     def raise_least_version(
         self, name: BatchJobId, version: WeightVersion, index: LogIndex
+    ) -> None:
+        """Allow only newer weights from now on."""
+        batch_job = self.batch_jobs[name]
+        if version > batch_job.spec.least_version:
+            batch_job.spec = msgspec.structs.replace(
+                batch_job.spec, least_version=version
+            )
+            self._note_change_of(batch_job, index)
+
+    def drop_stale(
+        self, name: BatchJobId, index: LogIndex, kept: Collection[ItemId] = ()
     ) -> set[ItemId]:
-        """Allow only newer weights; return the items whose results are dropped."""
+        """Drop the results that are too old by now, so that they are made again.
+
+        Parameters
+        ----------
+        name : BatchJobId
+            The batch job.
+        index : LogIndex
+            Log index of the command.
+        kept : collection of ItemId
+            Items whose results stay, however old.
+
+        Returns
+        -------
+        set of ItemId
+            Items that have no result any more.
+        """
         batch_job = self.batch_jobs[name]
-        if version <= batch_job.spec.least_version:
-            return set()
-        batch_job.spec = msgspec.structs.replace(batch_job.spec, least_version=version)
-        stale = {each.item for each in batch_job.results if not each.is_fresh(version)}
-        batch_job.results = [
-            each for each in batch_job.results if each.is_fresh(version)
-        ]
-        batch_job.listed -= stale
-        batch_job.changed_at = index
-        if batch_job.owner is not None:
-            self._note_change(batch_job.owner, index)
+        least = batch_job.spec.least_version
+        stale = {each.item for each in batch_job.results if not each.is_fresh(least)}
+        stale.difference_update(kept)
+        if stale:
+            batch_job.results = [
+                each for each in batch_job.results if each.item not in stale
+            ]
+            batch_job.listed -= stale
+            self._note_change_of(batch_job, index)
         return stale
 
     def empty_results(self, name: BatchJobId, items: set[ItemId]) -> None:
@@ -186,6 +212,11 @@
             if each.is_open and each.owner is not None
         }
 
+    def _note_change_of(self, batch_job: BatchJob, index: LogIndex) -> None:
+        batch_job.changed_at = index
+        if batch_job.owner is not None:
+            self._note_change(batch_job.owner, index)
+
     def _note_change(self, owner: BootId, index: LogIndex) -> None:
         # An entry that stood still meanwhile must learn of it, however late.
         self.changed_at.pop(owner, None)
--- a/pollenlb/durable/ledger.py
+++ b/pollenlb/durable/ledger.py
@@ -43,7 +43,11 @@
     def set_trainer_version(
         self, command: SetTrainerVersion, batch_jobs: BatchJobTable, index: LogIndex
     ) -> AnyResult:
-        """Raise the trainer's version; samples that are too old by now are dropped."""
+        """Raise the trainer's version; samples that are too old by now are dropped.
+
+        Those of a sealed batch stay until it is asked for again: the trainer
+        may have counted it already.
+        """
         job = self.jobs.get(command.job)
         if job is None:
             return _no_job(command.job)
@@ -51,12 +55,9 @@
             return Refused(f"the trainer has reached version {job.trainer_version}")
         job.trainer_version = command.version
         for number, step in job.steps.items():
-            stale = batch_jobs.raise_least_version(
-                step.batch_job, job.least_version, index
-            )
-            job.wasted += len(stale)
-            if _is_sealed(job, number, stale):
-                job.batch = None
+            batch_jobs.raise_least_version(step.batch_job, job.least_version, index)
+            sealed = _sealed_items(job, number)
+            job.wasted += len(batch_jobs.drop_stale(step.batch_job, index, sealed))
         return Done()
 
     def submit(
@@ -112,6 +113,8 @@
                 f"batch {command.number} cannot be asked for; "
                 f"the next is {job.acknowledged + 1}"
             )
+        if job.batch is not None:
+            _unseal_stale(job, job.batch, batch_jobs, index)
         if job.batch is None:
             return _seal(job, command.number, batch_jobs, index)
         return _sealed(job, job.batch, batch_jobs)
@@ -129,12 +132,22 @@
     return Done()
 
 
-def _is_sealed(job: Job, step: StepNumber, items: set[ItemId]) -> bool:
-    """Whether any of some items stands in the sealed batch."""
+def _sealed_items(job: Job, step: StepNumber) -> set[ItemId]:
+    """Return the items of a step that stand in the sealed batch."""
     batch = job.batch
     if batch is None or batch.step != step:
-        return False
-    return not items.isdisjoint(job.items_of(step, batch.groups))
+        return set()
+    return job.items_of(step, batch.groups)
+
+
+def _unseal_stale(
+    job: Job, batch: Batch, batch_jobs: BatchJobTable, index: LogIndex
+) -> None:
+    """Give a sealed batch up when samples of it have grown too old."""
+    stale = batch_jobs.drop_stale(job.steps[batch.step].batch_job, index)
+    job.wasted += len(stale)
+    if stale:
+        job.batch = None
 
 
 def _acknowledge(
--- a/tests/durable/test_machine.py
+++ b/tests/durable/test_machine.py
@@ -21,6 +21,7 @@
 )
 from pollenlb.durable.deduplication import MOST_COMMANDS, CommandTable
 from pollenlb.durable.job_commands import (
+    BatchNotReady,
     BatchSealed,
     CreateJob,
     JobSettings,
@@ -173,6 +174,36 @@
 TestCommandRules = CommandRules.TestCase
 
 
+def _log_with_a_sealed_batch() -> Log:
+    """Return a log of a job whose batch 1 of two groups is sealed at version 0."""
+    log = Log()
+    log.do(CreateJob(JOB))
+    log.do(SubmitStep("job", 0, ["a", "b"], "boot"))
+    (batch_job,) = log.machine.state.batch_jobs.batch_jobs.values()
+    made = [
+        ItemResult.completed(item.item, b"text", [0]) for item in batch_job.spec.items
+    ]
+    log.do(CommitItems(batch_job.spec.batch_job, made))
+    assert isinstance(log.do(PullBatch("job", 1)), BatchSealed)
+    return log
+
+
+def test_a_batch_that_was_counted_stays_so_when_its_samples_grow_too_old():
+    log = _log_with_a_sealed_batch()
+    log.do(SetTrainerVersion("job", 2))
+    assert not isinstance(log.do(PullBatch("job", 2)), Refused)
+    job = log.machine.state.ledger.jobs["job"]
+    assert (job.acknowledged, job.delivered, job.wasted) == (1, 4, 0)
+
+
+def test_a_batch_that_is_asked_for_again_is_made_anew_when_it_is_too_old():
+    log = _log_with_a_sealed_batch()
+    log.do(SetTrainerVersion("job", 2))
+    assert log.do(PullBatch("job", 1)) == BatchNotReady(0, 2)
+    job = log.machine.state.ledger.jobs["job"]
+    assert (job.acknowledged, job.wasted) == (0, 4)
+
+
 class LedgerRules(RuleBasedStateMachine):
     """A trainer that counts each slot once, whatever is late or comes twice."""
 
@@ -253,6 +284,8 @@
     def pull(self, is_answer_lost: bool) -> None:
         """Pull a batch; the answer may be lost, then the same is asked again."""
         result = self.log.do(PullBatch("job", self.next_batch))
+        # A batch that was counted stays so, also when its samples grow too old.
+        assert not isinstance(result, Refused)
         if not isinstance(result, BatchSealed):
             return
         for sample in result.samples:
