--- a/tests/system/test_whole_answers.py
+++ b/tests/system/test_whole_answers.py
@@ -10,7 +10,7 @@
 
 from fakes.engine import token_count
 
-from ..local_system import LocalSystem
+from ..local_system import LocalSystem, until
 
 _BODY = {"model": "model", "prompt": "hello", "max_tokens": 30}
 
@@ -175,8 +175,7 @@
     (relay,) = system.relays
     await system.until_usable(["engine-0"])
     asking = asyncio.create_task(_complete(system))
-    while not engine.log:
-        await asyncio.sleep(0.01)
+    await until(lambda: engine.log)
     relay.silence_open_connections()
     _, outcome, answer = await asking
     assert outcome == "ran"
