Record an entry's search for the leader as events

leader.not_found holds the instance that was asked, the leader that it reported, why it did not answer, the next one and the number of attempts; leader.found ends the search. Of a long search the first 8 attempts and then each 20th are recorded: at one attempt each 0.05 s, one line a second.

No decision changes. tests/connection/test_control.py passes.

--- a/pollenlb/connection/control.py
+++ b/pollenlb/connection/control.py
@@ -43,6 +43,10 @@
 _MIN_ATTEMPT_TIMEOUT_S = 1.0
 _READ_TIMEOUT_S = 0.6
 _RETRY_PAUSE_S = 0.05
+# Of a long search for the leader, the first attempts are recorded as events, and
+# then one in so many.
+_MAX_CONSECUTIVE_EVENTS = 8
+_ATTEMPTS_PER_EVENT = 20
 
 
 class ControlConnection:
@@ -63,6 +67,7 @@
         self._events = events
         self._channels = {address: RpcChannel(address, events) for address in addresses}
         self._preferred_address = addresses[0]
+        self._attempts_without_leader = 0
 
     async def close(self) -> None:
         """Close all channels."""
@@ -102,6 +107,7 @@
             channel = self._preferred_channel()
             match await channel.call(PROPOSE, request, timeout_s):
                 case Ok(answer) if answer.status is CallStatus.DONE:
+                    self._record_leader_answer(channel.address)
                     assert answer.result is not None
                     return answer.result
                 case Ok(answer) if answer.status is CallStatus.NOT_LEADER:
@@ -110,7 +116,9 @@
                     is_in_doubt = True
                 case Err(failure):
                     is_in_doubt = is_in_doubt or not _is_unsent(failure.reason)
-                    self._change_preferred(Address(""), channel.address)
+                    self._change_preferred(
+                        Address(""), channel.address, failure.reason
+                    )
             if is_in_doubt and command_id is None:
                 break
             await sleep_until(
@@ -185,11 +193,14 @@
             timeout_s = min(wait_s + _READ_TIMEOUT_S, remaining_time_s(deadline))
             match await channel.call(method, request, timeout_s):
                 case Ok(answer) if answer.status is CallStatus.DONE:
+                    self._record_leader_answer(channel.address)
                     return answer
                 case Ok(answer):
                     self._change_preferred(answer.leader, channel.address)
-                case Err(_):
-                    self._change_preferred(Address(""), channel.address)
+                case Err(failure):
+                    self._change_preferred(
+                        Address(""), channel.address, failure.reason
+                    )
             await sleep_until(
                 deadline_in(min(_RETRY_PAUSE_S, remaining_time_s(deadline)))
             )
@@ -209,11 +220,12 @@
         channel = self._preferred_channel()
         match await channel.call(RENEW, request, timeout_s):
             case Ok(answer) if answer.status is CallStatus.DONE:
+                self._record_leader_answer(channel.address)
                 return answer
             case Ok(answer):
                 self._change_preferred(answer.leader, channel.address)
-            case Err(_):
-                self._change_preferred(Address(""), channel.address)
+            case Err(failure):
+                self._change_preferred(Address(""), channel.address, failure.reason)
         return None
 
     async def query_status(
@@ -243,8 +255,20 @@
     def _preferred_channel(self) -> RpcChannel:
         return self._channels[self._preferred_address]
 
-    def _change_preferred(self, leader: Address, failed: Address) -> None:
-        """Switch to the reported leader, or to the address after a failed one."""
+    def _change_preferred(
+        self, leader: Address, failed: Address, reason: str = ""
+    ) -> None:
+        """Switch to the reported leader, or to the address after a failed one.
+
+        Parameters
+        ----------
+        leader : Address
+            Leader that the failed address reported; empty when it reported none.
+        failed : Address
+            Address that does not lead or did not answer.
+        reason : str
+            Why it did not answer; empty when it did.
+        """
         if leader and leader != failed:
             if leader not in self._channels:
                 self._channels[leader] = RpcChannel(leader, self._events)
@@ -253,6 +277,27 @@
             addresses = list(self._channels)
             next_index = addresses.index(failed) + 1
             self._preferred_address = addresses[next_index % len(addresses)]
+        self._attempts_without_leader += 1
+        if (
+            self._attempts_without_leader <= _MAX_CONSECUTIVE_EVENTS
+            or self._attempts_without_leader % _ATTEMPTS_PER_EVENT == 0
+        ):
+            self._events.record(
+                "leader.not_found",
+                asked=failed,
+                reported=leader,
+                reason=reason,
+                next=self._preferred_address,
+                attempts=self._attempts_without_leader,
+            )
+
+    def _record_leader_answer(self, leader: Address) -> None:
+        """Record the end of a search for the leader, if there was one."""
+        if self._attempts_without_leader:
+            self._events.record(
+                "leader.found", leader=leader, attempts=self._attempts_without_leader
+            )
+        self._attempts_without_leader = 0
 
 
 def _is_unsent(reason: str) -> bool:
