--- a/pollenlb/connection/control.py
+++ b/pollenlb/connection/control.py
@@ -116,9 +116,7 @@
                     is_in_doubt = True
                 case Err(failure):
                     is_in_doubt = is_in_doubt or not _is_unsent(failure.reason)
-                    self._change_preferred(
-                        Address(""), channel.address, failure.reason
-                    )
+                    self._change_preferred(Address(""), channel.address, failure.reason)
             if is_in_doubt and command_id is None:
                 break
             await sleep_until(
@@ -198,9 +196,7 @@
                 case Ok(answer):
                     self._change_preferred(answer.leader, channel.address)
                 case Err(failure):
-                    self._change_preferred(
-                        Address(""), channel.address, failure.reason
-                    )
+                    self._change_preferred(Address(""), channel.address, failure.reason)
             await sleep_until(
                 deadline_in(min(_RETRY_PAUSE_S, remaining_time_s(deadline)))
             )
--- a/tests/connection/test_control.py
+++ b/tests/connection/test_control.py
@@ -96,3 +96,24 @@
     ]
     (found,) = [line for line in lines if line["message_type"] == "leader.found"]
     assert (found["leader"], found["attempts"]) == (third.address, 2)
+
+
+async def test_stale_references_to_a_deposed_leader_do_not_hide_the_new_one(
+    instances, connection
+):
+    deposed, cut_off, leader, _ = instances
+    cut_off.reports(deposed.address)
+    leader.leads()
+    assert await _renew_until_answered(connection, len(instances))
+    assert (deposed.asked_count, cut_off.asked_count) == (1, 1)
+
+
+async def test_two_instances_that_name_each_other_do_not_hide_the_leader(
+    instances, connection
+):
+    first, second, third, leader = instances
+    first.reports(third.address)
+    third.reports(first.address)
+    second.reports(first.address)
+    leader.leads()
+    assert await _renew_until_answered(connection, len(instances))
--- a/tests/local_system.py
+++ b/tests/local_system.py
@@ -7,13 +7,15 @@
 from pathlib import Path
 
 import aiohttp
+from result import Err
 
 from fakes.engine import FakeEngine
 from fakes.plain_service import FakePlainService
 from fakes.ports import free_ports
 from fakes.relay import Relay
 from pollenlb.commands.control import format_data_folder
-from pollenlb.connection.rpc import RpcChannel
+from pollenlb.connection.rpc import CallFailure, Method, RpcChannel
+from pollenlb.ids import Address
 from pollenlb.process.control import ControlProcess
 from pollenlb.process.entry import EntryProcess
 from pollenlb.request.native_protocol import native_protocol
@@ -89,6 +91,23 @@
     ]
 
 
+class _CutChannel:
+    """Channel to a peer that cannot be reached: each call ends with its timeout."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+
+    async def call(
+        self, method: Method, request: object, timeout_s: float
+    ) -> Err[CallFailure]:
+        """Return the failure of a call that nobody answers."""
+        await asyncio.sleep(timeout_s)
+        return Err(CallFailure("DEADLINE_EXCEEDED: the connection is cut"))
+
+    async def close(self) -> None:
+        """Do nothing, since no connection is open."""
+
+
 class LocalSystem:
     """Control instances, entries and fake backend servers in one event loop.
 
@@ -193,6 +212,19 @@
             relays.append(relay)
         return relays
 
+    def split_controls(
+        self, one_side: list[ControlProcess], other_side: list[ControlProcess]
+    ) -> None:
+        """Cut the connections between two groups of control instances.
+
+        Entries still reach both groups.
+        """
+        for group, others in ((one_side, other_side), (other_side, one_side)):
+            for control in group:
+                for other in others:
+                    address = Address(other.replica.settings.listen)
+                    control.replica._channels[address] = _CutChannel(address)
+
     async def add_relay(self, port: int) -> Relay:
         """Start a relay to a port of the loopback address."""
         relay = Relay(port)
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -5,9 +5,13 @@
 import asyncio
 
 from pollenlb.clock import now
+from pollenlb.durable.configuration_commands import ChangeConfiguration
+from pollenlb.ids import Revision
 
 from ..local_system import LocalSystem, wait_until
 
+# Time after which an accepted change applies at every entry, as the users state it.
+_APPLIED_WITHIN_S = 2.5
 CONFIGURATION_PATH = "/pollenlb/v1/operator/configuration"
 
 
@@ -103,6 +107,28 @@
     assert system.plain_services[0].executions == {}
 
 
+async def test_split_control_instances_do_not_keep_entries_from_the_new_leader(
+    start_system,
+):
+    # Guards against an entry that goes back and forth between a leader that lost its
+    # quorum and a follower beside it, while another leader accepts changes.
+    system = await start_system(controls=5, entries=1)
+    deposed = system.leader
+    position = system.controls.index(deposed)
+    beside = system.controls[(position + 1) % len(system.controls)]
+    majority = [c for c in system.controls if c not in (deposed, beside)]
+    system.split_controls([deposed, beside], majority)
+    await wait_until(
+        lambda: any(control.replica.leadership for control in majority)
+        and deposed.replica.leadership is None
+    )
+    new_leader = next(control for control in majority if control.replica.leadership)
+    changes = {"routes.shop.timeout_s": 11}
+    await new_leader.execute(ChangeConfiguration(changes, Revision(1)))
+    configuration = system.entries[0].context.configuration
+    await wait_until(lambda: configuration.revision == 2, _APPLIED_WITHIN_S)
+
+
 class _EqualToAnything:
     def __eq__(self, other: object) -> bool:
         return True
