Ask every control instance for the leader, whatever others report

Cause: an entry that looks for the leader followed each report of a leader, as often as it came. An instance cut off from the quorum still reports the leader before, and that one, which has stepped down, reports none, so that the entry takes the next address it knows. Where that is the cut-off instance, the two answer in turn until the cut heals, and the entries, which serve without a lease, keep the configuration that they had. Class of fault: a reference is followed without a bound on its age or number, so that outdated ones form a loop.

The system test shows the loop in its events. Ruled out: time-outs (both instances answer) and an overloaded leader (5 to 10% of its processor).

Change: LeaderSearch follows the report of an instance once in a round and otherwise asks the next instance that the round has not asked. A round of N instances ends after 2 N attempts and has asked all of them; a test draws arbitrary reports. A report about an instance that was asked before is still followed, since it may have been elected since. Weighed against that: not to follow it, which makes each election cost entries up to a round.

The system test had 3 voters among its 5 instances, so that the split could leave no quorum; it has 5 now.

--- a/pollenlb/connection/control.py
+++ b/pollenlb/connection/control.py
@@ -35,6 +35,7 @@
     StatusAnswer,
     StatusRequest,
 )
+from .leader_search import LeaderSearch
 from .rpc import Method, RpcChannel
 
 Q = TypeVar("Q")
@@ -52,8 +53,8 @@
 class ControlConnection:
     """Finds the leader among the control instances and sends it requests.
 
-    After a failed call or the answer of a follower, the next attempt goes to
-    the leader that the answer names, or else to the next known control instance.
+    ``LeaderSearch`` decides which control instance gets the next attempt after a
+    failed call or the answer of a follower.
 
     Parameters
     ----------
@@ -66,8 +67,7 @@
     def __init__(self, addresses: list[Address], events: EventLog) -> None:
         self._events = events
         self._channels = {address: RpcChannel(address, events) for address in addresses}
-        self._preferred_address = addresses[0]
-        self._attempts_without_leader = 0
+        self._search = LeaderSearch(addresses)
 
     async def close(self) -> None:
         """Close all channels."""
@@ -104,19 +104,19 @@
             timeout_s = remaining_time_s(deadline)
             if command_id is not None and not is_in_doubt:
                 timeout_s = min(timeout_s, max(_MIN_ATTEMPT_TIMEOUT_S, timeout_s / 2))
-            channel = self._preferred_channel()
-            match await channel.call(PROPOSE, request, timeout_s):
+            address = self._search.preferred
+            match await self._channel(address).call(PROPOSE, request, timeout_s):
                 case Ok(answer) if answer.status is CallStatus.DONE:
-                    self._record_leader_answer(channel.address)
+                    self._record_leader(address)
                     assert answer.result is not None
                     return answer.result
                 case Ok(answer) if answer.status is CallStatus.NOT_LEADER:
-                    self._change_preferred(answer.leader, channel.address)
+                    self._record_failure(address, answer.leader)
                 case Ok(_):
                     is_in_doubt = True
                 case Err(failure):
                     is_in_doubt = is_in_doubt or not _is_unsent(failure.reason)
-                    self._change_preferred(Address(""), channel.address, failure.reason)
+                    self._record_failure(address, reason=failure.reason)
             if is_in_doubt and command_id is None:
                 break
             await sleep_until(
@@ -182,21 +182,22 @@
         for address in addresses:
             if address not in self._channels:
                 self._channels[address] = RpcChannel(address, self._events)
+                self._search.add(address)
 
     async def _call_leader(
         self, method: Method[Q, A], request: Q, wait_s: float, deadline: Deadline
     ) -> A:
         while remaining_time_s(deadline):
-            channel = self._preferred_channel()
+            address = self._search.preferred
             timeout_s = min(wait_s + _READ_TIMEOUT_S, remaining_time_s(deadline))
-            match await channel.call(method, request, timeout_s):
+            match await self._channel(address).call(method, request, timeout_s):
                 case Ok(answer) if answer.status is CallStatus.DONE:
-                    self._record_leader_answer(channel.address)
+                    self._record_leader(address)
                     return answer
                 case Ok(answer):
-                    self._change_preferred(answer.leader, channel.address)
+                    self._record_failure(address, answer.leader)
                 case Err(failure):
-                    self._change_preferred(Address(""), channel.address, failure.reason)
+                    self._record_failure(address, reason=failure.reason)
             await sleep_until(
                 deadline_in(min(_RETRY_PAUSE_S, remaining_time_s(deadline)))
             )
@@ -213,15 +214,15 @@
         Makes one attempt, of at most ``timeout_s`` seconds, and returns None
         when it does not reach the leader.
         """
-        channel = self._preferred_channel()
-        match await channel.call(RENEW, request, timeout_s):
+        address = self._search.preferred
+        match await self._channel(address).call(RENEW, request, timeout_s):
             case Ok(answer) if answer.status is CallStatus.DONE:
-                self._record_leader_answer(channel.address)
+                self._record_leader(address)
                 return answer
             case Ok(answer):
-                self._change_preferred(answer.leader, channel.address)
+                self._record_failure(address, answer.leader)
             case Err(failure):
-                self._change_preferred(Address(""), channel.address, failure.reason)
+                self._record_failure(address, reason=failure.reason)
         return None
 
     async def query_status(
@@ -240,7 +241,7 @@
     async def _fetch_status(
         self, address: Address, timeout_s: float
     ) -> StatusAnswer | None:
-        request = StatusRequest(is_confirmed=address == self._preferred_address)
+        request = StatusRequest(is_confirmed=address == self._search.preferred)
         match await self._channels[address].call(STATUS, request, timeout_s):
             case Ok(answer):
                 return answer
@@ -248,52 +249,43 @@
                 return None
         return None
 
-    def _preferred_channel(self) -> RpcChannel:
-        return self._channels[self._preferred_address]
+    def _channel(self, address: Address) -> RpcChannel:
+        if address not in self._channels:
+            self._channels[address] = RpcChannel(address, self._events)
+        return self._channels[address]
 
-    def _change_preferred(
-        self, leader: Address, failed: Address, reason: str = ""
+    def _record_failure(
+        self, asked: Address, reported: Address = Address(""), reason: str = ""
     ) -> None:
-        """Switch to the reported leader, or to the address after a failed one.
+        """Go on with the search for the leader, and record how it goes on.
 
         Parameters
         ----------
-        leader : Address
-            Leader that the failed address reported; empty when it reported none.
-        failed : Address
-            Address that does not lead or did not answer.
+        asked : Address
+            Control instance that did not answer as the leader.
+        reported : Address
+            Leader that it reported; empty when it reported none.
         reason : str
             Why it did not answer; empty when it did.
         """
-        if leader and leader != failed:
-            if leader not in self._channels:
-                self._channels[leader] = RpcChannel(leader, self._events)
-            self._preferred_address = leader
-        elif self._preferred_address == failed:
-            addresses = list(self._channels)
-            next_index = addresses.index(failed) + 1
-            self._preferred_address = addresses[next_index % len(addresses)]
-        self._attempts_without_leader += 1
-        if (
-            self._attempts_without_leader <= _MAX_CONSECUTIVE_EVENTS
-            or self._attempts_without_leader % _ATTEMPTS_PER_EVENT == 0
-        ):
-            self._events.record(
-                "leader.not_found",
-                asked=failed,
-                reported=leader,
-                reason=reason,
-                next=self._preferred_address,
-                attempts=self._attempts_without_leader,
-            )
+        self._search.record_failure(asked, reported)
+        attempts = self._search.attempt_count
+        if attempts > _MAX_CONSECUTIVE_EVENTS and attempts % _ATTEMPTS_PER_EVENT:
+            return
+        self._events.record(
+            "leader.not_found",
+            asked=asked,
+            reported=reported,
+            reason=reason,
+            next=self._search.preferred,
+            attempts=attempts,
+        )
 
-    def _record_leader_answer(self, leader: Address) -> None:
-        """Record the end of a search for the leader, if there was one."""
-        if self._attempts_without_leader:
-            self._events.record(
-                "leader.found", leader=leader, attempts=self._attempts_without_leader
-            )
-        self._attempts_without_leader = 0
+    def _record_leader(self, leader: Address) -> None:
+        attempts = self._search.attempt_count
+        if attempts:
+            self._events.record("leader.found", leader=leader, attempts=attempts)
+        self._search.record_leader(leader)
 
 
 def _is_unsent(reason: str) -> bool:
