Report a leader only while in contact with it

A control instance that is cut off from the quorum goes on reporting the leader that it followed last, for as long as the cut lasts, and an entry that asks it is sent to an instance that has stepped down or failed.

Cause: Replica.leader_address outlived the contact that it came from. Class of fault: state learnt from a peer without an expiry.

Change: without contact to a leader within the election timeout, which is also when votes are given to others, a replica reports none.

--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -180,7 +180,9 @@
 
     @property
     def leader_address(self) -> Address:
-        """Address of the last known leader, or an empty string."""
+        """Address of the leader, or an empty string without contact to one."""
+        if self._leadership is None and not self.has_leader_contact():
+            return Address("")
         return self._leader_address
 
     @property
@@ -272,7 +274,7 @@
             When this replica does not lead.
         """
         if self._leadership is None:
-            raise NotLeaderError(self._leader_address)
+            raise NotLeaderError(self.leader_address)
         return self._leadership
 
     def channel(self, address: Address) -> RpcChannel:
--- a/pollenlb/durable/replica_interface.py
+++ b/pollenlb/durable/replica_interface.py
@@ -62,7 +62,7 @@
 
     @property
     def leader_address(self) -> Address:
-        """Address of the last known leader, or an empty string."""
+        """Address of the leader, or an empty string without contact to one."""
 
     @property
     def membership_goal(self) -> MembershipGoal:
--- a/tests/durable/test_replica.py
+++ b/tests/durable/test_replica.py
@@ -58,6 +58,21 @@
         assert leader.replica.leadership is not None
 
 
+async def test_cut_off_replica_does_not_report_the_leader_that_it_followed(tmp_path):
+    async with ReplicaSet(tmp_path, seed=2) as replicas:
+        leader = await replicas.write("x", 1)
+        follower = _others(replicas, leader)[0]
+        await wait_until(lambda: follower.replica.leader_address == leader.address)
+        replicas.isolate(follower)
+        await wait_until(lambda: not follower.replica.has_leader_contact())
+        assert follower.replica.leader_address == ""
+        with pytest.raises(NotLeaderError) as refusal:
+            await follower.replica.confirm_leadership()
+        assert refusal.value.leader == ""
+        replicas.heal(follower)
+        await wait_until(lambda: follower.replica.leader_address == leader.address)
+
+
 async def test_reconnected_leader_does_not_end_the_term_of_the_new_one(tmp_path):
     async with ReplicaSet(tmp_path, seed=2) as replicas:
         old = await replicas.write("x", 1)
