Let a joining replica ask every seed, whatever others report

A replica with an empty disk followed each report of a leader at once and without a pause. Two seeds that report each other, as after a change of leader that one of them has not seen, kept it in a loop that asked nobody else and left no processor time for other tasks.

Change: joining uses LeaderSearch, with a pause after each attempt.

--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from collections import deque
 from collections.abc import Callable, Collection, Coroutine
 from enum import Enum
 from typing import Any, Protocol
@@ -13,6 +12,7 @@
 from result import Err, Ok
 
 from ..clock import Deadline, deadline_in, now, sleep_until
+from ..connection.leader_search import LeaderSearch
 from ..connection.rpc import RpcChannel, RpcServer
 from ..events import EventLog
 from ..exceptions import NotLeaderError
@@ -42,6 +42,7 @@
 from .storage import Storage, first_hard_state
 
 _JOIN_TIMEOUT_S = 2.0
+_JOIN_RETRY_DELAY_S = 0.05
 # Shortest delay of the first election after a start, as a ratio of the election
 # timeout; the longest is three times as much.
 _MIN_STARTUP_DELAY_RATIO = 0.25
@@ -453,19 +454,17 @@
             FailureDomain(self._settings.failure_domain),
         )
         self._events.record("replica.joins", replica=request.replica)
-        addresses: deque[Address] = deque(self._settings.seed_addresses)
+        search = LeaderSearch(self._settings.seed_addresses)
         while True:
-            address = addresses.popleft()
+            address = search.preferred
             answer = await self._request_join(address, request)
             if answer is not None and answer.cluster is not None:
                 state = first_hard_state(request.replica, answer.cluster)
                 await self._storage.format(state, [])
                 return
-            if answer is not None and answer.leader not in ("", address):
-                addresses.appendleft(answer.leader)
-            if not addresses:
-                addresses.extend(self._settings.seed_addresses)
-                await sleep_until(deadline_in(self._settings.election_timeout_s / 2))
+            reported = answer.leader if answer is not None else Address("")
+            search.record_failure(address, reported)
+            await sleep_until(deadline_in(_JOIN_RETRY_DELAY_S))
 
     async def _request_join(
         self, address: Address, request: JoinRequest
