Place samples under which servers crashed again

What callers saw: a trainer got a sample back without text, finish_reason 'refused', when two engines had died while they ran it, though a burst of crashes was the cause and the engines had long had room again.

Cause: samples took part in the quarantine that protects engines from callers' requests: a crash during the trial of a suspect condemns it, whatever the cause of the crash was. Class of fault: work that is owed is ended by a guess about its cause.

Change: samples report no crashes, need no trial and are not looked up among the condemned; a run that a crash ends is placed again like any interrupted run. Items of a step or of a batch job are handed in for later and never crash servers by themselves, so that the quarantine protects nothing there. Callers' requests are treated as before.

--- a/pollenlb/connection/trainer_messages.py
+++ b/pollenlb/connection/trainer_messages.py
@@ -90,8 +90,7 @@
     spans : list of Span
         Weight versions that produced the tokens, in token order.
     finish_reason : str
-        Why the generation ended: the engine's reason, or ``refused`` for a
-        prompt that was refused and has no generated text.
+        Why the generation ended, as the engine reported.
     request_id : RequestId
         Id of the request that generated the sample.
     score : float or None
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -13,19 +13,15 @@
 from ..connection.backend import BackendServer
 from ..connection.trainer_messages import SampleBody
 from ..durable.batch_job_commands import BatchItem, BatchJobSpec, SampleParameters
-from ..durable.crash_commands import TrialEnd
-from ..exceptions import ControlError, RequestCondemnedError
 from ..ids import RequestId, WeightVersion, new_id
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Attempt, AttemptFailure, send_attempt
 from .caller_request import RequestClass
-from .crash_trial import CrashTrial
 from .generation import AttemptError, Generation, generate_at
 from .item_progress import ItemOutput, ItemProgress, RunEnd
 from .outcome import Outcome, RefusedError
 
 SAMPLE_TIMEOUT_S = 600.0
-REFUSED_FINISH_REASON = "refused"
 _SCORE_TIMEOUT_S = 30.0
 _SCORE_PATH = "/score"
 _MAX_SCORE_ATTEMPT_COUNT = 5
@@ -82,14 +78,6 @@
         self.is_generated = False
         self.score = None
 
-    def mark_refused(self) -> None:
-        """Turn this into a sample without tokens, which the trainer can leave out.
-
-        Used for a request that is not run any more because it crashed backend servers.
-        """
-        self.start_over()
-        self.generation.finish_reason = REFUSED_FINISH_REASON
-
     def content(self) -> bytes:
         """Return the encoded ``SampleBody`` that the trainer receives."""
         generation = self.generation
@@ -168,28 +156,12 @@
     server: BackendServer,
     context: EntryContext,
 ) -> RunEnd:
-    generation = sample.generation
-    trial = CrashTrial(context, generation.request_id, generation.fingerprint)
-    trial_end = TrialEnd.OPEN
-    try:
-        if not await trial.try_start(server):
-            return RunEnd.NOT_RUN
-        end = await _attempt(sample, progress, server, context)
-        if isinstance(end, AttemptFailure):
-            return await _handle_failure(end, trial, server)
-        if end is RunEnd.COMPLETE:
-            trial_end = TrialEnd.CLEARED
-        return end
-    except RequestCondemnedError:
-        sample.mark_refused()
-        return RunEnd.COMPLETE
-    except ControlError as error:
-        context.events.record(
-            "sample.interrupted", request=generation.request_id, reason=str(error)
-        )
-        return RunEnd.BROKEN
-    finally:
-        await trial.end(trial_end)
+    # Samples take no part in the quarantine: an item that was handed in for later
+    # is never the cause of a crash and remains owed.
+    end = await _attempt(sample, progress, server, context)
+    if isinstance(end, AttemptFailure):
+        return _handle_failure(end, server)
+    return end
 
 
 async def _attempt(
@@ -235,15 +207,10 @@
     return RunEnd.COMPLETE
 
 
-async def _handle_failure(
-    failure: AttemptFailure, trial: CrashTrial, server: BackendServer
-) -> RunEnd:
-    is_sent = failure.outcome is not Outcome.NOT_RUN
-    if failure.is_connection_lost and is_sent:
-        await trial.handle_lost_connection(server)
-    elif failure.is_connection_lost or failure.is_other_server:
+def _handle_failure(failure: AttemptFailure, server: BackendServer) -> RunEnd:
+    if failure.is_connection_lost or failure.is_other_server:
         server.record_failure()
-    if not is_sent:
+    if failure.outcome is Outcome.NOT_RUN:
         return RunEnd.NOT_RUN
     return RunEnd.SILENT if failure.is_timeout else RunEnd.BROKEN
 
--- a/tests/platform/test_batch_jobs.py
+++ b/tests/platform/test_batch_jobs.py
@@ -11,6 +11,8 @@
 from ..local_system import wait_until
 from .platform_system import MODEL, batch_job
 
+_CRASH_COUNT = 8  # more than twice the attempts of the route
+_PLACED_AGAIN_WITHIN_S = 10.0
 _LONG_EVENT_COUNT = 400  # a fake engine generates these in two seconds
 
 
@@ -210,3 +212,17 @@
         (result,) = await system.read_all_results(0, "job")
     assert moved
     assert result["text"] == _expected_text(5)
+
+
+async def test_item_under_which_engines_crashed_is_placed_again(platform_system):
+    system = await platform_system()
+    await system.submit(0, "job", batch_job({"item": 60}))
+    for number in range(_CRASH_COUNT):
+        await wait_until(lambda: any(engine.running for engine in system.engines))
+        crashed = next(engine for engine in system.engines if engine.running)
+        system.engines.remove(crashed)
+        await crashed.stop()
+        await system.add_engine(f"i-{len(system.engines)}-{number}")
+    async with asyncio.timeout(_PLACED_AGAIN_WITHIN_S):
+        (result,) = await system.read_all_results(0, "job")
+    assert (result["state"], result["text"]) == ("completed", _expected_text(60))
