Bound the answers that an entry or a control instance keeps in memory

What callers saw: nothing yet; the users say that servers in trouble may send bytes without end, in a body too. The answer to a keyed request was read until its deadline, whatever its length, the output of a completion, sample or item grew for as long as events came, and blank lines or comments without end counted as progress, for samples up to 600 s.

Cause: the limits in place were times without a byte. A peer that always has the next byte is never late. Class of fault: a limit on silence where one on the whole is needed.

Change: read_body reads probes, engines' reports and keyed answers up to a limit. A stream makes progress by events and not by bytes; one that is kept in memory ends at 8 MiB, an item's at its number of tokens, a completion's at max_tokens. Output beyond that is no answer and is dropped: a sample or an item starts again elsewhere, a caller gets 502. What is passed on as it comes ends with the request's deadline. In each case the connection is closed.

Before, of the tests of bodies: 7 failed (keyed answer 77 MB at its peak, limit 32; blank lines; comments; tokens of completions, samples and items; an error in place of a stream, which was read whole), the others passed, those of probes and reports because their timeouts of 0.2 and 0.5 s end a flood of 32 MB/s below the limit of the test. After: all pass; tests/platform, tests/request and those of samples, keyed and complete answers: 514 passed.

--- a/fakes/backend.py
+++ b/fakes/backend.py
@@ -8,6 +8,8 @@
 import aiohttp
 from aiohttp import web
 
+from .flood import Flood, floods_middleware
+
 ANNOUNCE_INTERVAL_S = 0.7
 
 
@@ -37,6 +39,8 @@
         Number of requests being processed.
     version : int or None
         Weight version that it serves; None if there is none.
+    floods : dict of str to Flood
+        Answers without end, by prefix of the path.
     """
 
     def __init__(
@@ -59,7 +63,11 @@
         self.state = "serving"
         self.in_flight = 0
         self.version: int | None = None
-        self.application = web.Application(client_max_size=64 * 1024 * 1024)
+        self.floods: dict[str, Flood] = {}
+        self.application = web.Application(
+            client_max_size=64 * 1024 * 1024,
+            middlewares=[floods_middleware(self.floods)],
+        )
         self.application.router.add_get("/pollenlb/probe", self.handle_probe)
         self._runner: web.AppRunner | None = None
         self._announce_task: asyncio.Task | None = None
--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -8,6 +8,8 @@
 import aiohttp
 from aiohttp import web
 
+from .flood import Flood, floods_middleware
+
 HEARTBEAT_INTERVAL_S = 0.2
 
 
@@ -50,6 +52,8 @@
         Id and last event id (-1 without one) of each request that was run.
     running : set of str
         Ids of the requests that run now.
+    floods : dict of str to Flood
+        Answers without end, by prefix of the path.
     """
 
     def __init__(
@@ -73,13 +77,14 @@
         self.orders: list[dict] = []
         self.received_runs: list[tuple[str, int]] = []
         self.running: set[str] = set()
+        self.floods: dict[str, Flood] = {}
         self._sequence = 0
         self._runner: web.AppRunner | None = None
         self._heartbeat_task: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Start to listen and to send heartbeats."""
-        application = web.Application()
+        application = web.Application(middlewares=[floods_middleware(self.floods)])
         application.router.add_get("/-/report", self._handle_report)
         application.router.add_post("/-/order", self._handle_order)
         application.router.add_get("/healthz", self._handle_health)
--- a/pollenlb/connection/probe.py
+++ b/pollenlb/connection/probe.py
@@ -7,8 +7,10 @@
 
 from ..ids import Address
 from .backend_api import PROBE_PATH, ProbeAnswer, decode_probe
+from .bodies import read_body
 from .sessions import ConnectionLostError
 
+_MAX_ANSWER_BYTES = 65_536
 _PROBE_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
 
 
@@ -24,6 +26,6 @@
         async with session.get(
             f"http://{address}{PROBE_PATH}", timeout=timeout
         ) as response:
-            return decode_probe(await response.read())
+            return decode_probe(await read_body(response.content, _MAX_ANSWER_BYTES))
     except (*_PROBE_ERRORS, msgspec.MsgspecError):
         return None
--- a/pollenlb/platform/orders.py
+++ b/pollenlb/platform/orders.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from ..connection.bodies import read_body
 from ..durable.configuration_commands import Announcement
 from ..version.order_channel import (
     ORDER_ERRORS,
@@ -16,6 +17,7 @@
 from .names import EXPECTED_SERVER_HEADER, ORDER_PATH, REPORT_PATH
 
 _REPORT_TIMEOUT_S = 0.5
+_MAX_REPORT_BYTES = 65_536
 _ORDER_TIMEOUT_S = 1.0
 _ACCEPTED_STATUS = 202
 _ALREADY_SERVED_STATUS = 200
@@ -76,7 +78,8 @@
             async with session.get(url, timeout=timeout, headers=headers) as response:
                 if response.status != 200:
                     return None
-                report = _decode_report(await response.read())
+                body = await read_body(response.content, _MAX_REPORT_BYTES)
+                report = _decode_report(body)
         except (*ORDER_ERRORS, msgspec.MsgspecError):
             return None
         return EngineReport(versions_by_model(report.models), report.seq, report.busy)
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -36,6 +36,8 @@
         Whether a timeout ended the attempt.
     is_other_server : bool
         Whether another backend server runs at the address.
+    is_output_invalid : bool
+        Whether the output received so far is no answer and cannot be continued.
     retry_after_s : float or None
         Seconds after which the backend server asked for a retry.
     """
@@ -45,6 +47,7 @@
     is_connection_lost: bool = False
     is_timeout: bool = False
     is_other_server: bool = False
+    is_output_invalid: bool = False
     retry_after_s: float | None = None
 
 
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -28,6 +28,12 @@
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailure, send_attempt
 from .caller_request import RequestClass
+from .event_blocks import (
+    MAX_OUTPUT_BYTES,
+    BrokenStreamError,
+    StreamTooLongError,
+    iter_data_lines,
+)
 from .outcome import Outcome, Refusal, RefusedError
 from .retries import Retries, RetryPolicy
 
@@ -36,11 +42,7 @@
     RequestClass.SHORT: 10,
     RequestClass.LONG: 20,
 }
-_MAX_EVENT_BYTES = 1_048_576
-
-
-class BrokenStreamError(Exception):
-    """A stream ended early, is malformed or does not belong to the attempt."""
+_MAX_REASON_BYTES = 300  # of an engine's refusal, for the caller and the event log
 
 
 @dataclass
@@ -163,6 +165,10 @@
                 yield event
             is_complete = True
         except AttemptError as error:
+            if error.failure.is_output_invalid:
+                await retries.record_failure(server, error.failure)
+                await retries.record_abandonment()
+                raise _invalid_output_error(error.failure) from error
             await retries.handle_failure(server, error.failure)
         except (GeneratorExit, asyncio.CancelledError, RefusedError):
             await retries.record_abandonment()
@@ -172,6 +178,10 @@
             return
 
 
+def _invalid_output_error(failure: AttemptFailure) -> RefusedError:
+    return RefusedError(Refusal(502, Outcome.UNKNOWN, failure.reason))
+
+
 class AttemptError(Exception):
     """An attempt ended before its completion was finished.
 
@@ -222,6 +232,7 @@
         answer = await _open_stream(attempt, server, session, context)
         try:
             async for event in _read_events(answer, attempt_id, context):
+                _check_length(generation, event, server)
                 generation.add(event)
                 yield event
         finally:
@@ -244,24 +255,25 @@
         case Err(failure):
             raise AttemptError(failure)
         case Ok(answer):
-            await _check_status(answer)
+            await _check_status(answer, progress_s)
             return answer
     raise AssertionError
 
 
-async def _check_status(answer: Answer) -> None:
+async def _check_status(answer: Answer, progress_timeout_s: float) -> None:
     status = answer.response.status
     if status == 200:
         return
     try:
-        body = await answer.response.content.read(_MAX_EVENT_BYTES)
+        async with asyncio.timeout(progress_timeout_s):
+            body = await answer.response.content.read(_MAX_REASON_BYTES)
     except SEND_ERRORS:
         body = b""
     answer.response.close()
     if 400 <= status < 500:
         reason = (
             f"{answer.server.name} refused the request with HTTP status {status}: "
-            f"{body[:300]!r}"
+            f"{body!r}"
         )
         raise RefusedError(Refusal(status, Outcome.RAN, reason))
     raise AttemptError(
@@ -277,7 +289,11 @@
     boot = answer.response.headers.get(BOOT_HEADER)
     last: StreamEvent | None = None
     try:
-        async for data in _data_lines(answer, context):
+        async for data in iter_data_lines(
+            answer.response.content,
+            context.settings.progress_timeout_s,
+            MAX_OUTPUT_BYTES,
+        ):
             if data == END_OF_STREAM_DATA:
                 if last is None:
                     raise BrokenStreamError("stream ended without a finish reason")
@@ -299,6 +315,20 @@
     )
 
 
+def _check_length(
+    generation: Generation, event: StreamEvent, server: BackendServer
+) -> None:
+    max_tokens = generation.request_body["max_tokens"]
+    if generation.tokens + event.pollenlb.tokens > max_tokens:
+        raise AttemptError(
+            AttemptFailure(
+                Outcome.UNKNOWN,
+                f"{server.name} sent more than the {max_tokens} tokens asked for",
+                is_output_invalid=True,
+            )
+        )
+
+
 def _check_event(
     event: StreamEvent, attempt_id: RequestId, boot: BootId
 ) -> StreamEvent:
@@ -322,20 +352,5 @@
         is_connection_lost=not is_invalid_answer
         and not isinstance(error, TimeoutError),
         is_timeout=isinstance(error, TimeoutError),
+        is_output_invalid=isinstance(error, StreamTooLongError),
     )
-
-
-async def _data_lines(answer: Answer, context: EntryContext) -> AsyncIterator[bytes]:
-    content: aiohttp.StreamReader = answer.response.content
-    pending = b""
-    while True:
-        async with asyncio.timeout(context.settings.progress_timeout_s):
-            chunk = await content.readany()
-        if not chunk:
-            return
-        *lines, pending = (pending + chunk).split(b"\n")
-        if len(pending) > _MAX_EVENT_BYTES:
-            raise BrokenStreamError(f"event is larger than {_MAX_EVENT_BYTES} bytes")
-        for line in lines:
-            if line.startswith(b"data:"):
-                yield line[len(b"data:") :].strip()
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -14,7 +14,7 @@
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, send_attempt
 from .dialect import NumberedEvent
-from .event_blocks import iter_event_blocks
+from .event_blocks import MAX_OUTPUT_BYTES, StreamTooLongError, iter_event_blocks
 from .item_progress import ItemOutput, ItemProgress, RunEnd
 from .outcome import Outcome
 
@@ -140,6 +140,8 @@
         return await _read_answer(progress, answer, context)
     except (*SEND_ERRORS, ValueError) as error:
         is_silent = isinstance(error, TimeoutError)
+        if isinstance(error, StreamTooLongError):
+            progress.output.start_over()
         context.events.record(
             "item.broken",
             item=attempt.request_id,
@@ -167,7 +169,9 @@
     if not _is_version_allowed(progress, version):
         return RunEnd.TOO_OLD
     output = _output_of(progress)
-    async for block in iter_event_blocks(answer.response.content, _STALL_TIMEOUT_S):
+    async for block in iter_event_blocks(
+        answer.response.content, _STALL_TIMEOUT_S, MAX_OUTPUT_BYTES
+    ):
         event = context.dialect.read_numbered_event(block)
         version = event.version or version
         if not _is_version_allowed(progress, version):
@@ -180,6 +184,11 @@
                 f"event {event.number} is out of order; the last event was number "
                 f"{output.last_event_number}"
             )
+        if 0 < progress.item.tokens <= output.events:
+            raise StreamTooLongError(
+                f"the engine sent more events than the {progress.item.tokens} tokens "
+                "that the item may have"
+            )
         progress.record_event(answer.server)
         output.add(event, version)
     answer.server.record_answer(0.0)
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -11,11 +11,13 @@
 
 from ..clock import Deadline, deadline_in, now, remaining_time_s
 from ..connection.backend import BackendServer
+from ..connection.bodies import read_body
 from ..ids import BackendServerName
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailure, send_attempt
 from .caller_request import CallerRequest, RequestClass
 from .dialect import Dialect
+from .event_blocks import MAX_OUTPUT_BYTES
 from .hedging import send_hedged
 from .outcome import Outcome, Refusal, RefusedError
 from .retries import Retries, RetryPolicy
@@ -34,7 +36,6 @@
         "expect",
     )
 )
-_MAX_CHUNK_BYTES = 65_536
 
 
 class CompleteAnswer(msgspec.Struct, frozen=True):
@@ -202,7 +203,7 @@
         return Ok(answer)
     try:
         async with asyncio.timeout(remaining_time_s(caller.deadline)):
-            body = await response.content.read(-1)
+            body = await read_body(response.content, MAX_OUTPUT_BYTES)
     except SEND_ERRORS as error:
         response.close()
         reason = (
@@ -242,7 +243,7 @@
     is_long = caller.request_class is RequestClass.LONG
     try:
         with answer.server.load.track_request(is_long):
-            await _copy_body(answer.response, response, context)
+            await copy_body(answer.response, response, caller.deadline, context)
         await response.write_eof()
     except SEND_ERRORS as error:
         reason = (
@@ -258,15 +259,29 @@
     return response
 
 
-async def _copy_body(
-    source: aiohttp.ClientResponse, target: web.StreamResponse, context: EntryContext
+async def copy_body(
+    source: aiohttp.ClientResponse,
+    target: web.StreamResponse,
+    deadline: Deadline,
+    context: EntryContext,
 ) -> None:
-    while True:
-        async with asyncio.timeout(context.settings.progress_timeout_s):
+    """Forward the body of an answer as it arrives.
+
+    Raises
+    ------
+    TimeoutError
+        When the deadline passes, even if the caller reads slowly, or no byte
+        arrives within the progress timeout.
+    """
+    while remaining_time_s(deadline):
+        timeout_s = min(context.settings.progress_timeout_s, remaining_time_s(deadline))
+        async with asyncio.timeout(timeout_s):
             chunk = await source.content.readany()
         if not chunk:
             return
-        await target.write(chunk)
+        async with asyncio.timeout(remaining_time_s(deadline)):
+            await target.write(chunk)
+    raise TimeoutError("the deadline passed before the end of the body")
 
 
 def request_headers(caller: CallerRequest, dialect: Dialect) -> dict[str, str]:
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -160,6 +160,8 @@
     # is never the cause of a crash and remains owed.
     end = await _attempt(sample, progress, server, context)
     if isinstance(end, AttemptFailure):
+        if end.is_output_invalid:
+            sample.start_over()
         return _handle_failure(end, server)
     return end
 
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -7,14 +7,14 @@
 from aiohttp import web
 from result import Err
 
-from ..clock import Deadline, deadline_in, now
+from ..clock import Deadline, deadline_in, now, remaining_time_s
 from ..connection.backend import BackendServer
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailure, send_attempt
 from .caller_request import CallerRequest
 from .event_blocks import iter_event_blocks
 from .outcome import Outcome, RefusedError
-from .passthrough import answer_headers, request_headers
+from .passthrough import answer_headers, copy_body, request_headers
 from .retries import Retries, RetryPolicy
 
 _EVENT_END = b"\n\n"
@@ -141,7 +141,9 @@
                     f"the resumed stream was answered with HTTP status "
                     f"{answer.response.status}"
                 )
-            await response.write(await answer.response.content.read(-1))
+            await copy_body(
+                answer.response, response, self._caller.deadline, self._context
+            )
             await response.write_eof()
             return
         timeout_s = self._context.settings.progress_timeout_s
@@ -154,6 +156,8 @@
                 raise ValueError(f"event {event.number} was received twice")
             await response.write(block + _EVENT_END)
             self._last_event_number = event.number
+            if not remaining_time_s(self._caller.deadline):
+                raise TimeoutError("the deadline passed before the end of the stream")
         await response.write_eof()
 
     async def _start_response(self, answer: Answer) -> web.StreamResponse:
