Tell the caller why the last attempt failed when no server is left

What callers saw: where the only backend server in reach answered with a head without end, 503 'no backend server of shop is usable', with the outcome unknown. The head itself is refused at aiohttp's limits (128 fields of 8,190 bytes) or at the deadline for the head, and the connection is closed; but neither the caller nor request.ended named the server and what it had sent.

Cause: the refusal without a server left forgot the attempt before it, and its status, 503, stood for a request that may have run.

Change: the reason begins with the last failure; the status is that of the failure, 502 or 504, if the request may have run, and 503 otherwise, as before.

--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -95,6 +95,7 @@
         self._timed_out_servers: set[BackendServerName] = set()
         self._attempts = 0
         self._may_have_run = False
+        self._last_failure: AttemptFailure | None = None
         self._trial = CrashTrial(context, request_id, fingerprint)
         context.retry_budget(service).add_request(policy.retry_share)
 
@@ -137,9 +138,7 @@
                 self._attempts += 1
                 return server
             if server is None and not self._may_wait_for_slot():
-                raise self._refused_error(
-                    503, f"no backend server of {self._service} is usable"
-                )
+                raise self._no_server_error()
             if not remaining_time_s(self._policy.deadline):
                 raise self._refused_error(
                     503,
@@ -197,6 +196,7 @@
             self._timed_out_servers.add(server.name)
         is_sent = failure.outcome is not Outcome.NOT_RUN
         self._may_have_run = self._may_have_run or is_sent
+        self._last_failure = failure
         self._record_failed_attempt(server, failure)
         if failure.is_other_server:
             server.record_failure()
@@ -304,7 +304,7 @@
 
     def _check_may_retry(self, failure: AttemptFailure) -> None:
         policy = self._policy
-        status = 504 if failure.is_timeout else 502 if self._may_have_run else 503
+        status = self._failure_status(failure)
         if not remaining_time_s(policy.deadline):
             raise self._refused_error(status, failure.reason)
         if self._may_have_run and not policy.is_repeatable:
@@ -314,6 +314,20 @@
             raise self._refused_error(status, failure.reason, failure.retry_after_s)
         self._context.metrics.retries.labels(self._service).inc()
 
+    def _failure_status(self, failure: AttemptFailure) -> int:
+        if failure.is_timeout:
+            return 504
+        return 502 if self._may_have_run else 503
+
+    def _no_server_error(self) -> RefusedError:
+        """Return the refusal without a server; an attempt before it tells why."""
+        reason = f"no backend server of {self._service} is usable"
+        failure = self._last_failure
+        if failure is None:
+            return self._refused_error(503, reason)
+        status = self._failure_status(failure) if self._may_have_run else 503
+        return self._refused_error(status, f"{failure.reason}; then {reason}")
+
     def _record_failed_attempt(
         self, server: BackendServer, failure: AttemptFailure
     ) -> None:
--- a/tests/system/test_endless_answers.py
+++ b/tests/system/test_endless_answers.py
@@ -23,6 +23,13 @@
     b"HTTP/1.1 200 OK\r\nPollenlb-Request-Id: " + REQUEST_ID + b"\r\n"
     b"Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
+_ENDLESS_HEADS = {
+    "one line": (b"HTTP/1.1 200 OK\r\nX-Filler: ", b"a"),
+    "many fields": (b"HTTP/1.1 200 OK\r\n", b"X-Filler: a\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "blank lines": (b"", b"\r\n"),
+    "no protocol": (b"", b"\0"),
+}
 _ENDLESS_TOKENS = {
     "id": REQUEST_ID.decode(),
     "choices": [{"text": "more ", "finish_reason": None}],
@@ -64,6 +71,20 @@
     tracemalloc.stop()
 
 
+@pytest.mark.parametrize("kind", _ENDLESS_HEADS)
+async def test_head_without_end_is_refused(start_system, check_ended, kind):
+    system = await _start(start_system, plain_services=1)
+    flood = Flood(*_ENDLESS_HEADS[kind])
+    system.plain_services[0].floods["/shop"] = flood
+    started_at = now()
+    status, outcome, answer = await system.get(0, "/shop/1")
+    assert now() < started_at + _ENDED_WITHIN_S
+    assert status in (502, 504)
+    assert outcome == "unknown"
+    assert "plain-0" in answer["error"]["message"]
+    await check_ended(flood)
+
+
 async def test_body_without_end_of_a_keyed_request_is_refused(
     start_system, check_ended
 ):
