--- a/tests/connection/test_rpc.py
+++ b/tests/connection/test_rpc.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok
 
+from pollenlb.clock import now
 from pollenlb.connection.rpc import Method, RpcChannel, RpcServer
 from pollenlb.events import EventLog
 
@@ -19,6 +20,8 @@
     text: str
 
 
+_TIMEOUT_S = 0.2
+_PROCESSING_TIME_S = 0.5
 ASK = Method("test.Service", "Ask", Question, Question)
 
 
@@ -48,6 +51,22 @@
     await server.stop(0)
 
 
+async def test_timeout_of_one_call_does_not_wait_for_other_calls():
+    async def never_answer(request: Question) -> Question:
+        await asyncio.Event().wait()
+        return request
+
+    server, channel = await _serve(never_answer)
+    long_call = asyncio.create_task(channel.call(ASK, Question("long"), 30))
+    started_at = now()
+    await channel.call(ASK, Question("?"), _TIMEOUT_S)
+    elapsed_s = now() - started_at
+    await channel.close()
+    await long_call
+    await server.stop(0)
+    assert elapsed_s < _TIMEOUT_S + _PROCESSING_TIME_S
+
+
 async def test_timeout_of_one_call_does_not_break_other_calls_on_the_channel():
     # A call that times out makes the channel reconnect. Calls in flight on the
     # old connection must still end, and new calls must succeed.
