Return from a call at its timeout, whatever else uses the channel

What callers saw: nothing that was traced to it.

Cause: after a timeout the channel is opened again, and the call waited until the old one was closed, which lets other calls on it end for up to 1 s. Class of fault: a timeout that does not bound the whole operation.

Change: the old channel is closed in a task of its own. A call that times out after the channel was opened again no longer opens it once more: that would cut off the calls on the new connection.

--- a/pollenlb/connection/rpc.py
+++ b/pollenlb/connection/rpc.py
@@ -18,6 +18,8 @@
 A = TypeVar("A")
 
 _TIMESTAMP_KEY = "pollenlb-hlc"
+# How long other calls may still end on a channel on which one has timed out.
+_CLOSE_GRACE_S = 1.0
 _CHANNEL_OPTIONS = [
     ("grpc.keepalive_time_ms", 5000),
     ("grpc.keepalive_timeout_ms", 2000),
@@ -92,6 +94,7 @@
         self._events = events
         self._channel = self._open()
         self._stubs: dict[str, Any] = {}
+        self._closing: set[asyncio.Task] = set()
 
     @property
     def address(self) -> Address:
@@ -118,6 +121,7 @@
             The answer, or ``CallFailure``. Errors of gRPC are not raised.
         """
         metadata = ((_TIMESTAMP_KEY, str(self._events.clock.tick())),)
+        channel = self._channel
         try:
             call = self._stub(method)(request, timeout=timeout_s, metadata=metadata)
             answer = await call
@@ -127,7 +131,7 @@
             return Ok(answer)
         except grpc.aio.AioRpcError as error:
             if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
-                await self._reopen()
+                self._reopen(channel)
             return Err(CallFailure(f"{error.code().name}: {error.details()}"))
         except grpc.aio.UsageError as error:
             return Err(CallFailure(f"channel closed: {error}"))
@@ -142,17 +146,21 @@
     async def close(self) -> None:
         """Close the channel; calls in flight fail."""
         await self._channel.close()
+        await asyncio.gather(*self._closing, return_exceptions=True)
 
     def _open(self) -> grpc.aio.Channel:
         return grpc.aio.insecure_channel(self._address, options=_CHANNEL_OPTIONS)
 
-    async def _reopen(self) -> None:
+    def _reopen(self, unresponsive: grpc.aio.Channel) -> None:
         # A connection that stopped responding may never recover, although a new
         # one to the same peer works.
-        unresponsive = self._channel
+        if unresponsive is not self._channel:
+            return
+        task = asyncio.create_task(unresponsive.close(grace=_CLOSE_GRACE_S))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
         self._channel = self._open()
         self._stubs = {}
-        await unresponsive.close(grace=1.0)
 
     def _stub(self, method: Method) -> Any:
         stub = self._stubs.get(method.path)
--- a/tests/connection/test_rpc.py
+++ b/tests/connection/test_rpc.py
@@ -8,7 +8,12 @@
 from result import Err, Ok
 
 from pollenlb.clock import now
-from pollenlb.connection.rpc import Method, RpcChannel, RpcServer
+from pollenlb.connection.rpc import (
+    _CLOSE_GRACE_S,
+    Method,
+    RpcChannel,
+    RpcServer,
+)
 from pollenlb.events import EventLog
 
 from ..local_system import free_ports
@@ -67,6 +72,31 @@
     assert elapsed_s < _TIMEOUT_S + _PROCESSING_TIME_S
 
 
+async def test_late_timeout_does_not_close_the_connection_opened_since():
+    release = asyncio.Event()
+    received = asyncio.Event()
+
+    async def wait_for_release(request: Question) -> Question:
+        if request.text == "new":
+            received.set()
+        await release.wait()
+        return request
+
+    server, channel = await _serve(wait_for_release)
+    late = asyncio.create_task(channel.call(ASK, Question("late"), 2 * _TIMEOUT_S))
+    await channel.call(ASK, Question("early"), _TIMEOUT_S)
+    new = asyncio.create_task(channel.call(ASK, Question("new"), 30))
+    await received.wait()
+    await late
+    # After this pause a connection that was wrongly closed has been cut off.
+    await asyncio.sleep(_CLOSE_GRACE_S + _PROCESSING_TIME_S)
+    release.set()
+    answer = await new
+    await channel.close()
+    await server.stop(0)
+    assert answer == Ok(Question("new"))
+
+
 async def test_timeout_of_one_call_does_not_break_other_calls_on_the_channel():
     # A call that times out makes the channel reconnect. Calls in flight on the
     # old connection must still end, and new calls must succeed.
