Forward an error in place of a stream only once it is complete

Change: the body is read first, up to the limit of kept answers, and the head is sent after it. A second attempt that is answered with an error once the head was sent ends the answer, also if no event had come.

--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -243,7 +243,7 @@
     is_long = caller.request_class is RequestClass.LONG
     try:
         with answer.server.load.track_request(is_long):
-            await copy_body(answer.response, response, caller.deadline, context)
+            await _copy_body(answer.response, response, caller.deadline, context)
         await response.write_eof()
     except SEND_ERRORS as error:
         reason = (
@@ -259,7 +259,7 @@
     return response
 
 
-async def copy_body(
+async def _copy_body(
     source: aiohttp.ClientResponse,
     target: web.StreamResponse,
     deadline: Deadline,
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -9,12 +9,13 @@
 
 from ..clock import Deadline, deadline_in, now, remaining_time_s
 from ..connection.backend import BackendServer
+from ..connection.bodies import read_body
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailure, send_attempt
 from .caller_request import CallerRequest
-from .event_blocks import iter_event_blocks
+from .event_blocks import MAX_OUTPUT_BYTES, iter_event_blocks
 from .outcome import Outcome, RefusedError
-from .passthrough import answer_headers, copy_body, request_headers
+from .passthrough import answer_headers, request_headers
 from .retries import Retries, RetryPolicy
 
 _EVENT_END = b"\n\n"
@@ -134,18 +135,10 @@
         return Deadline(min(self._caller.deadline, deadline_in(progress_s)))
 
     async def _forward(self, answer: Answer) -> None:
-        response = await self._start_response(answer)
         if answer.response.status != 200:
-            if self._last_event_number is not None:
-                raise ValueError(
-                    f"the resumed stream was answered with HTTP status "
-                    f"{answer.response.status}"
-                )
-            await copy_body(
-                answer.response, response, self._caller.deadline, self._context
-            )
-            await response.write_eof()
+            await self._forward_error(answer)
             return
+        response = await self._start_response(answer)
         timeout_s = self._context.settings.progress_timeout_s
         async for block in iter_event_blocks(answer.response.content, timeout_s):
             event = self._context.dialect.read_numbered_event(block)
@@ -160,6 +153,19 @@
                 raise TimeoutError("the deadline passed before the end of the stream")
         await response.write_eof()
 
+    async def _forward_error(self, answer: Answer) -> None:
+        """Forward an answer other than a stream, once it is complete."""
+        if self._response is not None:
+            raise ValueError(
+                f"the resumed stream was answered with HTTP status "
+                f"{answer.response.status}"
+            )
+        async with asyncio.timeout(remaining_time_s(self._caller.deadline)):
+            body = await read_body(answer.response.content, MAX_OUTPUT_BYTES)
+        response = await self._start_response(answer)
+        await response.write(body)
+        await response.write_eof()
+
     async def _start_response(self, answer: Answer) -> web.StreamResponse:
         if self._response is not None:
             return self._response
