--- a/pollenlb/settings/entry.py
+++ b/pollenlb/settings/entry.py
@@ -72,7 +72,8 @@
     """Timeout, in seconds, for opening a connection to a backend server."""
 
     progress_timeout_s = Number(0.2, 3600, 10.0)
-    """Seconds without data after which a response stream counts as failed."""
+    """Seconds without data, or in a stream of events without a complete event, after
+    which a response counts as failed."""
 
     balancer_delay_s = Number(0, 60, 1.0)
     """Seconds between failing readiness checks and refusing new connections."""
