Record the request limits of backend servers as events

An answer's Server-Limit is parsed; server.limit_changed records each change and server.limited_request each request sent to a server that names a limit. No decision uses it yet.

--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -10,10 +10,11 @@
 from ..clock import Deadline, deadline_in, now, sleep_until
 from ..durable.configuration_commands import Announcement, ServerState
 from ..events import EventLog
-from ..ids import BackendServerName, BootId, ModelName, WeightVersion
+from ..ids import BackendServerName, BootId, ModelName, RequestId, WeightVersion
 from ..settings.entry import EntrySettings
 from .backend_api import ProbeAnswer
 from .load import ServerLoad
+from .request_limit import RequestLimit
 
 SendProbe = Callable[
     [aiohttp.ClientSession, Announcement, float], Awaitable[ProbeAnswer | None]
@@ -65,6 +66,7 @@
         self._is_leaving = announcement.state is ServerState.LEAVING
         self._version: WeightVersion | None = None
         self._load = ServerLoad(announcement.slots)
+        self._request_limit = RequestLimit()
         self._was_usable = False
         self._consecutive_failures = 0
         self._backoff_until = Deadline(0.0)
@@ -142,6 +144,11 @@
         """Load and speed of the backend server, as estimated by this entry."""
         return self._load
 
+    @property
+    def request_limit(self) -> RequestLimit:
+        """Limit on the requests a second that it takes from all entries."""
+        return self._request_limit
+
     @property
     def _is_probed(self) -> bool:
         return self._settings.probe_interval_s > 0
@@ -192,6 +199,32 @@
         self._backoff_until = deadline_in(backoff_s)
         self._record_usability_change()
 
+    def record_request_limit(self, limit_per_s: float | None, sent_at: float) -> None:
+        """Record the limit that an answer named.
+
+        Parameters
+        ----------
+        limit_per_s : float or None
+            Requests a second from all entries together; None if it named none.
+        sent_at : float
+            Monotonic time in seconds at which the request of the answer was sent.
+        """
+        if self._request_limit.observe(limit_per_s, sent_at):
+            self._events.record(
+                "server.limit_changed", server=self.name, limit_per_s=limit_per_s
+            )
+
+    def record_limited_request(self, request_id: RequestId) -> None:
+        """Record as an event that a request is sent, if the server has a limit."""
+        limit_per_s = self._request_limit.limit_per_s
+        if limit_per_s is not None:
+            self._events.record(
+                "server.limited_request",
+                server=self.name,
+                request=request_id,
+                limit_per_s=limit_per_s,
+            )
+
     async def has_crashed(self, boot: BootId) -> bool:
         """Return whether the process with a boot id is no longer running.
 
--- a/pollenlb/platform/dialect.py
+++ b/pollenlb/platform/dialect.py
@@ -34,6 +34,7 @@
     WEIGHT_VERSION_HEADER,
     parse_in_flight,
     parse_probe_answer,
+    parse_request_limit,
     parse_slowness,
 )
 
@@ -139,6 +140,7 @@
             slowness=parse_slowness(headers),
             version=WeightVersion(int(version)) if version.isdigit() else None,
             retry_after_s=parse_retry_after_s(headers.get("Retry-After")),
+            request_limit_per_s=parse_request_limit(headers),
         )
 
     async def probe(
--- a/pollenlb/platform/names.py
+++ b/pollenlb/platform/names.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 from ..connection.backend_api import ProbeAnswer
@@ -21,6 +22,7 @@
 LOAD_REPORT_HEADER = "X-Load-Report"
 SERVER_ID_HEADER = "X-Instance-Id"  # backend server that answered
 WEIGHT_VERSION_HEADER = "X-Weight-Versions"  # a single number, despite the plural
+SERVER_LIMIT_HEADER = "Server-Limit"  # requests a second from all entries together
 LAST_EVENT_ID_HEADER = "Last-Event-Id"
 LENGTH_HINT_HEADER = "X-Length-Hint"  # expected output tokens
 WAIT_MS_HEADER = "X-Wait-Ms"  # milliseconds to wait for new results
@@ -83,6 +85,26 @@
         return None
 
 
+def parse_request_limit(headers: Mapping[str, str]) -> float | None:
+    """Return the requests a second that a backend server takes from all entries.
+
+    Parameters
+    ----------
+    headers : Mapping
+        Headers of an answer of the backend server.
+
+    Returns
+    -------
+    float or None
+        None when the server names no limit, or one that is negative or not finite.
+    """
+    try:
+        limit_per_s = float(headers.get(SERVER_LIMIT_HEADER, ""))
+    except ValueError:
+        return None
+    return limit_per_s if 0 <= limit_per_s < math.inf else None
+
+
 def parse_probe_answer(
     server: Announcement, status: int, headers: Mapping[str, str]
 ) -> ProbeAnswer | None:
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -10,7 +10,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..clock import Deadline, remaining_time_s
+from ..clock import Deadline, now, remaining_time_s
 from ..connection.backend import BackendServer
 from ..connection.sessions import ConnectionLostError, SendTracker
 from ..ids import BootId, RequestId
@@ -120,6 +120,8 @@
         The answer with its body unread, or why the attempt failed.
     """
     tracker = SendTracker()
+    sent_at = now()
+    server.record_limited_request(attempt.request_id)
     headers = {
         **attempt.headers,
         **dialect.attempt_headers(attempt, server.announcement),
@@ -140,7 +142,10 @@
     except SEND_ERRORS as error:
         operation = f"request to {server.name} (timeout {head_s:.3f} s)"
         return Err(classify_send_error(error, tracker, operation))
-    return _check_head(attempt, server, response, dialect)
+    head = dialect.read_head(attempt.request_id, response.status, response.headers)
+    if head.is_for_request and not head.is_other_server:
+        server.record_request_limit(head.request_limit_per_s, sent_at)
+    return _check_head(server, response, head)
 
 
 def _client_timeout(attempt: Attempt, settings: EntrySettings) -> aiohttp.ClientTimeout:
@@ -184,12 +189,8 @@
 
 
 def _check_head(
-    attempt: Attempt,
-    server: BackendServer,
-    response: aiohttp.ClientResponse,
-    dialect: Dialect,
+    server: BackendServer, response: aiohttp.ClientResponse, head: AnswerHead
 ) -> Result[Answer, AttemptFailure]:
-    head = dialect.read_head(attempt.request_id, response.status, response.headers)
     if head.is_not_run:
         response.release()
         reason = f"{server.name} refused the request without running it"
--- a/pollenlb/request/dialect.py
+++ b/pollenlb/request/dialect.py
@@ -73,6 +73,9 @@
         Weight version with which the answer is generated.
     retry_after_s : float or None
         Seconds after which the server asked for a retry.
+    request_limit_per_s : float or None
+        Requests a second that the server takes from all entries together at
+        present.
     """
 
     is_not_run: bool = False
@@ -83,6 +86,7 @@
     slowness: float | None = None
     version: WeightVersion | None = None
     retry_after_s: float | None = None
+    request_limit_per_s: float | None = None
 
 
 class NumberedEvent(msgspec.Struct, frozen=True):
