--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 from .flood import Flood, floods_middleware
 
@@ -54,6 +55,10 @@
         Ids of the requests that run now.
     floods : dict of str to Flood
         Answers without end, by prefix of the path.
+    request_limit_per_s : float or None
+        Limit that its answers name.
+    received_at : list of float
+        Monotonic times in seconds at which requests, orders and calls arrived.
     """
 
     def __init__(
@@ -78,13 +83,18 @@
         self.received_runs: list[tuple[str, int]] = []
         self.running: set[str] = set()
         self.floods: dict[str, Flood] = {}
+        self.request_limit_per_s: float | None = None
+        self.received_at: list[float] = []
         self._sequence = 0
         self._runner: web.AppRunner | None = None
         self._heartbeat_task: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Start to listen and to send heartbeats."""
-        application = web.Application(middlewares=[floods_middleware(self.floods)])
+        application = web.Application(
+            middlewares=[floods_middleware(self.floods), self._count_arrival]
+        )
+        application.on_response_prepare.append(self._name_limit)
         application.router.add_get("/-/report", self._handle_report)
         application.router.add_post("/-/order", self._handle_order)
         application.router.add_get("/healthz", self._handle_health)
@@ -143,6 +153,19 @@
                 pass
             await asyncio.sleep(self.heartbeat_interval_s)
 
+    @web.middleware
+    async def _count_arrival(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        self.received_at.append(asyncio.get_running_loop().time())
+        return await handler(request)
+
+    async def _name_limit(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.request_limit_per_s is not None:
+            response.headers["Server-Limit"] = str(self.request_limit_per_s)
+
     async def _handle_health(self, request: web.Request) -> web.Response:
         return web.Response(headers={"X-Instance-Id": self.name})
 
