Divide the request limit of a backend server among the entries

Callers saw: a backend server that named a Server-Limit got far more requests than that. With a limit of 5 a second, 46 requests in 4 s from entries that had passed it on; 35 are allowed.

Cause: no entry acted on the header, and none could have kept a limit that holds for all entries together: each chose servers by its own load alone. The class of fault is a shared budget without shared accounting.

Change: an entry that sees a limit, or learns of one from the leader, keeps to a share of it. A tenth is divided equally among the live entries and needs no contact; the rest is granted with the lease, by demand. The leader counts a share as used until the entry has reported a smaller one or its lease has expired, so that the sum holds while shares move, entries join or are lost, and across a change of leader. Requests, retries, hedges, items and scoring wait for the share; probes use later shares; orders and reports of the leader come out of what it grants. Unused shares lapse after half a second. A request that no server's limit allows within a second is refused at once, with the expected wait as Retry-After.

--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 
 import aiohttp
@@ -14,7 +15,7 @@
 from ..settings.entry import EntrySettings
 from .backend_api import ProbeAnswer
 from .load import ServerLoad
-from .request_limit import RequestLimit
+from .request_limit import LimitShares, RequestLimit
 
 SendProbe = Callable[
     [aiohttp.ClientSession, Announcement, float], Awaitable[ProbeAnswer | None]
@@ -46,6 +47,8 @@
     send_probe : callable
         Sends a probe, given the session, the announcement and a timeout in
         seconds. Returns None when there is no valid answer.
+    limit_shares : LimitShares
+        This entry's shares of the limits that backend servers name.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         session: aiohttp.ClientSession,
         events: EventLog,
         send_probe: SendProbe,
+        limit_shares: LimitShares,
     ) -> None:
         self._send_probe = send_probe
         self._announcement = announcement
@@ -66,7 +70,9 @@
         self._is_leaving = announcement.state is ServerState.LEAVING
         self._version: WeightVersion | None = None
         self._load = ServerLoad(announcement.slots)
-        self._request_limit = RequestLimit()
+        self._request_limit = RequestLimit(
+            announcement.server, limit_shares, random.Random()
+        )
         self._was_usable = False
         self._consecutive_failures = 0
         self._backoff_until = Deadline(0.0)
@@ -210,9 +216,26 @@
             Monotonic time in seconds at which the request of the answer was sent.
         """
         if self._request_limit.observe(limit_per_s, sent_at):
-            self._events.record(
-                "server.limit_changed", server=self.name, limit_per_s=limit_per_s
-            )
+            self._record_limit_change("answer")
+
+    def learn_request_limit(
+        self, boot: BootId, limit_per_s: float | None, observed_at: float
+    ) -> None:
+        """Apply a limit that another entry observed, if it is of the same process.
+
+        Parameters
+        ----------
+        boot : BootId
+            Boot id of the process that named the limit.
+        limit_per_s : float or None
+            Requests a second from all entries together; None if the limit ended.
+        observed_at : float
+            Monotonic time in seconds at which the other entry observed this.
+        """
+        if boot != self._boot:
+            return
+        if self._request_limit.learn(limit_per_s, observed_at):
+            self._record_limit_change("leader")
 
     def record_limited_request(self, request_id: RequestId) -> None:
         """Record as an event that a request is sent, if the server has a limit."""
@@ -223,6 +246,7 @@
                 server=self.name,
                 request=request_id,
                 limit_per_s=limit_per_s,
+                share_per_s=round(self._request_limit.share_per_s, 3),
             )
 
     async def has_crashed(self, boot: BootId) -> bool:
@@ -262,8 +286,19 @@
         self._usable_until = Deadline(sent_at + self._settings.usable_s)
 
     async def _fetch_probe_answer(self, timeout_s: float) -> ProbeAnswer | None:
+        # A check that a crash or the next choice depends on does not wait for the
+        # server's limit, but counts towards it.
+        self._request_limit.spend()
         return await self._send_probe(self._session, self._announcement, timeout_s)
 
+    def _record_limit_change(self, source: str) -> None:
+        self._events.record(
+            "server.limit_changed",
+            server=self.name,
+            limit_per_s=self._request_limit.limit_per_s,
+            source=source,
+        )
+
     def _mark_leaving(self) -> None:
         if not self._is_leaving:
             self._is_leaving = True
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -17,6 +17,7 @@
     Address,
     BackendServerName,
     BatchJobId,
+    BootId,
     CommandId,
     DocumentVersion,
     Fingerprint,
@@ -188,6 +189,51 @@
     added: list[BatchWork]
 
 
+class LimitReport(msgspec.Struct, frozen=True):
+    """What an entry knows of a backend server's limit, and its use of it.
+
+    Attributes
+    ----------
+    boot : BootId
+        Boot id of the backend server.
+    limit_per_s : float or None
+        Requests a second from all entries; None if the limit has ended.
+    age_s : float
+        Seconds since an answer showed this.
+    demand : float
+        Recent requests and waiting items that the server could have run.
+    granted_per_s : float
+        Share that the entry uses by a grant of the leader, in requests a second.
+    """
+
+    boot: BootId
+    limit_per_s: float | None
+    age_s: float
+    demand: float
+    granted_per_s: float
+
+
+class LimitGrant(msgspec.Struct, frozen=True):
+    """The limit of a backend server, and an entry's share of it.
+
+    Attributes
+    ----------
+    boot : BootId
+        Boot id of the backend server.
+    limit_per_s : float or None
+        Requests a second from all entries; None if the limit has ended.
+    age_s : float
+        Seconds since an answer showed this.
+    granted_per_s : float
+        Share that the entry may use during its lease, in requests a second.
+    """
+
+    boot: BootId
+    limit_per_s: float | None
+    age_s: float
+    granted_per_s: float
+
+
 class RenewRequest(msgspec.Struct, frozen=True):
     """Renews an entry's lease and asks for changed views (a long poll).
 
@@ -203,6 +249,10 @@
         Backend servers that announced themselves since the last renewal.
     wait_s : float
         Maximum time to wait for a change, in seconds.
+    limits : dict
+        What the entry knows of limits, by backend server.
+    limits_version : int
+        Version of the limits that the entry has.
     """
 
     entry: EntryInfo
@@ -215,6 +265,8 @@
     wait_s: float
     work: int = 0
     health: EntryHealth = EntryHealth()
+    limits: dict[BackendServerName, LimitReport] = {}
+    limits_version: int = 0
 
 
 class RenewAnswer(msgspec.Struct, frozen=True):
@@ -227,6 +279,10 @@
         request was sent.
     controls : list of Address
         Addresses of the control instances.
+    limits : dict
+        All known limits with the entry's shares, by backend server.
+    limits_version : int
+        Version of these limits.
     """
 
     status: CallStatus
@@ -239,6 +295,8 @@
     entries: EntriesView | None = None
     work: WorkView | None = None
     controls: list[Address] = []
+    limits: dict[BackendServerName, LimitGrant] = {}
+    limits_version: int = 0
 
 
 class ReadBatchJob(msgspec.Struct, frozen=True):
--- a/pollenlb/connection/directory.py
+++ b/pollenlb/connection/directory.py
@@ -6,12 +6,14 @@
 
 import aiohttp
 
+from ..clock import Deadline, now
 from ..durable.configuration_commands import Announcement
 from ..events import EventLog
 from ..ids import BackendServerName, ModelName, ServiceName, WeightVersion
 from ..settings.entry import EntrySettings
 from .backend import BackendServer, SendProbe
-from .control_api import DirectoryView
+from .control_api import DirectoryView, LimitGrant, LimitReport
+from .request_limit import LimitShares
 
 
 class BackendDirectory:
@@ -42,6 +44,7 @@
         self._settings = settings
         self._session = session
         self._events = events
+        self._limit_shares = LimitShares()
         self._version = -1
         self._servers: dict[BackendServerName, BackendServer] = {}
         self._releases: dict[ModelName, WeightVersion] = {}
@@ -57,6 +60,11 @@
         """Known backend servers by name."""
         return self._servers
 
+    @property
+    def limit_shares(self) -> LimitShares:
+        """Shares of this entry of the limits that backend servers name."""
+        return self._limit_shares
+
     @property
     def releases(self) -> dict[ModelName, WeightVersion]:
         """Released weight version by model, which backend servers should have."""
@@ -82,6 +90,7 @@
                 self._session,
                 self._events,
                 self._send_probe,
+                self._limit_shares,
             )
             server.start()
             self._servers[name] = server
@@ -105,6 +114,48 @@
             if server.announcement.service == service and server.is_eligible
         ]
 
+    def report_limits(self) -> dict[BackendServerName, LimitReport]:
+        """Return what is known of limits, for the leader that divides them."""
+        reports = {}
+        for name, server in self._servers.items():
+            limit = server.request_limit
+            if limit.is_known:
+                reports[name] = LimitReport(
+                    server.boot,
+                    limit.limit_per_s,
+                    now() - limit.observed_at,
+                    limit.demand,
+                    self._limit_shares.granted_per_s(name),
+                )
+        wanted = [name for name, report in reports.items() if report.demand]
+        self._limit_shares.record_report(wanted)
+        return reports
+
+    def apply_limits(
+        self,
+        grants: dict[BackendServerName, LimitGrant],
+        entry_count: int,
+        granted_until: Deadline,
+    ) -> None:
+        """Apply the limits and shares in an answer of the leader.
+
+        Parameters
+        ----------
+        grants : dict
+            Limits with this entry's shares, by backend server.
+        entry_count : int
+            Number of live entries, this one included.
+        granted_until : Deadline
+            Deadline of the lease with which the shares were granted.
+        """
+        for name, grant in grants.items():
+            server = self._servers.get(name)
+            if server is not None:
+                observed_at = now() - grant.age_s
+                server.learn_request_limit(grant.boot, grant.limit_per_s, observed_at)
+        granted = {name: grant.granted_per_s for name, grant in grants.items()}
+        self._limit_shares.grant(granted, entry_count, granted_until)
+
     async def close(self) -> None:
         """Stop all probes."""
         for server in self._servers.values():
--- a/pollenlb/durable/leases.py
+++ b/pollenlb/durable/leases.py
@@ -211,6 +211,10 @@
             lease for lease in self._leases.values() if lease.expires_at > checked_at
         ]
 
+    def live_boots(self) -> set[BootId]:
+        """Return the entry processes whose leases have not expired."""
+        return {lease.entry.boot for lease in self.live_leases()}
+
     def remove_expired(self) -> list[EntryInfo]:
         """Remove the expired leases and return their entry processes."""
         checked_at = now()
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -304,9 +304,11 @@
         servers = {
             server.name: server for server in self._context.usable_servers(service)
         }
+        waiting_count = sum(len(job.items) - len(job.tasks) for job in jobs.values())
+        for usable in servers.values():
+            usable.request_limit.record_waiting_items(waiting_count)
         engines = self._engine_capacities(list(servers.values()), service, model)
-        is_full = all(engine.used_slots >= engine.slots for engine in engines)
-        if is_full and any(len(job.items) > len(job.tasks) for job in jobs.values()):
+        if waiting_count and not any(engine.free_slots for engine in engines):
             return
         waiting = [
             _waiting_item(name, job, progress)
@@ -347,11 +349,7 @@
         speeds = [
             self._speed_of(
                 servers[engine.server],
-                (
-                    engine.slots - engine.used_slots
-                    if engine.version >= min_version
-                    else 0
-                ),
+                engine.free_slots if engine.version >= min_version else 0,
             )
             for engine in engines
         ]
@@ -399,6 +397,7 @@
                 assigned_models.get(server.name, model) == model,
                 estimate_slowness(speeds[server.name], typical_s),
                 self._groups_at(server.name),
+                server.request_limit.allowed_requests,
             )
             for server in servers
         ]
@@ -464,6 +463,7 @@
     def _start_item(self, job: _OwnedJob, item: ItemId, server: BackendServer) -> None:
         progress = job.items[item]
         progress.server = server.name
+        server.request_limit.spend()
         task = self._spawn(self._run_item(job, progress, server))
         job.tasks[item] = task
         # A task that is cancelled before its first step does not run its own clean-up.
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from collections import Counter
+from dataclasses import dataclass, field
 
 import aiohttp
 
@@ -63,6 +64,8 @@
         Retry budget by service.
     latencies : dict
         Recent latencies by service.
+    limit_waiting : Counter
+        Number of requests that wait for the limits of backend servers, by service.
     choose : ChoicePolicy
         Chooses among the backend servers that may receive a request.
     admit : AdmissionPolicy
@@ -96,6 +99,7 @@
     retry_budgets: dict[ServiceName, RetryBudget]
     latencies: dict[ServiceName, RecentLatencies]
     announced_servers: set[BackendServerName]
+    limit_waiting: Counter[ServiceName] = field(default_factory=Counter)
     choose: ChoicePolicy = choose_server
     admit: AdmissionPolicy = admissible_servers
     place_items: PlacementPolicy = place_items
--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -294,7 +294,7 @@
             await self._leases.notify_entries_changed(leader_state)
         if now() < leader_state.leases.earlier_leases_expire_at:
             return
-        live = {lease.entry.boot for lease in leader_state.leases.live_leases()}
+        live = leader_state.leases.live_boots()
         state = self.machine.state
         claimants = state.keys.open_claim_boots() | state.quarantine.trial_boots()
         ended = claimants - live
--- a/pollenlb/process/control_context.py
+++ b/pollenlb/process/control_context.py
@@ -23,6 +23,11 @@
 from ..exceptions import NotLeaderError
 from ..ids import BackendServerName, BatchJobId, CommandId, Term
 from ..settings.control import ControlSettings
+from .limit_table import LimitTable
+
+# Versions of what a leader keeps in memory start at a multiple of the term, so that
+# those of a new leader are higher than those of earlier ones.
+VERSIONS_PER_TERM = 1_000_000
 
 # Share of the election timeout after the last contact with a quorum in which no
 # other replica can have been elected; during it the leader may serve reads
@@ -46,6 +51,8 @@
         Leases granted in the term.
     announced_at : dict
         Monotonic time of the last announcement in seconds, by backend server.
+    limits : LimitTable
+        Limits of backend servers, and the shares of the entries.
     """
 
     def __init__(self, settings: ControlSettings, leadership: Leadership) -> None:
@@ -54,6 +61,9 @@
             settings.lease_s, settings.clock_drift, leadership.election_started_at
         )
         self.announced_at: dict[BackendServerName, float] = {}
+        self.limits = LimitTable(
+            self.leases.earlier_leases_expire_at, self.term * VERSIONS_PER_TERM
+        )
 
     @property
     def term(self) -> Term:
@@ -103,6 +113,11 @@
             self._leader_state = LeaderState(self.settings, leadership)
         return self._leader_state
 
+    def record_call(self, server: BackendServerName) -> None:
+        """Record a call to a backend server, which counts towards its limit."""
+        if self._leader_state is not None:
+            self._leader_state.limits.record_call(server)
+
     def check_read_lease(self) -> None:
         """Return if reads of the local state are linearizable without a quorum.
 
--- a/pollenlb/process/lease_service.py
+++ b/pollenlb/process/lease_service.py
@@ -23,11 +23,7 @@
 from ..exceptions import NotLeaderError
 from ..ids import Address
 from .batch_job_service import build_batch_work
-from .control_context import ControlContext, LeaderState
-
-# Versions of the view of entries start at a multiple of the term, so that those
-# of a new leader are higher than those of earlier ones.
-_ENTRIES_VERSIONS_PER_TERM = 1_000_000
+from .control_context import VERSIONS_PER_TERM, ControlContext, LeaderState
 
 
 class LeaseService:
@@ -52,7 +48,7 @@
             if request.revision < 0 or not leader_state.leadership.is_ready:
                 await context.replica.confirm_leadership()
             await self._register_entry(leader_state, request)
-            await self._wait_for_changes(request)
+            await self._wait_for_changes(leader_state, request)
             return await self._renewal_answer(leader_state, request)
         except NotLeaderError as error:
             return RenewAnswer(CallStatus.NOT_LEADER, Address(error.leader))
@@ -62,7 +58,7 @@
 
         Called when an entry has joined or its lease has expired.
         """
-        first_of_term = leader_state.term * _ENTRIES_VERSIONS_PER_TERM
+        first_of_term = leader_state.term * VERSIONS_PER_TERM
         self._entries_version = max(self._entries_version + 1, first_of_term)
         async with self._context.views_changed:
             self._context.views_changed.notify_all()
@@ -89,18 +85,24 @@
                 "entry.joined", entry=request.entry.instance, boot=request.entry.boot
             )
             await self.notify_entries_changed(leader_state)
+        if leader_state.limits.record_reports(request.entry.boot, request.limits):
+            async with self._context.views_changed:
+                self._context.views_changed.notify_all()
 
-    async def _wait_for_changes(self, request: RenewRequest) -> None:
+    async def _wait_for_changes(
+        self, leader_state: LeaderState, request: RenewRequest
+    ) -> None:
         try:
             async with asyncio.timeout(request.wait_s):
                 async with self._context.views_changed:
-                    while not self._has_changes(request):
+                    while not self._has_changes(leader_state, request):
                         await self._context.views_changed.wait()
         except TimeoutError:
             return
 
-    def _has_changes(self, request: RenewRequest) -> bool:
+    def _has_changes(self, leader_state: LeaderState, request: RenewRequest) -> bool:
         machine = self._context.machine
+        limits = leader_state.limits
         return (
             request.revision < machine.state.configuration.revision
             or request.directory < machine.table_version("directory")
@@ -108,6 +110,11 @@
             or request.quarantine < machine.table_version("quarantine")
             or request.entries < self._entries_version
             or request.work < self._work_version(request)
+            or request.limits_version != limits.version
+            or bool(request.limits)
+            and limits.is_share_outdated(
+                request.entry.boot, request.limits, leader_state.leases.live_boots()
+            )
         )
 
     def _work_version(self, request: RenewRequest) -> int:
@@ -157,6 +164,14 @@
             ),
             work=self._work_view(request),
             controls=[member.address for member in replica.storage.members],
+            limits=(
+                leader_state.limits.grant(
+                    request.entry.boot, leader_state.leases.live_boots()
+                )
+                if lease_s
+                else {}
+            ),
+            limits_version=leader_state.limits.version if lease_s else 0,
         )
 
     def _entries_view(self, leader_state: LeaderState) -> EntriesView:
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -38,6 +38,15 @@
         self._lag = LoopLag()
         self._task: asyncio.Task | None = None
         self._was_leased = False
+        self._limits_version = 0
+        self._interruptions = (
+            batch_runner.engine_became_idle,
+            context.directory.limit_shares.changed,
+        )
+
+    @property
+    def _is_interrupted(self) -> bool:
+        return any(event.is_set() for event in self._interruptions)
 
     def start(self) -> None:
         """Start the renewal task."""
@@ -56,8 +65,8 @@
             announced = set(self._context.announced_servers)
             sent_at = now()
             self._batch_runner.engine_became_idle.clear()
-            answer = await self._renew_until_idle()
-            if answer is None and self._batch_runner.engine_became_idle.is_set():
+            answer = await self._renew_until_interrupted()
+            if answer is None and self._is_interrupted:
                 continue
             if answer is None:
                 self._record_lease_change()
@@ -67,22 +76,23 @@
             self._apply(answer, sent_at)
             self._record_lease_change()
 
-    async def _renew_until_idle(self) -> RenewAnswer | None:
+    async def _renew_until_interrupted(self) -> RenewAnswer | None:
         """Send a renewal and return its answer.
 
-        Return None when no leader answers in time, and when an engine
-        runs out of items first: the renewal is then cancelled, so that the next
-        one reports the idle engine at once.
+        Return None when no leader answers in time, and when an engine runs out of
+        items or a limit changes first: the renewal is then cancelled, so that the
+        next one reports this at once.
         """
         renewal = asyncio.create_task(
             self._context.control.renew_lease(self._request(), _RENEWAL_TIMEOUT_S)
         )
-        idle = asyncio.create_task(self._batch_runner.engine_became_idle.wait())
+        waits = [asyncio.create_task(event.wait()) for event in self._interruptions]
         try:
-            await asyncio.wait({renewal, idle}, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait({renewal, *waits}, return_when=asyncio.FIRST_COMPLETED)
             return renewal.result() if renewal.done() else None
         finally:
-            idle.cancel()
+            for wait in waits:
+                wait.cancel()
             renewal.cancel()
 
     def _request(self) -> RenewRequest:
@@ -105,6 +115,8 @@
                 dict(self._batch_runner.running_items_by_server()),
                 dict(self._batch_runner.waiting_items_by_model()),
             ),
+            limits=context.directory.report_limits(),
+            limits_version=self._limits_version,
         )
 
     def _apply(self, answer: RenewAnswer, sent_at: float) -> None:
@@ -126,7 +138,12 @@
             context.ledger = answer.ledger
         if answer.work is not None:
             self._batch_runner.apply(answer.work)
-        context.configuration.extend_lease(Deadline(sent_at + answer.lease_s))
+        leased_until = Deadline(sent_at + answer.lease_s)
+        context.configuration.extend_lease(leased_until)
+        context.directory.apply_limits(
+            answer.limits, len(context.live_entries.all), leased_until
+        )
+        self._limits_version = answer.limits_version
 
     def _record_lease_change(self) -> None:
         is_leased = self._context.configuration.is_leased
--- a/pollenlb/request/item_placement.py
+++ b/pollenlb/request/item_placement.py
@@ -78,6 +78,9 @@
         Time per event as a multiple of the typical time.
     groups : set of GroupName
         Groups whose prompt the engine has read; grows as items are placed.
+    allowed_starts : float
+        Number of requests that the engine's limit allows now; falls as items are
+        placed, and is infinite without a limit.
     """
 
     server: BackendServerName
@@ -87,6 +90,13 @@
     is_assigned_model: bool = True
     slowness: float = 1.0
     groups: set[GroupName] = field(default_factory=set)
+    allowed_starts: float = math.inf
+
+    @property
+    def free_slots(self) -> int:
+        """Number of items that can be placed now."""
+        free_slots = max(0, self.slots - self.used_slots)
+        return int(min(free_slots, max(0.0, self.allowed_starts)))
 
 
 def place_items(
@@ -120,16 +130,17 @@
         eligible = [
             engine
             for engine in engines
-            if engine.used_slots < engine.slots
+            if engine.free_slots
             and engine.version >= item.least_version
             and engine.server not in item.avoided
         ]
         if not eligible:
-            if all(engine.used_slots >= engine.slots for engine in engines):
+            if not any(engine.free_slots for engine in engines):
                 break
             continue
         chosen = min(eligible, key=lambda engine: _placement_cost(engine, item))
         chosen.used_slots += 1
+        chosen.allowed_starts -= 1
         chosen.groups.add(item.group)
         placed.append((item.key, chosen.server))
     return placed
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -6,8 +6,9 @@
 
 import aiohttp
 
-from ..clock import Deadline, deadline_in, remaining_time_s, sleep_until
+from ..clock import Deadline, deadline_in, now, remaining_time_s, sleep_until
 from ..connection.backend import BackendServer
+from ..connection.request_limit import RequestLimit, expected_wait_s
 from ..durable.crash_commands import TrialEnd
 from ..exceptions import ControlError, RequestCondemnedError
 from ..ids import (
@@ -28,6 +29,9 @@
 # Interval between checks for a free long slot or the end of a trial in the way.
 _SERVER_POLL_INTERVAL_S = 0.1
 _DEFAULT_RETRY_AFTER_S = 1.0
+# A request waits at most this long for the limits that servers named.
+_MAX_LIMIT_WAIT_S = 1.0
+_LIMIT_POLL_INTERVAL_S = 0.02
 
 
 @dataclass
@@ -96,6 +100,7 @@
         self._attempts = 0
         self._may_have_run = False
         self._last_failure: AttemptFailure | None = None
+        self._exhausted_limits: list[RequestLimit] = []
         self._trial = CrashTrial(context, request_id, fingerprint)
         context.retry_budget(service).add_request(policy.retry_share)
 
@@ -123,20 +128,26 @@
     async def next_server(self) -> BackendServer:
         """Return the backend server for the next attempt, and count the attempt.
 
-        Long requests wait for a free slot, suspects for their trial.
+        Long requests wait for a free slot, suspects for their trial. A request
+        waits for a moment if the limits that the servers named soon allow it.
 
         Raises
         ------
         RefusedError
-            When no backend server is usable, all are overloaded, the deadline
-            passes first, the trial of a suspect could not be started, or the
-            request is condemned for crashing backend servers.
+            When no backend server is usable, all are overloaded or have reached
+            their limits, the deadline passes first, the trial of a suspect could
+            not be started, or the request is condemned for crashing backend
+            servers.
         """
         while True:
             server = self._choose_server()
             if server is not None and await self._try_start(server):
+                server.request_limit.spend()
                 self._attempts += 1
                 return server
+            if server is None and self._exhausted_limits:
+                await self._wait_for_limits(self._exhausted_limits)
+                continue
             if server is None and not self._may_wait_for_slot():
                 raise self._no_server_error()
             if not remaining_time_s(self._policy.deadline):
@@ -223,6 +234,7 @@
             if server.name != first.name
             and server.name not in self._failed_servers
             and not is_slow(server, typical_s)
+            and server.request_limit.may_send
         ]
         entries = len(self._context.live_entries.all)
         servers = self._context.admit(servers, entries, self._policy.deadline)
@@ -232,9 +244,12 @@
             return None
         self._attempts += 1
         self._context.metrics.hedges.labels(self._service).inc()
-        return self._context.choose(servers, self._context.rng)
+        server = self._context.choose(servers, self._context.rng)
+        server.request_limit.spend()
+        return server
 
     def _choose_server(self) -> BackendServer | None:
+        self._exhausted_limits = []
         servers = self._candidates()
         eligible = [
             server for server in servers if server.name not in self._failed_servers
@@ -260,7 +275,49 @@
                     retry_after_s(eligible),
                 )
             eligible = admissible
-        return self._context.choose(eligible, self._context.rng)
+        return self._choose_within_limits(eligible)
+
+    def _choose_within_limits(
+        self, eligible: list[BackendServer]
+    ) -> BackendServer | None:
+        for server in eligible:
+            server.request_limit.record_demand()
+        within = [server for server in eligible if server.request_limit.may_send]
+        if not within:
+            self._exhausted_limits = [server.request_limit for server in eligible]
+            return None
+        return self._context.choose(within, self._context.rng)
+
+    async def _wait_for_limits(self, limits: list[RequestLimit]) -> None:
+        """Return once one of the limits allows a request.
+
+        Raises
+        ------
+        RefusedError
+            When that takes too long, at once if this is known beforehand.
+        """
+        waiting = self._context.limit_waiting
+        if expected_wait_s(limits, waiting[self._service]) > _MAX_LIMIT_WAIT_S:
+            raise self._limit_error(limits)
+        deadline = min(self._policy.deadline, deadline_in(_MAX_LIMIT_WAIT_S))
+        waiting[self._service] += 1
+        try:
+            while not any(limit.may_send for limit in limits):
+                if now() >= deadline:
+                    raise self._limit_error(limits)
+                await sleep_until(
+                    Deadline(min(deadline, deadline_in(_LIMIT_POLL_INTERVAL_S)))
+                )
+        finally:
+            waiting[self._service] -= 1
+
+    def _limit_error(self, limits: list[RequestLimit]) -> RefusedError:
+        return self._refused_error(
+            503,
+            f"every eligible backend server of {self._service} has reached the limit "
+            "that it named",
+            expected_wait_s(limits, self._context.limit_waiting[self._service]),
+        )
 
     def _may_wait_for_slot(self) -> bool:
         is_long = self._policy.request_class is RequestClass.LONG
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -9,11 +9,11 @@
 import msgspec
 from result import Err, Ok
 
-from ..clock import deadline_in, now, remaining_time_s
+from ..clock import Deadline, deadline_in, now, remaining_time_s, sleep_until
 from ..connection.backend import BackendServer
 from ..connection.trainer_messages import SampleBody
 from ..durable.batch_job_commands import BatchItem, BatchJobSpec, SampleParameters
-from ..ids import RequestId, WeightVersion, new_id
+from ..ids import RequestId, ServiceName, WeightVersion, new_id
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Attempt, AttemptFailure, send_attempt
 from .caller_request import RequestClass
@@ -27,6 +27,7 @@
 _MAX_SCORE_ATTEMPT_COUNT = 5
 _SCORE_RETRY_DELAY_S = 0.2
 _MAX_SCORE_BYTES = 65_536
+_LIMIT_POLL_INTERVAL_S = 0.1
 
 
 class _ScoreAnswer(msgspec.Struct):
@@ -239,14 +240,32 @@
     return None
 
 
+async def _choose_scorer(
+    service: ServiceName, deadline: Deadline, context: EntryContext
+) -> BackendServer | None:
+    """Return a server of the scoring service once its limit allows a request."""
+    while remaining_time_s(deadline):
+        servers = context.usable_servers(service)
+        for server in servers:
+            server.request_limit.record_demand()
+        within = [server for server in servers if server.request_limit.may_send]
+        if within:
+            chosen = context.choose(within, context.rng)
+            chosen.request_limit.spend()
+            return chosen
+        if not servers:
+            return None
+        await sleep_until(deadline_in(_LIMIT_POLL_INTERVAL_S))
+    return None
+
+
 async def _request_score(
     attempt: Attempt, parameters: SampleParameters, context: EntryContext
 ) -> float | None:
     assert parameters.scorer is not None
-    servers = context.usable_servers(parameters.scorer)
-    if not servers:
+    server = await _choose_scorer(parameters.scorer, attempt.deadline, context)
+    if server is None:
         return None
-    server = context.choose(servers, context.rng)
     match await send_attempt(
         attempt, server, context.session, context.settings, context.dialect
     ):
--- a/pollenlb/version/orders.py
+++ b/pollenlb/version/orders.py
@@ -295,6 +295,7 @@
 
     async def _fetch_report(self, server: Announcement) -> EngineReport | None:
         assert self._session is not None
+        self._context.record_call(server.server)
         return await self._channel.fetch_report(self._session, server)
 
     def _may_order(self, server: Announcement, service: ServiceSettings) -> bool:
@@ -344,6 +345,7 @@
             deadline_in(_ORDER_RETRY_S),
         )
         assert self._session is not None
+        self._context.record_call(server.server)
         outcome = await self._channel.send_order(self._session, order)
         self._context.events.record(
             "order.given",
--- a/tests/request/test_decisions.py
+++ b/tests/request/test_decisions.py
@@ -13,6 +13,7 @@
 from pollenlb import clock
 from pollenlb.connection.backend import BackendServer
 from pollenlb.connection.long_slots import allocate_long_slots
+from pollenlb.connection.request_limit import LimitShares
 from pollenlb.durable.configuration_commands import Announcement, ServerState
 from pollenlb.events import EventLog
 from pollenlb.process.budget import RetryBudget
@@ -52,7 +53,12 @@
 
 def _server(name: str, slots: int = 4) -> BackendServer:
     return BackendServer(
-        _announcement(name, slots), _SETTINGS, None, EventLog("test", None), _no_answer
+        _announcement(name, slots),
+        _SETTINGS,
+        None,
+        EventLog("test", None),
+        _no_answer,
+        LimitShares(),
     )
 
 
