Record at which software version a run goes on

Announcements now carry the version of a server's software, and the events stream.started, item.resumed and generation.resumed record it. No decision uses it yet. Announcements that were stored without it are read as before.

--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -11,7 +11,14 @@
 from ..clock import Deadline, deadline_in, now, sleep_until
 from ..durable.configuration_commands import Announcement, ServerState
 from ..events import EventLog
-from ..ids import BackendServerName, BootId, ModelName, RequestId, WeightVersion
+from ..ids import (
+    BackendServerName,
+    BootId,
+    ModelName,
+    RequestId,
+    SoftwareVersion,
+    WeightVersion,
+)
 from ..settings.entry import EntrySettings
 from .backend_api import ProbeAnswer
 from .load import ServerLoad
@@ -93,6 +100,11 @@
         """Boot id that the backend server reported last."""
         return self._boot
 
+    @property
+    def software(self) -> SoftwareVersion:
+        """Version of its software; empty when it does not report it."""
+        return self._announcement.software
+
     @property
     def version(self) -> WeightVersion | None:
         """Weight version reported by the last probe.
--- a/pollenlb/durable/configuration_commands.py
+++ b/pollenlb/durable/configuration_commands.py
@@ -17,6 +17,7 @@
     ModelName,
     Revision,
     ServiceName,
+    SoftwareVersion,
     WeightVersion,
 )
 from .command_base import Command, CommandResult
@@ -55,6 +56,8 @@
         Sequence number of the announcement since the start of the process, from 0.
     models : dict
         Weight version that it serves, by model; empty when it does not report it.
+    software : SoftwareVersion
+        Version of its software; empty when it does not report it.
     """
 
     server: BackendServerName
@@ -67,6 +70,7 @@
     started_at_ms: int = 0
     sequence: int = 0
     models: dict[ModelName, WeightVersion] = {}
+    software: SoftwareVersion = SoftwareVersion("")
 
     def differs_beyond_sequence(self, other: Announcement) -> bool:
         """Return whether anything but the sequence number differs."""
--- a/pollenlb/platform/announcements.py
+++ b/pollenlb/platform/announcements.py
@@ -24,6 +24,7 @@
     FailureDomain,
     ModelName,
     ServiceName,
+    SoftwareVersion,
     WeightVersion,
 )
 from ..settings.options import SocketAddress
@@ -45,6 +46,8 @@
     ----------
     zone : str
         Failure domain of the backend server.
+    version : str
+        Version of the server's software, not of its weights.
     slots : int
         Number of requests that the backend server runs concurrently.
     born : int
@@ -56,6 +59,7 @@
     service: str
     address: str
     zone: str
+    version: str
     slots: Annotated[int, msgspec.Meta(ge=1)]
     state: Literal["ready", "draining"]
     born: Annotated[int, msgspec.Meta(gt=0)]
@@ -109,6 +113,7 @@
         started_at_ms=heartbeat.born,
         sequence=heartbeat.seq,
         models=versions_by_model(heartbeat.models),
+        software=SoftwareVersion(heartbeat.version),
     )
     return Ok(AnnounceServer(announcement))
 
--- a/pollenlb/request/announce_api.py
+++ b/pollenlb/request/announce_api.py
@@ -9,7 +9,14 @@
 
 from ..connection.trainer_messages import NameText, PositiveInt
 from ..durable.configuration_commands import Announcement, AnnounceServer, ServerState
-from ..ids import Address, BackendServerName, BootId, FailureDomain, ServiceName
+from ..ids import (
+    Address,
+    BackendServerName,
+    BootId,
+    FailureDomain,
+    ServiceName,
+    SoftwareVersion,
+)
 from ..process.context import EntryContext
 from ..settings.options import SocketAddress
 from .api import execute_command, json_response, read_json, with_refusal_responses
@@ -33,6 +40,9 @@
         Requests that the server runs at the same time.
     state : ServerState
         Whether the server takes new requests or is leaving.
+    software : str
+        Version of the server's software; empty when it does not report it. Output of
+        one version is continued only by servers of the same version.
     """
 
     server: NameText
@@ -42,6 +52,7 @@
     boot: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
     slots: PositiveInt
     state: ServerState = ServerState.SERVING
+    software: Annotated[str, msgspec.Meta(max_length=64)] = ""
 
 
 class AnnounceApi:
@@ -86,6 +97,7 @@
             BootId(body.boot),
             body.slots,
             body.state,
+            software=SoftwareVersion(body.software),
         )
         known = self._context.directory.servers.get(announcement.server)
         if known is not None and known.announcement == announcement:
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -226,6 +226,14 @@
         ),
         deadline=generation.deadline,
     )
+    if generation.tokens:
+        context.events.record(
+            "generation.resumed",
+            request=generation.request_id,
+            server=server.name,
+            software=server.software,
+            tokens=generation.tokens,
+        )
     started_at = now()
     is_long = generation.request_class is RequestClass.LONG
     with server.load.track_request(is_long):
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -98,6 +98,14 @@
             body=item.body,
             deadline=progress.expires_at,
         )
+        if output.events:
+            context.events.record(
+                "item.resumed",
+                item=item.item,
+                server=server.name,
+                software=server.software,
+                events=output.events,
+            )
         with server.load.track_request(is_long=True):
             return await _run_attempt(progress, attempt, server, context)
 
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -106,6 +106,7 @@
             if isinstance(sent, Err):
                 return sent.err_value
             answer = sent.ok_value
+            self._record_start(server)
             try:
                 await self._forward(answer)
             except (*SEND_ERRORS, ValueError) as error:
@@ -126,6 +127,15 @@
         server.record_answer(now() - started_at)
         return None
 
+    def _record_start(self, server: BackendServer) -> None:
+        self._context.events.record(
+            "stream.started",
+            request=self._caller.request_id,
+            server=server.name,
+            software=server.software,
+            after_event=self._last_event_number,
+        )
+
     def _head_deadline(self) -> Deadline:
         # A stream that cannot be resumed waits for its head up to the deadline; a
         # resumable one abandons a server that makes no progress.
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -818,6 +818,14 @@
     assert members == {other for member in members for other in type(member)}
 
 
+def test_an_announcement_stored_before_software_versions_is_read() -> None:
+    for sample in _encoded("announcement", MSGPACK):
+        fields = msgspec.msgpack.decode(sample)
+        del fields["software"]
+        stored = msgspec.msgpack.encode(fields)
+        assert msgspec.msgpack.decode(stored, type=Announcement).software == ""
+
+
 def test_the_log_holds_every_command() -> None:
     proposals = _decoded("proposal", Proposal, MSGPACK)
     assert [encode_proposal(proposal) for proposal in proposals] == _encoded(
