--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -37,6 +37,8 @@
     ----------
     announced_port : int
         Port in heartbeats, such as that of a relay; 0 stands for ``port``.
+    software : str
+        Software version in heartbeats.
     started_at_ms : int
         Start time in heartbeats, in milliseconds since the epoch.
     heartbeat_interval_s, event_interval_s, swap_s : float
@@ -71,6 +73,7 @@
         self.model = model
         self.version = 1
         self.announced_port = 0
+        self.software = "v1"
         self.started_at_ms = 1_000
         self.state = "ready"
         self.heartbeat_interval_s = HEARTBEAT_INTERVAL_S
@@ -126,7 +129,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{self.announced_port or self.port}",
             "zone": "north",
-            "version": "v1",
+            "version": self.software,
             "slots": 8,
             "state": self.state,
             "cold_left_ms": 0,
--- a/tests/platform/platform_system.py
+++ b/tests/platform/platform_system.py
@@ -215,14 +215,26 @@
         self.entries.append(process)
         return process
 
-    async def add_engine(self, name: str) -> PlatformEngine:
+    async def add_engine(self, name: str, software: str = "v1") -> PlatformEngine:
         """Start a fake engine that announces itself to the control instances."""
         (port,) = free_ports(1)
         engine = PlatformEngine(name, "engines", port, list(self.control_urls), MODEL)
+        engine.software = software
         await engine.start()
         self.engines.append(engine)
         return engine
 
+    async def crash_entry(self, number: int) -> None:
+        """Stop an entry as a crash would and remove it from ``entries``."""
+        entry = self.entries.pop(number)
+        await entry._lease_renewer.stop()
+        for connection in list(entry._http._runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        entry._settings.values["shutdown_grace_s"] = 0.0
+        entry._http._runner._shutdown_timeout = 0.01
+        await entry.stop()
+
     async def wait_until_served(self) -> None:
         """Wait until every entry has a configuration and knows all engines."""
         await wait_until(
--- /dev/null
+++ b/tests/platform/test_software_versions.py
@@ -0,0 +1,148 @@
+"""Engines of two software versions in one service; their output is not joined."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from ..local_system import wait_until
+from .platform_system import HOST, PlatformSystem, batch_job, configuration
+
+_STREAM_PATH = "/safe/1"
+
+
+async def _start(platform_system, software: list[str], entries=2) -> PlatformSystem:
+    """Start a system with engines of the given software versions."""
+    system = await platform_system(entries=entries, engines=0, controls=3)
+    for number, version in enumerate(software):
+        await system.add_engine(f"i-{number}", version)
+    changed = configuration(2)
+    changed["routes"][1] |= {"kind": "streaming", "resumable": True, "max_attempts": 3}
+    await system.call_control("POST", "/-/Config.Replace", changed)
+    await system.wait_until_served()
+    await wait_until(
+        lambda: all(
+            entry.context.configuration.revision >= 2 for entry in system.entries
+        )
+    )
+    return system
+
+
+def _resumed_at_another_version(system: PlatformSystem) -> set[str]:
+    """Return the runs that a version resumed which had not begun them."""
+    began = defaultdict(set)
+    for engine in system.engines:
+        for item, last_event in engine.received_runs:
+            if last_event < 0:
+                began[item].add(engine.software)
+    return {
+        item
+        for engine in system.engines
+        for item, last_event in engine.received_runs
+        if last_event >= 0 and engine.software not in began[item]
+    }
+
+
+async def _read_events(system: PlatformSystem, entry: int, request: str, count: int):
+    """Begin a stream, read some events and leave; return the number of the last."""
+    url = f"http://{system.entries[entry].context.identity.http}{_STREAM_PATH}"
+    headers = {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": "5000"}
+    async with system.session.post(url, json=400, headers=headers) as response:
+        assert response.status == 200
+        last = -1
+        while last + 1 < count:
+            line = await response.content.readline()
+            if line.startswith(b"id: "):
+                last = int(line[4:])
+        response.close()
+    return last
+
+
+async def _resume(
+    system: PlatformSystem, entry: int, request: str, began_as: str, last_event: int
+) -> tuple:
+    return await system.call_entry(
+        "POST",
+        entry,
+        _STREAM_PATH,
+        last_event + 4,
+        X_Request_Id=request,
+        X_Deadline_Ms="5000",
+        Last_Event_Id=str(last_event),
+        Resumes=began_as,
+    )
+
+
+def _software_of(system: PlatformSystem, request: str) -> set[str]:
+    return {
+        engine.software
+        for engine in system.engines
+        for run, _ in engine.received_runs
+        if run == request
+    }
+
+
+async def test_a_stream_is_continued_by_another_software_version_in_one_answer(
+    platform_system,
+):
+    system = await _start(platform_system, ["v1", "v2", "v2"])
+    for number in range(12):
+        for engine in system.engines:
+            engine.abort_at_event = 5
+        try:
+            await system.call_entry(
+                "POST",
+                number % 2,
+                _STREAM_PATH,
+                12,
+                X_Request_Id=f"stream-{number}",
+                X_Deadline_Ms="4000",
+            )
+        except Exception:  # a stream that cannot go on is cut
+            continue
+    assert not _resumed_at_another_version(system)
+
+
+async def test_a_caller_resumes_a_stream_at_another_software_version(platform_system):
+    system = await _start(platform_system, ["v1", "v1", "v2", "v2"])
+    for number in range(10):
+        began_as = f"stream-{number}"
+        last = await _read_events(system, 0, began_as, 3)
+        status, body, _ = await _resume(system, 1, f"again-{number}", began_as, last)
+        assert (status, body.count(b"id: ")) == (200, 3)
+        assert _software_of(system, f"again-{number}") == _software_of(system, began_as)
+
+
+async def test_a_stream_of_a_crashed_entry_is_resumed_at_its_software_version(
+    platform_system,
+):
+    system = await _start(platform_system, ["v1", "v1", "v2", "v2"], entries=2)
+    last = [await _read_events(system, 0, f"stream-{number}", 3) for number in range(8)]
+    await system.crash_entry(0)
+    for number in range(8):
+        began_as = f"stream-{number}"
+        status, _, _ = await _resume(
+            system, 0, f"again-{number}", began_as, last[number]
+        )
+        assert status == 200
+        assert _software_of(system, f"again-{number}") == _software_of(system, began_as)
+
+
+async def test_a_stream_of_unknown_origin_is_joined(platform_system):
+    system = await _start(platform_system, ["v1", "v2"])
+    status, _, _ = await _resume(system, 0, "again", "never-begun", 3)
+    assert (status, _software_of(system, "again")) == (503, set())
+
+
+async def test_an_item_is_continued_by_another_software_version(platform_system):
+    system = await _start(platform_system, ["v1", "v2", "v2"])
+    for number in range(6):
+        for engine in system.engines:
+            engine.abort_at_event = 4
+        lengths = {f"item-{number}-{item}": 12 for item in range(6)}
+        assert (
+            await system.submit(number % 2, f"job-{number}", batch_job(lengths)) == 202
+        )
+        results = await system.read_all_results(1, f"job-{number}")
+        texts = [result["text"].split("\n") for result in results]
+        assert [len(text) for text in texts] == [12] * 6
+    assert not _resumed_at_another_version(system)
