Continue output only at servers of the software version that began it

Cause: check-ins name the version of a server's software, and nothing kept it. A run that was interrupted went on at any server: streams within one answer, at another entry when the caller took them up, items of batch jobs, moved items, samples and completions. The class of fault is state that is tied to a version and handed on without it.

Change: announcements carry the software version. A stream, item, sample or completion keeps the version that began it and is continued there only; items, samples and completions that were not delivered yet start over where no server of it has room, and items do not move to another version. If none knows, the request is refused as not run, and nothing is joined.

--- a/fakes/backend.py
+++ b/fakes/backend.py
@@ -39,6 +39,8 @@
         Number of requests being processed.
     version : int or None
         Weight version that it serves; None if there is none.
+    software : str
+        Version of its software that it announces.
     floods : dict of str to Flood
         Answers without end, by prefix of the path.
     """
@@ -63,6 +65,7 @@
         self.state = "serving"
         self.in_flight = 0
         self.version: int | None = None
+        self.software = ""
         self.floods: dict[str, Flood] = {}
         self.application = web.Application(
             client_max_size=64 * 1024 * 1024,
@@ -138,6 +141,7 @@
             "boot": self.boot,
             "slots": self.slots,
             "state": self.state,
+            "software": self.software,
         }
         self.announce_urls.append(self.announce_urls.pop(0))
         url = self.announce_urls[0] + "/pollenlb/v1/announce"
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -27,7 +27,9 @@
     LogIndex,
     ModelName,
     ReplicaId,
+    RequestId,
     Revision,
+    SoftwareVersion,
     StepNumber,
     Term,
     WeightVersion,
@@ -450,6 +452,35 @@
     suspects: dict[Fingerprint, bool]
 
 
+class RecordStream(msgspec.Struct, frozen=True):
+    """Tells a control instance which software version began a stream.
+
+    Attributes
+    ----------
+    request : RequestId
+        Request with which the stream began.
+    """
+
+    request: RequestId
+    software: SoftwareVersion
+
+
+class StreamRecorded(msgspec.Struct, frozen=True):
+    """The control instance remembers the stream for a while."""
+
+
+class FindStream(msgspec.Struct, frozen=True):
+    """Asks a control instance which software version began a stream."""
+
+    request: RequestId
+
+
+class StreamFound(msgspec.Struct, frozen=True):
+    """Software version that began a stream; None if the instance does not know."""
+
+    software: SoftwareVersion | None = None
+
+
 PROPOSE = Method(_SERVICE, "Propose", ProposeRequest, ProposeAnswer)
 RENEW = Method(_SERVICE, "Renew", RenewRequest, RenewAnswer)
 READ_BATCH_JOB = Method(_SERVICE, "ReadBatchJob", ReadBatchJob, BatchJobRead)
@@ -459,3 +490,5 @@
 )
 RETIRE = Method(_SERVICE, "Retire", RetireRequest, RetireAnswer)
 STATUS = Method(_SERVICE, "Status", StatusRequest, StatusAnswer)
+RECORD_STREAM = Method(_SERVICE, "RecordStream", RecordStream, StreamRecorded)
+FIND_STREAM = Method(_SERVICE, "FindStream", FindStream, StreamFound)
--- a/pollenlb/platform/dialect.py
+++ b/pollenlb/platform/dialect.py
@@ -16,7 +16,12 @@
 from ..ids import BackendServerName, RequestId, WeightVersion
 from ..request.attempt import Attempt
 from ..request.caller_request import RequestClass
-from ..request.dialect import AnswerHead, CallerParameters, NumberedEvent
+from ..request.dialect import (
+    AnswerHead,
+    CallerParameters,
+    NumberedEvent,
+    Resumption,
+)
 from ..request.outcome import Outcome, Refusal, bad_request, parse_retry_after_s
 from ..settings.cluster import RouteSettings
 from ..settings.entry import EntrySettings
@@ -30,6 +35,7 @@
     NOT_EXECUTED_HEADER,
     READY_PATH,
     REQUEST_ID_HEADER,
+    RESUMES_HEADER,
     SERVER_ID_HEADER,
     WEIGHT_VERSION_HEADER,
     parse_in_flight,
@@ -199,6 +205,13 @@
         """Return the headers that resume a stream after the event with this number."""
         return {LAST_EVENT_ID_HEADER: str(after)}
 
+    def read_resumption(self, request: web.Request) -> Resumption | None:
+        """Return what a caller takes up; None for a request that starts anew."""
+        if LAST_EVENT_ID_HEADER not in request.headers:
+            return None
+        began_as = request.headers.get(RESUMES_HEADER)
+        return Resumption(RequestId(began_as) if began_as else None)
+
     def read_numbered_event(self, block: bytes) -> NumberedEvent:
         """Return the event in a block of a stream.
 
--- a/pollenlb/platform/names.py
+++ b/pollenlb/platform/names.py
@@ -24,6 +24,7 @@
 WEIGHT_VERSION_HEADER = "X-Weight-Versions"  # a single number, despite the plural
 SERVER_LIMIT_HEADER = "Server-Limit"  # requests a second from all entries together
 LAST_EVENT_ID_HEADER = "Last-Event-Id"
+RESUMES_HEADER = "Resumes"  # request that brought the first event of the stream
 LENGTH_HINT_HEADER = "X-Length-Hint"  # expected output tokens
 WAIT_MS_HEADER = "X-Wait-Ms"  # milliseconds to wait for new results
 
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -364,6 +364,7 @@
             self._silence_s(server.name),
             free_slots,
             server.load.reported_slowness,
+            server.software,
         )
 
     def _silence_s(self, server: BackendServerName) -> float:
@@ -398,6 +399,7 @@
                 estimate_slowness(speeds[server.name], typical_s),
                 self._groups_at(server.name),
                 server.request_limit.allowed_requests,
+                server.software,
             )
             for server in servers
         ]
@@ -625,4 +627,5 @@
         expected_tokens=progress.item.length_hint or progress.item.tokens,
         least_version=job.spec.least_version,
         avoided=frozenset(progress.avoided),
+        software=progress.output.software,
     )
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -14,6 +14,7 @@
 from ..connection.directory import BackendDirectory
 from ..connection.entries import LiveEntries
 from ..connection.long_slots import allocate_long_slots
+from ..connection.stream_origins import StreamOrigins
 from ..durable.leases import EntryInfo
 from ..events import EventLog
 from ..ids import BackendServerName, ServiceName
@@ -50,6 +51,8 @@
         Connection to the control instances.
     configuration : AppliedConfiguration
         Applied configuration and the lease on it.
+    stream_origins : StreamOrigins
+        Software versions that began the streams of callers.
     directory : BackendDirectory
         Known backend servers and their state.
     live_entries : LiveEntries
@@ -91,6 +94,7 @@
     single_use_session: aiohttp.ClientSession
     control: ControlConnection
     configuration: AppliedConfiguration
+    stream_origins: StreamOrigins
     directory: BackendDirectory
     live_entries: LiveEntries
     item_runner: ItemRunner
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -17,6 +17,7 @@
 from ..connection.directory import BackendDirectory
 from ..connection.entries import LiveEntries
 from ..connection.sessions import open_session
+from ..connection.stream_origins import StreamOrigins
 from ..durable.configuration_commands import Announcement
 from ..durable.leases import EntryInfo
 from ..events import EventLog
@@ -133,6 +134,7 @@
             await self._ready_http.stop()
         await self._lease_renewer.stop()
         await context.directory.close()
+        await context.stream_origins.close()
         await context.control.close()
         await context.session.close()
         await context.single_use_session.close()
@@ -195,6 +197,7 @@
     )
     session: aiohttp.ClientSession = open_session(is_pooled=True)
     configuration = AppliedConfiguration()
+    control = ControlConnection(settings.control_addresses, events)
 
     async def probe(
         session: aiohttp.ClientSession, server: Announcement, timeout_s: float
@@ -212,7 +215,8 @@
         rng=rng,
         session=session,
         single_use_session=open_session(is_pooled=False),
-        control=ControlConnection(settings.control_addresses, events),
+        control=control,
+        stream_origins=StreamOrigins(control, events),
         configuration=configuration,
         directory=BackendDirectory(settings, session, events, probe),
         live_entries=LiveEntries(),
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -126,7 +126,7 @@
                 context.events.record(
                     "configuration.applied", revision=answer.configuration.revision
                 )
-        context.control.add_addresses(answer.controls)
+        context.control.set_members(answer.controls)
         if answer.directory is not None:
             context.directory.apply(answer.directory)
             self._batch_runner.wake()
--- a/pollenlb/request/completion.py
+++ b/pollenlb/request/completion.py
@@ -36,6 +36,7 @@
         request_class=caller.request_class,
         deadline=caller.deadline,
         is_repeatable=caller.is_repeatable,
+        is_delivered=bool(body.get("stream")),
     )
     if body.get("stream"):
         return await _answer_stream(caller, generation, context)
--- a/pollenlb/request/dialect.py
+++ b/pollenlb/request/dialect.py
@@ -107,6 +107,18 @@
     version: WeightVersion | None = None
 
 
+class Resumption(msgspec.Struct, frozen=True):
+    """A caller's wish to take up a stream that was interrupted.
+
+    Attributes
+    ----------
+    began_as : RequestId or None
+        Request that brought the first event; None when the caller does not name it.
+    """
+
+    began_as: RequestId | None
+
+
 class Dialect(Protocol):
     """Names and formats of one protocol.
 
@@ -205,6 +217,9 @@
             When the protocol has no numbered events.
         """
 
+    def read_resumption(self, request: web.Request) -> Resumption | None:
+        """Return what a caller takes up; None for a request that starts anew."""
+
     def read_numbered_event(self, block: bytes) -> NumberedEvent:
         """Return the event in a block of a stream.
 
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -24,7 +24,14 @@
     decode_event,
 )
 from ..connection.trainer_messages import Span
-from ..ids import BootId, Fingerprint, RequestId, ServiceName, WeightVersion
+from ..ids import (
+    BootId,
+    Fingerprint,
+    RequestId,
+    ServiceName,
+    SoftwareVersion,
+    WeightVersion,
+)
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailure, send_attempt
 from .caller_request import RequestClass
@@ -77,6 +84,10 @@
         Number of attempts started so far.
     server : BackendServer or None
         Engine of the latest attempt.
+    software : SoftwareVersion or None
+        Software version that generated the tokens so far; None without tokens.
+    is_delivered : bool
+        Whether the events are sent to the caller as they arrive.
     """
 
     request_id: RequestId
@@ -92,6 +103,8 @@
     finish_reason: str | None = None
     attempts: int = 0
     server: BackendServer | None = None
+    software: SoftwareVersion | None = None
+    is_delivered: bool = False
 
     @property
     def fingerprint(self) -> Fingerprint:
@@ -124,6 +137,16 @@
             first = self.tokens
         self.spans.append(Span(origin.version, first, last))
         self.tokens += origin.tokens
+        if self.server is not None:
+            self.software = self.server.software
+
+    def start_over(self) -> None:
+        """Discard the output."""
+        self.text_chunks.clear()
+        self.spans.clear()
+        self.tokens = 0
+        self.finish_reason = None
+        self.software = None
 
 
 async def generate(
@@ -170,6 +193,7 @@
                 await retries.record_abandonment()
                 raise _invalid_output_error(error.failure) from error
             await retries.handle_failure(server, error.failure)
+            _keep_to_software(generation, retries, context)
         except (GeneratorExit, asyncio.CancelledError, RefusedError):
             await retries.record_abandonment()
             raise
@@ -178,6 +202,24 @@
             return
 
 
+def _keep_to_software(
+    generation: Generation, retries: Retries, context: EntryContext
+) -> None:
+    """Let the next attempt continue the output at its software version only.
+
+    Without a usable engine of that version, output that was not delivered yet is
+    generated anew.
+    """
+    software = generation.software
+    if software is None:
+        return
+    usable = context.usable_servers(generation.service)
+    if generation.is_delivered or any(server.software == software for server in usable):
+        retries.require_software(software)
+    else:
+        generation.start_over()
+
+
 def _invalid_output_error(failure: AttemptFailure) -> RefusedError:
     return RefusedError(Refusal(502, Outcome.UNKNOWN, failure.reason))
 
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -10,7 +10,7 @@
 from ..clock import Deadline, now
 from ..connection.backend import BackendServer
 from ..durable.batch_job_commands import BatchItem, BatchJobSpec
-from ..ids import RequestId, WeightVersion
+from ..ids import RequestId, SoftwareVersion, WeightVersion
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, send_attempt
 from .dialect import NumberedEvent
@@ -36,19 +36,28 @@
         Number of the last event, after which another engine can resume.
     versions : list of WeightVersion
         Weight versions that generated the events, each once.
+    software : SoftwareVersion or None
+        Software version that generated the events; None without events.
     """
 
     event_data: list[str] = field(default_factory=list)
     last_event_number: int | None = None
     versions: list[WeightVersion] = field(default_factory=list)
+    software: SoftwareVersion | None = None
 
     @property
     def events(self) -> int:
         """Number of events received so far."""
         return len(self.event_data)
 
-    def add(self, event: NumberedEvent, version: WeightVersion | None) -> None:
-        """Append an event."""
+    def add(
+        self,
+        event: NumberedEvent,
+        version: WeightVersion | None,
+        software: SoftwareVersion,
+    ) -> None:
+        """Append an event that a server of a software version generated."""
+        self.software = software
         self.event_data.append(event.data)
         self.last_event_number = event.number
         if version is not None and version not in self.versions:
@@ -59,6 +68,7 @@
         self.event_data.clear()
         self.versions.clear()
         self.last_event_number = None
+        self.software = None
 
     def content(self) -> bytes:
         """Return the data of all events in order, separated by line feeds."""
@@ -77,6 +87,8 @@
     ) -> RunEnd:
         """Run an item at an engine, resuming an earlier interrupted run.
 
+        An engine of another software version than the earlier one starts over.
+
         Parameters
         ----------
         progress : ItemProgress
@@ -87,6 +99,8 @@
             Parts of the entry process.
         """
         item, output = progress.item, _output_of(progress)
+        if output.software not in (None, server.software):
+            output.start_over()
         headers = context.dialect.item_headers(item, progress.spec)
         if output.last_event_number is not None:
             headers.update(context.dialect.resume_headers(output.last_event_number))
@@ -198,7 +212,7 @@
                 "that the item may have"
             )
         progress.record_event(answer.server)
-        output.add(event, version)
+        output.add(event, version, answer.server.software)
     answer.server.record_answer(0.0)
     return RunEnd.COMPLETE
 
--- a/pollenlb/request/item_moves.py
+++ b/pollenlb/request/item_moves.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Hashable, Sequence
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from ..ids import BackendServerName, BatchJobId
+from ..ids import BackendServerName, BatchJobId, SoftwareVersion
 
 K = TypeVar("K", bound=Hashable)
 
@@ -77,6 +78,8 @@
     reported_slowness : float
         How many times longer than usual work takes, as the engine reported
         recently; 0 without a recent report.
+    software : SoftwareVersion
+        Version of the engine's software.
     """
 
     server: BackendServerName
@@ -84,6 +87,7 @@
     silent_s: float
     free_slots: int
     reported_slowness: float = 0.0
+    software: SoftwareVersion = SoftwareVersion("")
 
 
 def typical_event_interval_s(speeds: Sequence[EngineSpeed]) -> float:
@@ -128,9 +132,11 @@
         speed.server: estimate_slowness(speed, typical_s, shared_silence_s)
         for speed in speeds
     }
-    free_slots = sum(
-        speed.free_slots for speed in speeds if slowness[speed.server] < SLOW_RATIO
-    )
+    software = {speed.server: speed.software for speed in speeds}
+    free_slots: Counter[SoftwareVersion] = Counter()
+    for speed in speeds:
+        if slowness[speed.server] < SLOW_RATIO:
+            free_slots[speed.software] += speed.free_slots
     longest: dict[BatchJobId, float] = {}
     for item in running:
         weighted_events = item.remaining_events * slowness.get(item.server, 1.0)
@@ -145,7 +151,13 @@
         and _saved_time_s(item, slowness[item.server], typical_s) > _MOVE_COST_S
     ]
     slow.sort(key=lambda item: -item.remaining_events)
-    return [item.key for item in slow[:free_slots]]
+    moved = []
+    for item in slow:
+        # Another software version would have to generate the item anew.
+        if free_slots[software[item.server]] > 0:
+            free_slots[software[item.server]] -= 1
+            moved.append(item.key)
+    return moved
 
 
 def estimate_slowness(
--- a/pollenlb/request/item_placement.py
+++ b/pollenlb/request/item_placement.py
@@ -9,7 +9,13 @@
 from types import MappingProxyType
 from typing import Any, Generic, TypeVar
 
-from ..ids import BackendServerName, BatchJobId, GroupName, WeightVersion
+from ..ids import (
+    BackendServerName,
+    BatchJobId,
+    GroupName,
+    SoftwareVersion,
+    WeightVersion,
+)
 
 K = TypeVar("K", bound=Hashable)
 
@@ -46,6 +52,9 @@
         Oldest weights that may generate the item.
     avoided : frozenset of BackendServerName
         Engines at which the item failed recently.
+    software : SoftwareVersion or None
+        Software version that generated its output so far, which engines of other
+        versions generate anew; None without output.
     """
 
     key: K
@@ -56,6 +65,7 @@
     expected_tokens: float
     least_version: WeightVersion
     avoided: frozenset[BackendServerName] = frozenset()
+    software: SoftwareVersion | None = None
 
 
 @dataclass
@@ -81,6 +91,8 @@
     allowed_starts : float
         Number of requests that the engine's limit allows now; falls as items are
         placed, and is infinite without a limit.
+    software : SoftwareVersion
+        Version of the engine's software.
     """
 
     server: BackendServerName
@@ -91,6 +103,7 @@
     slowness: float = 1.0
     groups: set[GroupName] = field(default_factory=set)
     allowed_starts: float = math.inf
+    software: SoftwareVersion = SoftwareVersion("")
 
     @property
     def free_slots(self) -> int:
@@ -113,6 +126,9 @@
     the same number of slots each, so that a small one does not wait for a large
     one.
 
+    An item with output continues at an engine of the same software version, as long
+    as one has a free slot.
+
     When all slots are taken, items wait here and not in an engine's queue, from
     which they could not be moved to another engine.
 
@@ -138,7 +154,10 @@
             if not any(engine.free_slots for engine in engines):
                 break
             continue
-        chosen = min(eligible, key=lambda engine: _placement_cost(engine, item))
+        continuing = [engine for engine in eligible if engine.software == item.software]
+        chosen = min(
+            continuing or eligible, key=lambda engine: _placement_cost(engine, item)
+        )
         chosen.used_slots += 1
         chosen.allowed_starts -= 1
         chosen.groups.add(item.group)
--- a/pollenlb/request/item_progress.py
+++ b/pollenlb/request/item_progress.py
@@ -14,7 +14,7 @@
     ItemResult,
     ItemState,
 )
-from ..ids import BackendServerName, WeightVersion
+from ..ids import BackendServerName, SoftwareVersion, WeightVersion
 
 if TYPE_CHECKING:
     from ..process.context import EntryContext
@@ -64,6 +64,10 @@
     def versions(self) -> list[WeightVersion]:
         """Weight versions that generated the output, each once."""
 
+    @property
+    def software(self) -> SoftwareVersion | None:
+        """Software version that generated the output; None without output."""
+
     def start_over(self) -> None:
         """Discard the output, so that the next run starts from the beginning."""
 
--- a/pollenlb/request/native_dialect.py
+++ b/pollenlb/request/native_dialect.py
@@ -34,7 +34,7 @@
     read_repeatable,
     request_id_of,
 )
-from .dialect import AnswerHead, CallerParameters, NumberedEvent
+from .dialect import AnswerHead, CallerParameters, NumberedEvent, Resumption
 from .outcome import (
     SERVER_HEADER,
     Outcome,
@@ -165,6 +165,10 @@
         """Raise ``ValueError``: completions are resumed through their bodies."""
         raise ValueError("the native protocol does not support numbered events")
 
+    def read_resumption(self, request: web.Request) -> Resumption | None:
+        """Return None: callers cannot take up a completion."""
+        return None
+
     def read_numbered_event(self, block: bytes) -> NumberedEvent:
         """Raise ``ValueError``: completions have an event format of their own."""
         raise ValueError("the native protocol does not support numbered events")
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -16,6 +16,7 @@
     Fingerprint,
     RequestId,
     ServiceName,
+    SoftwareVersion,
     WeightVersion,
 )
 from ..process.context import EntryContext
@@ -101,6 +102,7 @@
         self._may_have_run = False
         self._last_failure: AttemptFailure | None = None
         self._exhausted_limits: list[RequestLimit] = []
+        self._software: SoftwareVersion | None = None
         self._trial = CrashTrial(context, request_id, fingerprint)
         context.retry_budget(service).add_request(policy.retry_share)
 
@@ -125,6 +127,13 @@
             return self._context.single_use_session
         return self._context.session
 
+    def require_software(self, software: SoftwareVersion) -> None:
+        """Use only servers of one software version from now on.
+
+        Output of one version must not be continued by another.
+        """
+        self._software = software
+
     async def next_server(self) -> BackendServer:
         """Return the backend server for the next attempt, and count the attempt.
 
@@ -332,6 +341,9 @@
             servers = self._context.servers_with_long_slot(self._service)
         else:
             servers = self._context.usable_servers(self._service)
+        software = self._software
+        if software is not None:
+            servers = [server for server in servers if server.software == software]
         min_version = self._policy.least_version
         if min_version is None:
             return servers
@@ -379,6 +391,8 @@
     def _no_server_error(self) -> RefusedError:
         """Return the refusal without a server; an attempt before it tells why."""
         reason = f"no backend server of {self._service} is usable"
+        if self._software is not None:
+            reason += f" that has the software version {self._software}"
         failure = self._last_failure
         if failure is None:
             return self._refused_error(503, reason)
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -13,7 +13,7 @@
 from ..connection.backend import BackendServer
 from ..connection.trainer_messages import SampleBody
 from ..durable.batch_job_commands import BatchItem, BatchJobSpec, SampleParameters
-from ..ids import RequestId, ServiceName, WeightVersion, new_id
+from ..ids import RequestId, ServiceName, SoftwareVersion, WeightVersion, new_id
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Attempt, AttemptFailure, send_attempt
 from .caller_request import RequestClass
@@ -69,13 +69,14 @@
         """Weight versions that generated the tokens, each once."""
         return sorted({span.version for span in self.generation.spans})
 
+    @property
+    def software(self) -> SoftwareVersion | None:
+        """Software version that generated the tokens; None without tokens."""
+        return self.generation.software
+
     def start_over(self) -> None:
         """Discard the output and the score."""
-        generation = self.generation
-        generation.text_chunks.clear()
-        generation.spans.clear()
-        generation.tokens = 0
-        generation.finish_reason = None
+        self.generation.start_over()
         self.is_generated = False
         self.score = None
 
@@ -125,6 +126,8 @@
         """
         sample = cast(Sample, progress.output)
         if not sample.is_generated:
+            if sample.software not in (None, server.software):
+                sample.start_over()
             end = await _generate(sample, progress, server, context)
             if end is not RunEnd.COMPLETE or not sample.is_generated:
                 return end
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -10,11 +10,13 @@
 from ..clock import Deadline, deadline_in, now, remaining_time_s
 from ..connection.backend import BackendServer
 from ..connection.bodies import read_body
+from ..ids import SoftwareVersion
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailure, send_attempt
 from .caller_request import CallerRequest
+from .dialect import Resumption
 from .event_blocks import MAX_OUTPUT_BYTES, iter_event_blocks
-from .outcome import Outcome, RefusedError
+from .outcome import Outcome, RefusedError, unavailable
 from .passthrough import answer_headers, request_headers
 from .retries import Retries, RetryPolicy
 
@@ -37,6 +39,7 @@
         self._context = context
         self._response: web.StreamResponse | None = None
         self._last_event_number: int | None = None
+        self._software: SoftwareVersion | None = None
         self._retries = Retries(
             context,
             caller.service_name,
@@ -61,8 +64,12 @@
         Raises
         ------
         RefusedError
-            When the request fails before the head of the answer was sent.
+            When the request fails before the head of the answer was sent, or takes
+            up a stream that a software version began which is not known.
         """
+        resumption = self._context.dialect.read_resumption(self._caller.http_request)
+        if resumption is not None:
+            self._continue_at(await self._find_origin(resumption))
         while True:
             try:
                 server = await self._retries.next_server()
@@ -80,6 +87,28 @@
                     raise
                 return self._abort(error)
 
+    async def _find_origin(self, resumption: Resumption) -> SoftwareVersion:
+        """Return the software version that began the stream that is taken up."""
+        software = None
+        if resumption.began_as is not None:
+            software = await self._context.stream_origins.find(resumption.began_as)
+        self._context.events.record(
+            "stream.taken_up",
+            request=self._caller.request_id,
+            began_as=resumption.began_as,
+            software=software,
+        )
+        if software is None:
+            raise unavailable(
+                "the software version that began the stream is not known, so that it "
+                "cannot be continued"
+            )
+        return software
+
+    def _continue_at(self, software: SoftwareVersion) -> None:
+        self._software = software
+        self._retries.require_software(software)
+
     async def _run_attempt(self, server: BackendServer) -> AttemptFailure | None:
         caller, context = self._caller, self._context
         headers = request_headers(caller, context.dialect)
@@ -157,12 +186,22 @@
                 and event.number <= self._last_event_number
             ):
                 raise ValueError(f"event {event.number} was received twice")
+            if self._software is None:
+                await self._record_origin(answer.server)
             await response.write(block + _EVENT_END)
             self._last_event_number = event.number
             if not remaining_time_s(self._caller.deadline):
                 raise TimeoutError("the deadline passed before the end of the stream")
         await response.write_eof()
 
+    async def _record_origin(self, server: BackendServer) -> None:
+        """Record which software version begins the stream, before its first event."""
+        self._continue_at(server.software)
+        if self._caller.route.resumable:
+            await self._context.stream_origins.record(
+                self._caller.request_id, server.software
+            )
+
     async def _forward_error(self, answer: Answer) -> None:
         """Forward an answer other than a stream, once it is complete."""
         if self._response is not None:
--- a/tests/local_system.py
+++ b/tests/local_system.py
@@ -283,12 +283,18 @@
         return process
 
     async def add_engine(
-        self, name: str, is_relayed: bool = False, port: int = 0, **options
+        self,
+        name: str,
+        is_relayed: bool = False,
+        port: int = 0,
+        software: str = "",
+        **options,
     ) -> FakeEngine:
         """Start a fake engine, which announces the port of a relay if relayed."""
         port = port or free_ports(1)[0]
         urls = self._entry_urls()
         engine = FakeEngine(name, "model", "north", port, urls, slots=8, **options)
+        engine.software = software
         if is_relayed:
             engine.announced_port = (await self.add_relay(port)).port
         await engine.start()
--- a/tests/request/test_item_placement.py
+++ b/tests/request/test_item_placement.py
@@ -212,3 +212,27 @@
     assert choose_moves(running, speeds) == []
     running = [RunningItem("item", "job", "engine-0", 7, 100.0, 0.5)]
     assert choose_moves(running, speeds) == ["item"]
+
+
+def test_an_item_continues_at_its_software_version_while_a_slot_is_free():
+    engines = [
+        EngineCapacity("other", _SLOTS, 0, 2, software="v2"),
+        EngineCapacity("same", _SLOTS, _SLOTS - 1, 2, software="v1"),
+    ]
+    waiting = [_waiting(0, software="v1"), _waiting(1, 50, software="v1")]
+    assert place_items(waiting, engines) == [(0, "same"), (1, "other")]
+
+
+def test_an_item_is_not_moved_to_another_software_version():
+    speeds = _speeds(0.14, _EVENT_INTERVAL_S, _EVENT_INTERVAL_S)
+    speeds[0].software = "v1"
+    speeds[1].software = speeds[2].software = "v2"
+    running = [_running(0, 0, 10, 100), _running(1, 1, 10, 100)]
+    assert choose_moves(running, speeds) == []
+    speeds[2].software = "v1"
+    assert choose_moves(running, speeds) == [0]
+
+
+def test_no_more_items_start_than_the_limit_of_an_engine_allows():
+    engines = [EngineCapacity("engine", _SLOTS, 0, 2, allowed_starts=2.6)]
+    assert len(place_items([_waiting(key) for key in range(4)], engines)) == 2
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -29,10 +29,12 @@
 from pollenlb.connection import backend_api, engine_api, trainer_messages
 from pollenlb.connection.backend_api import ProbeAnswer
 from pollenlb.connection.control_api import (
+    FIND_STREAM,
     PROPOSE,
     READ_BATCH_JOB,
     READ_CONFIGURATION,
     READ_ITEM,
+    RECORD_STREAM,
     RENEW,
     RETIRE,
     STATUS,
@@ -43,6 +45,7 @@
     ConfigurationView,
     DirectoryView,
     EntriesView,
+    FindStream,
     ItemRead,
     JobView,
     LedgerView,
@@ -54,6 +57,7 @@
     ReadBatchJob,
     ReadConfiguration,
     ReadItem,
+    RecordStream,
     RenewAnswer,
     RenewRequest,
     RetireAnswer,
@@ -61,6 +65,8 @@
     RetireRequest,
     StatusAnswer,
     StatusRequest,
+    StreamFound,
+    StreamRecorded,
     WorkView,
 )
 from pollenlb.connection.engine_api import (
@@ -203,7 +209,7 @@
 from pollenlb.request.announce_api import AnnounceBody
 from pollenlb.request.attempt import AttemptFailure
 from pollenlb.request.caller_request import RequestClass
-from pollenlb.request.dialect import AnswerHead, NumberedEvent
+from pollenlb.request.dialect import AnswerHead, NumberedEvent, Resumption
 from pollenlb.request.item_progress import RunEnd
 from pollenlb.request.native_protocol import native_protocol
 from pollenlb.request.operator_api import (
@@ -256,6 +262,7 @@
     ("job_view", JobView, MSGPACK),
     ("job_view", JobView, JSON),
     ("ledger_view", LedgerView, MSGPACK),
+    ("find_stream", FindStream, MSGPACK),
     ("limit_grant", LimitGrant, MSGPACK),
     ("limit_report", LimitReport, MSGPACK),
     ("propose_answer", ProposeAnswer, MSGPACK),
@@ -264,6 +271,7 @@
     ("read_batch_job", ReadBatchJob, MSGPACK),
     ("read_configuration", ReadConfiguration, MSGPACK),
     ("read_item", ReadItem, MSGPACK),
+    ("record_stream", RecordStream, MSGPACK),
     ("renew_answer", RenewAnswer, MSGPACK),
     ("renew_request", RenewRequest, MSGPACK),
     ("retire_answer", RetireAnswer, MSGPACK),
@@ -271,6 +279,8 @@
     ("status_answer", StatusAnswer, MSGPACK),
     ("status_answer", StatusAnswer, JSON),
     ("status_request", StatusRequest, MSGPACK),
+    ("stream_found", StreamFound, MSGPACK),
+    ("stream_recorded", StreamRecorded, MSGPACK),
     ("work_view", WorkView, MSGPACK),
     ("origin", TokenOrigin, JSON),
     ("resume", Resume, JSON),
@@ -412,6 +422,7 @@
     CallFailure,
     NumberedEvent,
     QueryFailure,
+    Resumption,
     # Sent as a JSON object that is built field by field, not by encoding the type.
     Refusal,
     # Held only in the memory of the leader.
@@ -472,6 +483,8 @@
     ),
     (RETIRE, "/pollenlb.Control/Retire", RetireRequest, RetireAnswer),
     (STATUS, "/pollenlb.Control/Status", StatusRequest, StatusAnswer),
+    (RECORD_STREAM, "/pollenlb.Control/RecordStream", RecordStream, StreamRecorded),
+    (FIND_STREAM, "/pollenlb.Control/FindStream", FindStream, StreamFound),
 ]
 
 # Keys in files, and the allowed values of the keys that have a fixed choice.
