Let interrupted items wait for a slot at their software version

Items that were resumed at another version started over at once when no slot was free at their own. An item with five events or more now waits for a second.

--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -44,6 +44,10 @@
 _PLACEMENT_INTERVAL_S = 0.04
 # An item avoids an engine for this long after a run there that did not complete.
 _AVOID_SERVER_S = 0.5
+# An interrupted item with this many events waits for so long for a slot at an engine
+# of the software version that generated them, before another version starts it over.
+_MIN_KEPT_EVENT_COUNT = 5
+_SOFTWARE_WAIT_S = 1.0
 # A change of weights takes 0.9 s; an engine that refused an item is tried again
 # after this delay, so that the end of the change is found soon.
 _REFUSAL_RETRY_DELAY_S = 0.2
@@ -478,6 +482,7 @@
         if task is not None and not task.cancelled() and task.exception() is not None:
             progress.avoided[server.name] = deadline_in(_AVOID_SERVER_S)
         progress.server = None
+        progress.run_ended_at = now()
         progress.is_moving = False
         self._changed.set()
         self._report_idle_engine(server.name)
@@ -628,4 +633,6 @@
         least_version=job.spec.least_version,
         avoided=frozenset(progress.avoided),
         software=progress.output.software,
+        is_waiting_for_software=progress.output.events >= _MIN_KEPT_EVENT_COUNT
+        and now() < progress.run_ended_at + _SOFTWARE_WAIT_S,
     )
--- a/pollenlb/request/item_placement.py
+++ b/pollenlb/request/item_placement.py
@@ -55,6 +55,9 @@
     software : SoftwareVersion or None
         Software version that generated its output so far, which engines of other
         versions generate anew; None without output.
+    is_waiting_for_software : bool
+        Whether it waits for an engine of that version, if there is one, rather than
+        start over.
     """
 
     key: K
@@ -66,6 +69,7 @@
     least_version: WeightVersion
     avoided: frozenset[BackendServerName] = frozenset()
     software: SoftwareVersion | None = None
+    is_waiting_for_software: bool = False
 
 
 @dataclass
@@ -126,8 +130,8 @@
     the same number of slots each, so that a small one does not wait for a large
     one.
 
-    An item with output continues at an engine of the same software version, as long
-    as one has a free slot.
+    An item with output continues at an engine of the same software version if one
+    has a free slot. Otherwise it waits for one or starts over at another engine.
 
     When all slots are taken, items wait here and not in an engine's queue, from
     which they could not be moved to another engine.
@@ -155,6 +159,9 @@
                 break
             continue
         continuing = [engine for engine in eligible if engine.software == item.software]
+        if not continuing and item.is_waiting_for_software:
+            if any(engine.software == item.software for engine in engines):
+                continue
         chosen = min(
             continuing or eligible, key=lambda engine: _placement_cost(engine, item)
         )
--- a/pollenlb/request/item_progress.py
+++ b/pollenlb/request/item_progress.py
@@ -115,6 +115,8 @@
     last_event_at : float
         Monotonic time of the last event, or of the start of the run before its
         first event, in seconds.
+    run_ended_at : float
+        Monotonic time at which the last run ended, in seconds.
     is_moving : bool
         Whether the run is being cancelled to continue at another engine.
     """
@@ -129,6 +131,7 @@
     avoided: dict[BackendServerName, Deadline] = field(default_factory=dict)
     run_started_at: float = 0.0
     last_event_at: float = 0.0
+    run_ended_at: float = float("-inf")
     is_moving: bool = False
 
     def record_event(self, server: BackendServer) -> None:
--- a/tests/request/test_item_placement.py
+++ b/tests/request/test_item_placement.py
@@ -223,6 +223,16 @@
     assert place_items(waiting, engines) == [(0, "same"), (1, "other")]
 
 
+def test_an_item_with_output_waits_for_its_software_version_while_it_is_served():
+    engines = [
+        EngineCapacity("other", _SLOTS, 0, 2, software="v2"),
+        EngineCapacity("same", _SLOTS, _SLOTS, 2, software="v1"),
+    ]
+    waiting = [_waiting(0, software="v1", is_waiting_for_software=True)]
+    assert place_items(waiting, engines) == []
+    assert place_items(waiting, engines[:1]) == [(0, "other")]
+
+
 def test_an_item_is_not_moved_to_another_software_version():
     speeds = _speeds(0.14, _EVENT_INTERVAL_S, _EVENT_INTERVAL_S)
     speeds[0].software = "v1"
