Join output only while the software versions of servers are known

A server may start again under its name with another software version, which only the leader's answers tell. An entry that has lost contact for over 2 s beyond its lease no longer continues output at any server, and does not record which version began a stream. Elections take less than 2 s, so that streams go on during them.

--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -17,7 +17,7 @@
 from ..connection.stream_origins import StreamOrigins
 from ..durable.leases import EntryInfo
 from ..events import EventLog
-from ..ids import BackendServerName, ServiceName
+from ..ids import BackendServerName, ServiceName, SoftwareVersion
 from ..request.admission import AdmissionPolicy, admissible_servers
 from ..request.choice import ChoicePolicy, choose_server
 from ..request.dialect import Dialect
@@ -31,6 +31,8 @@
 
 # Quantile of a service's recent latencies after which a request is hedged.
 HEDGE_QUANTILE = 0.95
+# An election of a leader takes less time, so that streams go on during it.
+_MAX_SOFTWARE_AGE_S = 2.0
 
 
 @dataclass
@@ -121,6 +123,31 @@
             return self.configuration.is_received
         return self.configuration.is_leased
 
+    @property
+    def knows_software_versions(self) -> bool:
+        """Whether the known software versions of backend servers may be relied on.
+
+        A server may start again under its name with another version. An entry that
+        has lost contact with the leader does not learn of it.
+        """
+        return self.configuration.is_lease_newer_than(_MAX_SOFTWARE_AGE_S)
+
+    def may_continue(
+        self, software: SoftwareVersion | None, server: BackendServer
+    ) -> bool:
+        """Return whether a server may continue the output of a software version.
+
+        Parameters
+        ----------
+        software : SoftwareVersion or None
+            Version that generated the output so far; None without output.
+        server : BackendServer
+            The server that is to run the rest.
+        """
+        if software is None:
+            return True
+        return server.software == software and self.knows_software_versions
+
     def usable_servers(self, service: ServiceName) -> list[BackendServer]:
         """Return the backend servers of a service that may receive new work.
 
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -99,7 +99,7 @@
             Parts of the entry process.
         """
         item, output = progress.item, _output_of(progress)
-        if output.software not in (None, server.software):
+        if not context.may_continue(output.software, server):
             output.start_over()
         headers = context.dialect.item_headers(item, progress.spec)
         if output.last_event_number is not None:
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -343,6 +343,8 @@
             servers = self._context.usable_servers(self._service)
         software = self._software
         if software is not None:
+            if not self._context.knows_software_versions:
+                return []
             servers = [server for server in servers if server.software == software]
         min_version = self._policy.least_version
         if min_version is None:
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -126,7 +126,7 @@
         """
         sample = cast(Sample, progress.output)
         if not sample.is_generated:
-            if sample.software not in (None, server.software):
+            if not context.may_continue(sample.software, server):
                 sample.start_over()
             end = await _generate(sample, progress, server, context)
             if end is not RunEnd.COMPLETE or not sample.is_generated:
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -197,7 +197,7 @@
     async def _record_origin(self, server: BackendServer) -> None:
         """Record which software version begins the stream, before its first event."""
         self._continue_at(server.software)
-        if self._caller.route.resumable:
+        if self._caller.route.resumable and self._context.knows_software_versions:
             await self._context.stream_origins.record(
                 self._caller.request_id, server.software
             )
--- a/pollenlb/version/configuration.py
+++ b/pollenlb/version/configuration.py
@@ -41,6 +41,10 @@
         """Whether a revision is applied and the lease on it is valid now."""
         return self._revision >= 0 and now() < self._lease_expires_at
 
+    def is_lease_newer_than(self, age_s: float) -> bool:
+        """Return whether the lease is valid or expired less than so long ago."""
+        return now() < self._lease_expires_at + age_s
+
     def extend_lease(self, until: Deadline) -> None:
         """Extend the lease to a deadline; an earlier one has no effect."""
         self._lease_expires_at = max(self._lease_expires_at, until)
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -146,3 +146,25 @@
         texts = [result["text"].split("\n") for result in results]
         assert [len(text) for text in texts] == [12] * 6
     assert not _resumed_at_another_version(system)
+
+
+async def test_an_entry_out_of_contact_joins_streams_of_servers_it_cannot_know(
+    platform_system,
+):
+    system = await _start(platform_system, ["v1", "v1"], entries=1)
+    context = system.entries[0].context
+    began_as = "stream"
+    last = await _read_events(system, 0, began_as, 3)
+    for control in system.controls:
+        await control.stop()
+    system.controls.clear()
+    status, _, _ = await _resume(system, 0, "soon", began_as, last)
+    assert status == 200
+    # From here on a server may have started again with other software.
+    await wait_until(lambda: not context.knows_software_versions)
+    status, _, _ = await _resume(system, 0, "late", began_as, last)
+    assert (status, _software_of(system, "late")) == (503, set())
+    status, _, _ = await system.call_entry(
+        "POST", 0, _STREAM_PATH, 3, X_Request_Id="new", X_Deadline_Ms="4000"
+    )
+    assert status == 200
