Check limits of servers and versions of streams in the soak

Engines of two software versions, of which some name limits for a while, and callers that take up interrupted streams at other entries. Both draw from random numbers of their own, so that an old seed injects the same faults.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -117,9 +117,9 @@
         """Send a configuration with a higher version; record whether it is accepted."""
         self.sent_version += self._rng.randint(1, 3)
         version = self.sent_version
-        status, _ = await self._call_control(
-            "POST", "/-/Config.Replace", configuration(version)
-        )
+        document = configuration(version)
+        document["routes"][1] |= {"kind": "streaming", "resumable": True}
+        status, _ = await self._call_control("POST", "/-/Config.Replace", document)
         if status == 200:
             self.acknowledged_version = max(self.acknowledged_version, version)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,7 +14,9 @@
 from tests.platform.platform_system import MODEL
 
 from .clients import Clients
+from .limits import NamedLimits
 from .programs import Programs
+from .streams import StreamCallers
 
 _START_TIMEOUT_S = 30
 _FINISH_TIMEOUT_S = 30.0
@@ -34,11 +36,15 @@
     Attributes
     ----------
     fault_log : list of str
-        Names of the injected faults in order, then the number of accepted batch jobs.
+        Names of the injected faults in order, then the numbers of accepted batch jobs
+        and of complete streams.
     """
 
     def __init__(self, seed: int, faults: int) -> None:
         self._rng = random.Random(seed)
+        # Of their own, so that an old seed still injects the same faults.
+        self._limits_rng = random.Random(f"limits {seed}")
+        self._streams_rng = random.Random(f"streams {seed}")
         self._fault_count = faults
         self._relays: list[Relay] = []
         self._engines: list[PlatformEngine] = []
@@ -50,8 +56,8 @@
             programs = Programs(Path(folder), controls=3, entries=3)
             try:
                 programs.start_all()
-                for number in range(3):
-                    await self._add_engine(f"engine-{number}", programs)
+                for number, software in enumerate(("v1", "v1", "v2")):
+                    await self._add_engine(f"engine-{number}", programs, software)
                 return await self._run(programs)
             finally:
                 for engine in self._engines:
@@ -62,29 +68,38 @@
 
     async def _run(self, programs: Programs) -> list[str]:
         clients = Clients(programs, self._engines, random.Random(self._rng.random()))
+        callers = StreamCallers(programs, self._engines, self._streams_rng)
+        limits = NamedLimits(self._engines, self._limits_rng)
         try:
             async with asyncio.timeout(_START_TIMEOUT_S):
                 while not clients.acknowledged_version:
                     await clients.change_configuration()
                     await asyncio.sleep(_POLL_INTERVAL_S)
             client_task = asyncio.create_task(clients.run())
+            caller_task = asyncio.create_task(callers.run())
+            limits_task = asyncio.create_task(limits.run())
             for _ in range(self._fault_count):
                 await self._inject_faults(programs)
-            clients.is_stopping = True
-            await client_task
+            clients.is_stopping = callers.is_stopping = True
+            limits_task.cancel()
+            await asyncio.gather(limits_task, return_exceptions=True)
+            await asyncio.gather(client_task, caller_task)
             await clients.finish(_FINISH_TIMEOUT_S)
         finally:
             await clients.close()
+        callers.check_versions()
         self.fault_log.append(f"{len(clients.accepted_jobs)} batch jobs accepted")
-        return clients.violations
+        self.fault_log.append(f"{callers.complete_count} streams complete")
+        return clients.violations + callers.violations + limits.violations
 
-    async def _add_engine(self, name: str, programs: Programs) -> None:
+    async def _add_engine(self, name: str, programs: Programs, software: str) -> None:
         (port,) = free_ports(1)
         relay = Relay(port)
         await relay.start()
         urls = [programs.base_urls[control] for control in programs.controls]
         engine = PlatformEngine(name, "engines", port, urls, MODEL)
         engine.announced_port = relay.port
+        engine.software = software
         await engine.start()
         self._relays.append(relay)
         self._engines.append(engine)
