Use servers of a stream's version that are expected to answer, or else all of them

A stream that had to go on at its software version was cut while all servers of that version were in their backoff of 0.4 s or more, as after connections were reset, since servers of other versions were usable and hid the rule that servers in backoff are used when no other is left. An entry without requests for a limited server no longer wakes all waiting renewals with each of its own.

--- a/pollenlb/connection/directory.py
+++ b/pollenlb/connection/directory.py
@@ -9,7 +9,13 @@
 from ..clock import Deadline, now
 from ..durable.configuration_commands import Announcement
 from ..events import EventLog
-from ..ids import BackendServerName, ModelName, ServiceName, WeightVersion
+from ..ids import (
+    BackendServerName,
+    ModelName,
+    ServiceName,
+    SoftwareVersion,
+    WeightVersion,
+)
 from ..settings.entry import EntrySettings
 from .backend import BackendServer, SendProbe
 from .control_api import DirectoryView, LimitGrant, LimitReport
@@ -95,12 +101,25 @@
             server.start()
             self._servers[name] = server
 
-    def usable_servers(self, service: ServiceName) -> list[BackendServer]:
+    def usable_servers(
+        self, service: ServiceName, software: SoftwareVersion | None = None
+    ) -> list[BackendServer]:
         """Return the usable backend servers of a service.
 
         When none is expected to answer, return all eligible ones.
+
+        Parameters
+        ----------
+        service : ServiceName
+            The service.
+        software : SoftwareVersion or None
+            Software version that the servers must have; None for any.
         """
-        servers = self.eligible_servers(service)
+        servers = [
+            server
+            for server in self.eligible_servers(service)
+            if software in (None, server.software)
+        ]
         return [server for server in servers if server.is_usable] or servers
 
     def eligible_servers(self, service: ServiceName) -> list[BackendServer]:
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -148,14 +148,23 @@
             return True
         return server.software == software and self.knows_software_versions
 
-    def usable_servers(self, service: ServiceName) -> list[BackendServer]:
+    def usable_servers(
+        self, service: ServiceName, software: SoftwareVersion | None = None
+    ) -> list[BackendServer]:
         """Return the backend servers of a service that may receive new work.
 
         Those that the configuration lists as drained are left out.
+
+        Parameters
+        ----------
+        service : ServiceName
+            The service.
+        software : SoftwareVersion or None
+            Software version that the servers must have; None for any.
         """
         settings = self.configuration.settings.services.get(service)
         drained = settings.drained if settings is not None else ()
-        servers = self.directory.usable_servers(service)
+        servers = self.directory.usable_servers(service, software)
         return [server for server in servers if server.name not in drained]
 
     def retry_budget(self, service: ServiceName) -> RetryBudget:
--- a/pollenlb/process/limit_table.py
+++ b/pollenlb/process/limit_table.py
@@ -95,8 +95,9 @@
             limit = self._observe(server, report)
             if limit.boot != report.boot:
                 continue
-            is_notable = is_notable or not limit.demands.get(entry)
-            is_notable = is_notable or report.granted_per_s < limit.held.get(entry, 0)
+            has_begun_to_need = report.demand and not limit.demands.get(entry)
+            has_given_up = report.granted_per_s < limit.held.get(entry, 0.0)
+            is_notable = is_notable or bool(has_begun_to_need) or has_given_up
             limit.demands[entry] = report.demand
             limit.held[entry] = report.granted_per_s
         for server, limit in self._limits.items():
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -337,15 +337,17 @@
         )
 
     def _candidates(self) -> list[BackendServer]:
+        software = self._software
+        if software is not None and not self._context.knows_software_versions:
+            return []
         if self._policy.request_class is RequestClass.LONG:
-            servers = self._context.servers_with_long_slot(self._service)
+            servers = [
+                server
+                for server in self._context.servers_with_long_slot(self._service)
+                if software in (None, server.software)
+            ]
         else:
-            servers = self._context.usable_servers(self._service)
-        software = self._software
-        if software is not None:
-            if not self._context.knows_software_versions:
-                return []
-            servers = [server for server in servers if server.software == software]
+            servers = self._context.usable_servers(self._service, software)
         min_version = self._policy.least_version
         if min_version is None:
             return servers
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -168,3 +168,17 @@
         "POST", 0, _STREAM_PATH, 3, X_Request_Id="new", X_Deadline_Ms="4000"
     )
     assert status == 200
+
+
+async def test_a_stream_is_cut_while_servers_of_its_version_recover(platform_system):
+    system = await _start(platform_system, ["v1", "v2"], entries=1)
+    directory = system.entries[0].context.directory
+    last = await _read_events(system, 0, "stream", 3)
+    (software,) = _software_of(system, "stream")
+    for server in directory.servers.values():
+        if server.software == software:
+            server.record_failure()
+    # Servers of the other version are usable, which must not leave these out.
+    status, body, _ = await _resume(system, 0, "again", "stream", last)
+    assert (status, body.count(b"id: ")) == (200, 3)
+    assert _software_of(system, "again") == {software}
--- a/tests/process/test_limit_table.py
+++ b/tests/process/test_limit_table.py
@@ -176,3 +176,11 @@
         cluster.act(name, action, demand)
         total_per_s = sum(entry.granted_per_s for entry in cluster.entries.values())
         assert total_per_s <= GRANTED_RATIO * _LIMIT_PER_S + 1e-6
+
+
+def test_an_entry_without_requests_does_not_wake_the_others(time_s):
+    table = LimitTable(Deadline(0.0))
+    assert table.record_reports("a", _report(demand=0.0))
+    assert not table.record_reports("a", _report(demand=0.0))
+    assert table.record_reports("a", _report(demand=1.0))
+    assert not table.record_reports("a", _report(demand=2.0))
