Score items of batch jobs by reward calls

Cause: the adapter's item had no such field, and the decoder drops fields that it does not know.

Change: an item carries its reward call into the log, and its result the score. When the output is complete, the item leaves its engine and its call waits in the entry for a slot of the service that its route names now. Which call goes next, and where, is decided in request/reward_placement.py: early due times first, then the group that lacks the fewest results, and never the slots that are reserved for callers. Samples of rollout jobs use the same calls in place of their own loop. A result is used again only for the same reward call.

Fields of a batch job without effect are logged, once a name, and counted.

Ruled out: a call in the queue of a server, since it takes ten times as long as a look-up there; a hedge, since a call must not be at two servers.

Stored and sent data: items have the field reward, results the field score; data without them is read as before. The samples were rewritten for it.

--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -195,15 +195,20 @@
             self._boot = announcement.boot
         self._announcement = announcement
 
-    def record_answer(self, latency_s: float) -> None:
-        """Record the latency of a complete answer, in seconds.
+    def record_answer(self, latency_s: float | None = None) -> None:
+        """Record a complete answer: the backend server is usable again.
 
-        The backend server is usable again.
+        Parameters
+        ----------
+        latency_s : float or None
+            Latency of the answer in seconds; None for work whose duration says
+            nothing of that of callers' requests.
         """
         self._usable_until = deadline_in(self._settings.usable_s)
         self._consecutive_failures = 0
         self._backoff_until = Deadline(0.0)
-        self._load.record_latency(latency_s)
+        if latency_s is not None:
+            self._load.record_latency(latency_s)
 
     def record_failure(self) -> None:
         """Record a failed request.
--- a/pollenlb/durable/batch_job_commands.py
+++ b/pollenlb/durable/batch_job_commands.py
@@ -15,6 +15,7 @@
     ItemId,
     JobName,
     ModelName,
+    RequestId,
     ServiceName,
     StepNumber,
     WeightVersion,
@@ -25,6 +26,27 @@
 _COMPRESSION_LEVEL = 1
 
 
+class RewardCall(msgspec.Struct, frozen=True):
+    """Request whose answer is the score of an item's output.
+
+    Attributes
+    ----------
+    request_id : RequestId
+        Id of the request; repeats have the same.
+    host : str
+        Host of the route through which it is sent.
+    path : str
+        Path and query of the request.
+    body : bytes
+        Body of the request.
+    """
+
+    request_id: RequestId
+    host: str
+    path: str
+    body: bytes
+
+
 class BatchItem(msgspec.Struct, frozen=True):
     """One request of a batch job.
 
@@ -44,6 +66,8 @@
         Output tokens that the trainer expects; 0 when it gives no hint.
     group : GroupName
         Items of one group share their prompt; a trainer uses complete groups.
+    reward : RewardCall or None
+        Scores the output; None when the item is not scored.
     """
 
     item: ItemId
@@ -53,6 +77,7 @@
     tokens: int = 0
     length_hint: int = 0
     group: GroupName = GroupName("")
+    reward: RewardCall | None = None
 
 
 class SampleParameters(msgspec.Struct, frozen=True):
@@ -183,16 +208,23 @@
         domains several times and is retained for minutes.
     versions : list of WeightVersion
         Weight versions that generated it, in order.
+    score : str or None
+        Score from the item's reward call, as received; None without a reward call.
     """
 
     item: ItemId
     state: ItemState
     packed: bytes = b""
     versions: list[WeightVersion] = []
+    score: str | None = None
 
     @classmethod
     def completed(
-        cls, item: ItemId, content: bytes, versions: list[WeightVersion]
+        cls,
+        item: ItemId,
+        content: bytes,
+        versions: list[WeightVersion],
+        score: str | None = None,
     ) -> ItemResult:
         """Return the result of an item whose output is complete.
 
@@ -204,9 +236,11 @@
             Generated content, not compressed.
         versions : list of WeightVersion
             Weight versions that generated it, in order.
+        score : str or None
+            Score from the item's reward call.
         """
         packed = zlib.compress(content, _COMPRESSION_LEVEL)
-        return cls(item, ItemState.COMPLETED, packed, versions)
+        return cls(item, ItemState.COMPLETED, packed, versions, score)
 
     @property
     def content(self) -> bytes:
--- a/pollenlb/durable/batch_jobs.py
+++ b/pollenlb/durable/batch_jobs.py
@@ -259,8 +259,8 @@
     def _find_reusable_results(self, spec: BatchJobSpec) -> list[ItemResult]:
         """Return results of earlier batch jobs that answer the same items.
 
-        The model and the body of the item must be the same, and the weight
-        versions must meet the new job's requirements.
+        The model, the body and the reward call of the item must be the same, and
+        the weight versions must meet the new job's requirements.
         """
         requested = {item.item: item for item in spec.items}
         reusable: dict[ItemId, ItemResult] = {}
@@ -272,7 +272,7 @@
                 if item is None or not _is_reusable(result, spec):
                     continue
                 earlier_item = earlier.find_item(result.item)
-                if earlier_item is not None and earlier_item.body == item.body:
+                if earlier_item is not None and _is_same_work(earlier_item, item):
                     reusable[result.item] = result
         return list(reusable.values())
 
@@ -286,6 +286,10 @@
             del self.batch_jobs[name]
 
 
+def _is_same_work(earlier: BatchItem, item: BatchItem) -> bool:
+    return earlier.body == item.body and earlier.reward == item.reward
+
+
 def _is_reusable(result: ItemResult, spec: BatchJobSpec) -> bool:
     if result.state is not ItemState.COMPLETED or not result.versions:
         return False
--- a/pollenlb/platform/batch_jobs.py
+++ b/pollenlb/platform/batch_jobs.py
@@ -1,19 +1,27 @@
 """Batch jobs in the formats in which trainers submit them and read their results.
 
-The platform calls a batch job a lot and its items requests.
+The platform calls a batch job a lot, its items requests, and a reward call a scorer.
 """
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from ..connection.control_api import BatchJobRead
-from ..durable.batch_job_commands import BatchItem, BatchJobSpec
+from ..durable.batch_job_commands import (
+    BatchItem,
+    BatchJobSpec,
+    ItemResult,
+    RewardCall,
+)
 from ..ids import (
     BatchJobId,
     GroupName,
     ItemId,
     ModelName,
+    RequestId,
     ServiceName,
     WeightVersion,
 )
@@ -22,6 +30,15 @@
 from .names import LENGTH_HINT_HEADER
 
 
+class _Scorer(msgspec.Struct):
+    """Reward call of an item; its body is base64 in JSON."""
+
+    id: str
+    host: str
+    path: str
+    body: bytes = b""
+
+
 class _Item(msgspec.Struct):
     """One item of a submitted batch job.
 
@@ -33,6 +50,8 @@
         Prompt tokens plus the maximum number of output tokens.
     group : str
         Group of items that share their prompt.
+    scorer : _Scorer or None
+        Reward call; None when the item is not scored.
     """
 
     id: str
@@ -41,6 +60,7 @@
     headers: dict[str, str] = {}
     tokens: int = 0
     group: str = ""
+    scorer: _Scorer | None = None
 
 
 class _BatchJob(msgspec.Struct):
@@ -57,14 +77,27 @@
     group_count : int
         Number of groups that the trainer waits for, which may be fewer than the
         batch job has; 0 when it waits for all.
+    step : int
+        Number of the trainer's step; has no effect.
     """
 
     requests: list[_Item]
     model: str = ""
     min_version: int = 0
     group_count: int = 0
+    step: int | None = None
+
+
+class _FieldNames(msgspec.Struct):
+    """Fields of the items of a submitted batch job, not decoded."""
 
+    requests: list[dict[str, msgspec.Raw]]
 
+
+_KNOWN_JOB_FIELDS = frozenset(_BatchJob.__struct_fields__)
+_KNOWN_ITEM_FIELDS = frozenset(_Item.__struct_fields__)
+_decode_job_fields = msgspec.json.Decoder(dict[str, msgspec.Raw]).decode
+_decode_field_names = msgspec.json.Decoder(_FieldNames).decode
 _decode_batch_job = msgspec.json.Decoder(_BatchJob).decode
 
 
@@ -109,6 +142,23 @@
     )
 
 
+def unknown_fields(body: bytes) -> set[str]:
+    """Return the names of fields of a batch job, or of its items, that are ignored.
+
+    Names of items' fields begin with ``requests.``.
+
+    Parameters
+    ----------
+    body : bytes
+        JSON body of a batch job that ``parse_batch_job`` accepted.
+    """
+    names = _decode_job_fields(body).keys() - _KNOWN_JOB_FIELDS
+    for item in _decode_field_names(body).requests:
+        if unknown := item.keys() - _KNOWN_ITEM_FIELDS:
+            names |= {f"requests.{name}" for name in unknown}
+    return set(names)
+
+
 def encode_results_page(read: BatchJobRead, after: int) -> bytes:
     """Return a page of results of a batch job as JSON.
 
@@ -119,19 +169,23 @@
     after : int
         Position of the first of these results in the batch job.
     """
-    results = [
-        {
-            "id": result.item,
-            "state": result.state.value,
-            "text": result.content.decode(),
-            "versions": result.versions,
-        }
-        for result in read.results
-    ]
+    results = [_encode_result(result) for result in read.results]
     page = {"total": read.total, "next": after + len(results), "results": results}
     return msgspec.json.encode(page)
 
 
+def _encode_result(result: ItemResult) -> dict[str, Any]:
+    encoded: dict[str, Any] = {
+        "id": result.item,
+        "state": result.state.value,
+        "text": result.content.decode(),
+        "versions": result.versions,
+    }
+    if result.score is not None:
+        encoded["score"] = result.score
+    return encoded
+
+
 def _to_batch_item(item: _Item) -> BatchItem:
     hint = item.headers.get(LENGTH_HINT_HEADER, "")
     return BatchItem(
@@ -142,4 +196,9 @@
         tokens=item.tokens,
         length_hint=int(hint) if hint.isdigit() else 0,
         group=GroupName(item.group),
+        reward=_to_reward_call(item.scorer) if item.scorer is not None else None,
     )
+
+
+def _to_reward_call(scorer: _Scorer) -> RewardCall:
+    return RewardCall(RequestId(scorer.id), scorer.host, scorer.path, scorer.body)
--- a/pollenlb/platform/dialect.py
+++ b/pollenlb/platform/dialect.py
@@ -11,7 +11,7 @@
 from ..clock import Deadline, deadline_in, remaining_time_s
 from ..connection.backend_api import ProbeAnswer
 from ..connection.sessions import ConnectionLostError
-from ..durable.batch_job_commands import BatchItem, BatchJobSpec
+from ..durable.batch_job_commands import BatchItem, BatchJobSpec, RewardCall
 from ..durable.configuration_commands import Announcement
 from ..ids import BackendServerName, RequestId, WeightVersion
 from ..request.attempt import Attempt
@@ -25,7 +25,7 @@
 from ..request.outcome import Outcome, Refusal, bad_request, parse_retry_after_s
 from ..settings.cluster import RouteSettings
 from ..settings.entry import EntrySettings
-from .batch_jobs import parse_batch_job
+from .batch_jobs import parse_batch_job, unknown_fields
 from .names import (
     DEADLINE_MS_HEADER,
     EXPECTED_SERVER_HEADER,
@@ -37,6 +37,7 @@
     REQUEST_ID_HEADER,
     RESUMES_HEADER,
     SERVER_ID_HEADER,
+    SERVER_PROOF_HEADER,
     WEIGHT_VERSION_HEADER,
     parse_in_flight,
     parse_probe_answer,
@@ -201,6 +202,18 @@
         """Return the headers of the request to an engine that runs an item."""
         return {**item.headers, "Host": spec.host}
 
+    def reward_call_headers(self, call: RewardCall) -> dict[str, str]:
+        """Return the headers of the request of an item's reward call."""
+        return {"Host": call.host}
+
+    def read_score(self, headers: Mapping[str, str]) -> str | None:
+        """Return the proof that a backend server adds to its answer."""
+        return headers.get(SERVER_PROOF_HEADER)
+
+    def unknown_batch_job_fields(self, body: bytes) -> set[str]:
+        """Return the names of fields of a valid batch job that have no effect here."""
+        return unknown_fields(body)
+
     def resume_headers(self, after: int) -> dict[str, str]:
         """Return the headers that resume a stream after the event with this number."""
         return {LAST_EVENT_ID_HEADER: str(after)}
--- a/pollenlb/platform/names.py
+++ b/pollenlb/platform/names.py
@@ -21,6 +21,7 @@
 # in percent.
 LOAD_REPORT_HEADER = "X-Load-Report"
 SERVER_ID_HEADER = "X-Instance-Id"  # backend server that answered
+SERVER_PROOF_HEADER = "X-Server-Stamp"  # proof that a server gave the answer
 WEIGHT_VERSION_HEADER = "X-Weight-Versions"  # a single number, despite the plural
 SERVER_LIMIT_HEADER = "Server-Limit"  # requests a second from all entries together
 LAST_EVENT_ID_HEADER = "Last-Event-Id"
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -6,8 +6,11 @@
 from collections import Counter
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
+from result import Err, Ok
+
 from ..clock import Deadline, deadline_in, now, remaining_time_s, sleep_until
 from ..connection.backend import BackendServer
 from ..connection.control_api import BatchWork, WorkView
@@ -23,6 +26,7 @@
     BackendServerName,
     BatchJobId,
     CommandId,
+    GroupName,
     ItemId,
     ModelName,
     ServiceName,
@@ -40,6 +44,7 @@
 from ..request.item_progress import ItemProgress, RunEnd
 from ..version.swap_plan import EngineView, ModelGoal, assign_models
 from .context import EntryContext
+from .reward_calls import RewardCalls, ScoredItem
 
 _PLACEMENT_INTERVAL_S = 0.04
 # An item avoids an engine for this long after a run there that did not complete.
@@ -57,6 +62,8 @@
 _PARTIAL_RETENTION_S = 30.0
 _COMMIT_TIMEOUT_S = 2.0
 _COMMIT_RETRY_DELAY_S = 0.2
+# Pause before a reward call whose answer brought no score is repeated.
+_SCORE_RETRY_DELAY_S = 0.5
 # Postpones the expiry of items, since wall clocks of leaders may jump by seconds.
 _EXPIRY_MARGIN_S = 3.0
 # An item expires after this many failed runs per allowed attempt of its route.
@@ -79,6 +86,8 @@
         Items whose result has not been committed yet.
     has_results : asyncio.Event
         Set when results wait to be committed.
+    missing_items : Counter of GroupName
+        Number of items without a result by group.
     """
 
     spec: BatchJobSpec
@@ -90,6 +99,17 @@
     committing: set[ItemId] = field(default_factory=set)
     has_results: asyncio.Event = field(default_factory=asyncio.Event)
     commit_task: asyncio.Task | None = None
+    missing_items: Counter[GroupName] = field(default_factory=Counter)
+
+    def add(self, progress: ItemProgress) -> None:
+        """Add an item that has no result."""
+        self.items[progress.item.item] = progress
+        self.missing_items[progress.item.group] += 1
+
+    def remove(self, progress: ItemProgress) -> None:
+        """Remove an item that now has a result."""
+        if self.items.pop(progress.item.item, None) is not None:
+            self.missing_items[progress.item.group] -= 1
 
 
 class BatchRunner:
@@ -113,6 +133,7 @@
         self._partials: dict[ItemId, tuple[ItemProgress, Deadline]] = {}
         self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
+        self._reward_calls = RewardCalls(context)
         self._events_per_token = 0.0
         self._refused_at: dict[BackendServerName, float] = {}
         self.engine_became_idle = asyncio.Event()
@@ -142,7 +163,7 @@
             job.spec.model
             for job in self._jobs.values()
             for progress in job.items.values()
-            if progress.server is None
+            if progress.server is None and not progress.output.is_generated
         )
 
     def start(self) -> None:
@@ -243,7 +264,7 @@
         known = work.listed | job.items.keys() | job.committing
         missing = [item for item in spec.items if item.item not in known]
         for item in missing:
-            job.items[item.item] = self._create_progress(item, spec, job.expires_at)
+            job.add(self._create_progress(item, spec, job.expires_at))
         return [item.item for item in missing]
 
     def _create_progress(
@@ -280,6 +301,7 @@
             self._changed.clear()
             self._discard_expired_partials()
             self._discard_stale_refusals()
+            self._start_reward_calls()
             for service, model in {
                 (job.spec.service, job.spec.model) for job in self._jobs.values()
             }:
@@ -299,6 +321,20 @@
         for server in self._refused_at.keys() - self._context.directory.servers.keys():
             del self._refused_at[server]
 
+    def _start_reward_calls(self) -> None:
+        """Start to score the items whose output is complete."""
+        for job in self._jobs.values():
+            for progress in job.items.values():
+                item = progress.item.item
+                if progress.output.is_generated and item not in job.tasks:
+                    task = self._spawn(self._score_item(job, progress))
+                    job.tasks[item] = task
+                    task.add_done_callback(partial(self._on_scored, job, item))
+
+    def _on_scored(self, job: _OwnedJob, item: ItemId, _: asyncio.Task) -> None:
+        job.tasks.pop(item, None)
+        self._changed.set()
+
     def _place(self, service: ServiceName, model: ModelName) -> None:
         jobs = {
             name: job
@@ -308,19 +344,23 @@
         servers = {
             server.name: server for server in self._context.usable_servers(service)
         }
-        waiting_count = sum(len(job.items) - len(job.tasks) for job in jobs.values())
+        waiting_progress = [
+            (name, job, progress)
+            for name, job in jobs.items()
+            for progress in job.items.values()
+            if progress.item.item not in job.tasks and not progress.output.is_generated
+        ]
+        waiting_count = len(waiting_progress)
         for usable in servers.values():
             usable.request_limit.record_waiting_items(waiting_count)
         engines = self._engine_capacities(list(servers.values()), service, model)
         if waiting_count and not any(engine.free_slots for engine in engines):
             return
-        waiting = [
-            _waiting_item(name, job, progress)
+        waiting = [_waiting_item(*waits) for waits in waiting_progress]
+        running = {
+            name: sum(progress.server is not None for progress in job.items.values())
             for name, job in jobs.items()
-            for progress in job.items.values()
-            if progress.item.item not in job.tasks
-        ]
-        running = {name: len(job.tasks) for name, job in jobs.items()}
+        }
         if waiting:
             free = self._context.settings.max_items_in_flight - sum(running.values())
             placed = self._context.place_items(waiting, engines, running)
@@ -502,7 +542,7 @@
         self._context.metrics.items.labels(job.spec.service, end.value).inc()
         if end is RunEnd.COMPLETE:
             self._record_length(progress)
-            self._add_result(job, progress, ItemState.COMPLETED)
+            self._handle_generated(job, progress, server, started_at)
         elif end is RunEnd.IMPOSSIBLE:
             self._add_result(job, progress, ItemState.EXPIRED)
         else:
@@ -518,6 +558,56 @@
                 events=progress.output.events,
             )
 
+    def _handle_generated(
+        self,
+        job: _OwnedJob,
+        progress: ItemProgress,
+        server: BackendServer,
+        started_at: float,
+    ) -> None:
+        """Add the result of an item, unless it must be scored first."""
+        context = self._context
+        if context.item_runner.reward_request(progress, context) is None:
+            self._add_result(job, progress, ItemState.COMPLETED)
+            return
+        context.events.record(
+            "item.generated",
+            item=progress.item.item,
+            batch_job=job.spec.batch_job,
+            server=server.name,
+            events=progress.output.events,
+            seconds=round(now() - started_at, 3),
+        )
+
+    async def _score_item(self, job: _OwnedJob, progress: ItemProgress) -> None:
+        context = self._context
+        request = context.item_runner.reward_request(progress, context)
+        if request is None:
+            self._add_result(job, progress, ItemState.COMPLETED)
+            return
+        scored = ScoredItem(
+            progress.item.item,
+            progress.item.group,
+            job.due_at,
+            progress.expires_at,
+            job.spec.max_attempts,
+            job.missing_items,
+        )
+        match await self._reward_calls.run(request, scored):
+            case Ok(answer):
+                if context.item_runner.record_score(progress, answer, context):
+                    self._add_result(job, progress, ItemState.COMPLETED)
+                else:
+                    await sleep_until(deadline_in(_SCORE_RETRY_DELAY_S))
+            case Err(failure):
+                context.events.record(
+                    "item.not_scored",
+                    item=progress.item.item,
+                    batch_job=job.spec.batch_job,
+                    reason=failure.reason,
+                )
+                self._add_result(job, progress, ItemState.EXPIRED)
+
     def _handle_incomplete_run(
         self,
         job: _OwnedJob,
@@ -561,7 +651,7 @@
     def _add_result(
         self, job: _OwnedJob, progress: ItemProgress, state: ItemState
     ) -> None:
-        job.items.pop(progress.item.item, None)
+        job.remove(progress)
         job.results.append(progress.result(state))
         job.committing.add(progress.item.item)
         job.has_results.set()
@@ -587,8 +677,8 @@
         for result in results:
             job.committing.discard(result.item)
             if not result.is_fresh(job.spec.least_version):
-                job.items[result.item] = self._create_progress(
-                    items[result.item], job.spec, job.expires_at
+                job.add(
+                    self._create_progress(items[result.item], job.spec, job.expires_at)
                 )
                 self._changed.set()
 
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -69,6 +69,8 @@
         Retry budget by service.
     latencies : dict
         Recent latencies by service.
+    reported_fields : set of str
+        Names of batch jobs' fields without effect that were logged.
     limit_waiting : Counter
         Number of requests that wait for the limits of backend servers, by service.
     choose : ChoicePolicy
@@ -105,6 +107,7 @@
     retry_budgets: dict[ServiceName, RetryBudget]
     latencies: dict[ServiceName, RecentLatencies]
     announced_servers: set[BackendServerName]
+    reported_fields: set[str] = field(default_factory=set)
     limit_waiting: Counter[ServiceName] = field(default_factory=Counter)
     choose: ChoicePolicy = choose_server
     admit: AdmissionPolicy = admissible_servers
--- a/pollenlb/process/metrics.py
+++ b/pollenlb/process/metrics.py
@@ -35,6 +35,12 @@
         self.items = self._counter(
             "items", "Runs of items of batch jobs by end", "service end"
         )
+        self.reward_calls = self._counter(
+            "reward_calls", "Attempts of reward calls by service and end", "service end"
+        )
+        self.unknown_fields = self._counter(
+            "unknown_fields", "Batch jobs with a field that has no effect", "field"
+        )
         self.in_flight = Gauge(
             "pollenlb_in_flight", "Requests in flight", registry=self._registry
         )
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -12,10 +12,12 @@
 
 from ..clock import Deadline, now, remaining_time_s
 from ..connection.backend import BackendServer
+from ..connection.bodies import read_body
 from ..connection.sessions import ConnectionLostError, SendTracker
 from ..ids import BootId, RequestId
 from ..settings.entry import EntrySettings
 from .dialect import AnswerHead, Dialect
+from .event_blocks import MAX_OUTPUT_BYTES
 from .outcome import Outcome
 
 SEND_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
@@ -148,6 +150,48 @@
     return _check_head(server, response, head)
 
 
+async def read_complete_body(
+    answer: Answer, deadline: Deadline
+) -> Result[bytes, AttemptFailure]:
+    """Return the complete body of an answer whose head was received.
+
+    The connection is closed unless the body is complete.
+
+    Parameters
+    ----------
+    answer : Answer
+        The answer; its body must not have been read.
+    deadline : Deadline
+        When reading is given up.
+    """
+    response = answer.response
+    try:
+        async with asyncio.timeout(remaining_time_s(deadline)):
+            body = await read_body(response.content, MAX_OUTPUT_BYTES)
+    except SEND_ERRORS as error:
+        response.close()
+        reason = (
+            f"reading the answer of {answer.server.name}, limited by the request's "
+            f"deadline, failed: {str(error) or type(error).__name__}"
+        )
+        return Err(
+            AttemptFailure(
+                Outcome.UNKNOWN, reason, is_timeout=isinstance(error, TimeoutError)
+            )
+        )
+    except BaseException:
+        response.close()
+        raise
+    response.release()
+    length = response.content_length
+    if response.method != "HEAD" and length is not None and length != len(body):
+        reason = (
+            f"{answer.server.name} sent {len(body)} of {length} bytes of its answer"
+        )
+        return Err(AttemptFailure(Outcome.UNKNOWN, reason))
+    return Ok(body)
+
+
 def _client_timeout(attempt: Attempt, settings: EntrySettings) -> aiohttp.ClientTimeout:
     return aiohttp.ClientTimeout(
         # aiohttp takes a total of 0 for no timeout.
--- a/pollenlb/request/batch_job.py
+++ b/pollenlb/request/batch_job.py
@@ -6,7 +6,7 @@
 
 from ..clock import Deadline, deadline_in
 from ..connection.control_api import BatchJobRead, ReadBatchJob, ReadItem
-from ..durable.batch_job_commands import EndBatchJob, SubmitBatchJob
+from ..durable.batch_job_commands import BatchJobSpec, EndBatchJob, SubmitBatchJob
 from ..durable.command_base import Refused
 from ..exceptions import CommandInDoubtError, ControlError
 from ..ids import BatchJobId, CommandId, ItemId
@@ -19,6 +19,9 @@
 _SUBMIT_TIMEOUT_S = 3.0
 _READ_TIMEOUT_S = 2.0
 _RETRY_AFTER_S = 0.3
+# Field names come from callers, and each is kept for the life of the process.
+_MAX_REPORTED_FIELD_COUNT = 50
+_OTHER_FIELDS = "(others)"
 
 
 async def submit_batch_job(
@@ -36,6 +39,7 @@
     spec = context.dialect.read_batch_job(
         caller.http_request, body, caller.route, context.settings
     )
+    _report_unknown_fields(spec, body, context)
     command = SubmitBatchJob(spec, context.identity.boot)
     command_id = CommandId(f"batch-job-{spec.batch_job}")
     deadline = Deadline(min(caller.deadline, deadline_in(_SUBMIT_TIMEOUT_S)))
@@ -55,6 +59,22 @@
     return context.dialect.batch_job_accepted(spec)
 
 
+def _report_unknown_fields(
+    spec: BatchJobSpec, body: bytes, context: EntryContext
+) -> None:
+    """Count the fields that have no effect, and log each name once."""
+    reported = context.reported_fields
+    for name in sorted(context.dialect.unknown_batch_job_fields(body)):
+        if name not in reported and len(reported) >= _MAX_REPORTED_FIELD_COUNT:
+            name = _OTHER_FIELDS
+        context.metrics.unknown_fields.labels(name).inc()
+        if name not in reported:
+            reported.add(name)
+            context.events.record(
+                "batch_job.unknown_field", batch_job=spec.batch_job, field=name
+            )
+
+
 async def read_batch_job(
     name: BatchJobId, after: int, wait_s: float, context: EntryContext
 ) -> BatchJobRead:
--- a/pollenlb/request/dialect.py
+++ b/pollenlb/request/dialect.py
@@ -17,7 +17,7 @@
 
 from ..clock import Deadline
 from ..connection.backend_api import ProbeAnswer
-from ..durable.batch_job_commands import BatchItem, BatchJobSpec
+from ..durable.batch_job_commands import BatchItem, BatchJobSpec, RewardCall
 from ..durable.configuration_commands import Announcement
 from ..ids import BackendServerName, BootId, RequestId, RequestKey, WeightVersion
 from ..settings.cluster import RouteSettings
@@ -208,6 +208,18 @@
     def item_headers(self, item: BatchItem, spec: BatchJobSpec) -> dict[str, str]:
         """Return the headers of the request that runs an item of a batch job."""
 
+    def reward_call_headers(self, call: RewardCall) -> dict[str, str]:
+        """Return the headers of the request of an item's reward call."""
+
+    def read_score(self, headers: Mapping[str, str]) -> str | None:
+        """Return the score in the headers of a reward call's answer.
+
+        None when the headers bring none.
+        """
+
+    def unknown_batch_job_fields(self, body: bytes) -> set[str]:
+        """Return the names of fields of a valid batch job that have no effect here."""
+
     def resume_headers(self, after: int) -> dict[str, str]:
         """Return the request headers that resume a stream after an event number.
 
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -17,6 +17,7 @@
 from .event_blocks import MAX_OUTPUT_BYTES, StreamTooLongError, iter_event_blocks
 from .item_progress import ItemOutput, ItemProgress, RunEnd
 from .outcome import Outcome
+from .reward_call import RewardAnswer, RewardRequest
 
 _REJECTED_STATUS = 422  # the engine can never run the request
 _FAILED_STATUS = 500
@@ -38,12 +39,18 @@
         Weight versions that generated the events, each once.
     software : SoftwareVersion or None
         Software version that generated the events; None without events.
+    is_generated : bool
+        Whether the last event has been received.
+    score : str or None
+        Score from the item's reward call; None before, or without such a call.
     """
 
     event_data: list[str] = field(default_factory=list)
     last_event_number: int | None = None
     versions: list[WeightVersion] = field(default_factory=list)
     software: SoftwareVersion | None = None
+    is_generated: bool = False
+    score: str | None = None
 
     @property
     def events(self) -> int:
@@ -69,6 +76,8 @@
         self.versions.clear()
         self.last_event_number = None
         self.software = None
+        self.is_generated = False
+        self.score = None
 
     def content(self) -> bytes:
         """Return the data of all events in order, separated by line feeds."""
@@ -121,7 +130,32 @@
                 events=output.events,
             )
         with server.load.track_request(is_long=True):
-            return await _run_attempt(progress, attempt, server, context)
+            end = await _run_attempt(progress, attempt, server, context)
+        output.is_generated = end is RunEnd.COMPLETE
+        return end
+
+    def reward_request(
+        self, progress: ItemProgress, context: EntryContext
+    ) -> RewardRequest | None:
+        """Return the reward call that came with the item; None without one."""
+        call = progress.item.reward
+        if call is None:
+            return None
+        return RewardRequest(
+            request_id=call.request_id,
+            host=call.host,
+            path=call.path,
+            headers=context.dialect.reward_call_headers(call),
+            body=call.body,
+        )
+
+    def record_score(
+        self, progress: ItemProgress, answer: RewardAnswer, context: EntryContext
+    ) -> bool:
+        """Record the score in an answer's headers; return whether there is one."""
+        score = context.dialect.read_score(answer.headers)
+        _output_of(progress).score = score
+        return score is not None
 
 
 def _output_of(progress: ItemProgress) -> EventOutput:
--- a/pollenlb/request/item_progress.py
+++ b/pollenlb/request/item_progress.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from ..process.context import EntryContext
+    from .reward_call import RewardAnswer, RewardRequest
 
 
 class RunEnd(Enum):
@@ -68,6 +69,14 @@
     def software(self) -> SoftwareVersion | None:
         """Software version that generated the output; None without output."""
 
+    @property
+    def is_generated(self) -> bool:
+        """Whether the output is complete; only its score may be missing."""
+
+    @property
+    def score(self) -> str | None:
+        """Score of the output, as the result states it beside its content."""
+
     def start_over(self) -> None:
         """Discard the output, so that the next run starts from the beginning."""
 
@@ -84,7 +93,20 @@
     async def run(
         self, progress: ItemProgress, server: BackendServer, context: EntryContext
     ) -> RunEnd:
-        """Run an item at an engine, resuming an earlier interrupted run."""
+        """Generate an item's output, resuming an earlier interrupted run.
+
+        After ``COMPLETE`` the output is generated.
+        """
+
+    def reward_request(
+        self, progress: ItemProgress, context: EntryContext
+    ) -> RewardRequest | None:
+        """Return the reward call of a generated output; None if it is not scored."""
+
+    def record_score(
+        self, progress: ItemProgress, answer: RewardAnswer, context: EntryContext
+    ) -> bool:
+        """Record the score that an answer brings; return False if it brings none."""
 
 
 @dataclass
@@ -104,8 +126,7 @@
     failed_runs : int
         Number of runs that the engine ended with an error.
     interrupted_runs : int
-        Number of runs that ended ``BROKEN`` or ``SILENT``, which includes failed
-        scoring.
+        Number of runs that ended ``BROKEN`` or ``SILENT``.
     server : BackendServerName or None
         Engine that runs the item now.
     avoided : dict
@@ -151,5 +172,8 @@
         if state is ItemState.EXPIRED:
             return ItemResult(self.item.item, state)
         return ItemResult.completed(
-            self.item.item, self.output.content(), sorted(self.output.versions)
+            self.item.item,
+            self.output.content(),
+            sorted(self.output.versions),
+            self.output.score,
         )
--- a/pollenlb/request/native_dialect.py
+++ b/pollenlb/request/native_dialect.py
@@ -18,7 +18,7 @@
     ProbeAnswer,
 )
 from ..connection.probe import probe_server
-from ..durable.batch_job_commands import BatchItem, BatchJobSpec
+from ..durable.batch_job_commands import BatchItem, BatchJobSpec, RewardCall
 from ..durable.configuration_commands import Announcement
 from ..ids import BackendServerName, BootId, RequestId, ServiceName
 from ..settings.cluster import RouteSettings
@@ -161,6 +161,18 @@
         """Return the headers of the request that runs an item of a batch job."""
         return dict(item.headers)
 
+    def reward_call_headers(self, call: RewardCall) -> dict[str, str]:
+        """Return the headers of the request of an item's reward call."""
+        return {"Host": call.host}
+
+    def read_score(self, headers: Mapping[str, str]) -> str | None:
+        """Return None: scores are in the bodies of answers in this protocol."""
+        return None
+
+    def unknown_batch_job_fields(self, body: bytes) -> set[str]:
+        """Return nothing, as there are no batch jobs in this protocol."""
+        return set()
+
     def resume_headers(self, after: int) -> dict[str, str]:
         """Raise ``ValueError``: completions are resumed through their bodies."""
         raise ValueError("the native protocol does not support numbered events")
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -11,13 +11,18 @@
 
 from ..clock import Deadline, deadline_in, now, remaining_time_s
 from ..connection.backend import BackendServer
-from ..connection.bodies import read_body
 from ..ids import BackendServerName
 from ..process.context import EntryContext
-from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailure, send_attempt
+from .attempt import (
+    SEND_ERRORS,
+    Answer,
+    Attempt,
+    AttemptFailure,
+    read_complete_body,
+    send_attempt,
+)
 from .caller_request import CallerRequest, RequestClass
 from .dialect import Dialect
-from .event_blocks import MAX_OUTPUT_BYTES
 from .hedging import send_hedged
 from .outcome import Outcome, Refusal, RefusedError
 from .retries import Retries, RetryPolicy
@@ -201,32 +206,13 @@
     is_small = length is not None and length <= context.settings.replay_body_bytes
     if not is_small and caller.key is None:
         return Ok(answer)
-    try:
-        async with asyncio.timeout(remaining_time_s(caller.deadline)):
-            body = await read_body(response.content, MAX_OUTPUT_BYTES)
-    except SEND_ERRORS as error:
-        response.close()
-        reason = (
-            f"reading the answer of {answer.server.name}, limited by the request's "
-            f"deadline, failed: {str(error) or type(error).__name__}"
-        )
-        return Err(
-            AttemptFailure(
-                Outcome.UNKNOWN, reason, is_timeout=isinstance(error, TimeoutError)
-            )
-        )
-    response.release()
+    body = await read_complete_body(answer, caller.deadline)
+    if isinstance(body, Err):
+        return body
     headers = answer_headers(response, context.dialect)
-    if (
-        caller.http_request.method != "HEAD"
-        and length is not None
-        and length != len(body)
-    ):
-        reason = (
-            f"{answer.server.name} sent {len(body)} of {length} bytes of its answer"
-        )
-        return Err(AttemptFailure(Outcome.UNKNOWN, reason))
-    return Ok(CompleteAnswer(response.status, headers, body, answer.server.name))
+    return Ok(
+        CompleteAnswer(response.status, headers, body.ok_value, answer.server.name)
+    )
 
 
 async def _stream_answer(
--- /dev/null
+++ b/pollenlb/request/reward_placement.py
@@ -0,0 +1,109 @@
+"""Schedules reward calls: which are sent next, and to which servers."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Hashable, Sequence
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from ..clock import Deadline
+from ..ids import BackendServerName
+
+K = TypeVar("K", bound=Hashable)
+
+
+@dataclass(frozen=True)
+class WaitingCall(Generic[K]):
+    """A reward call that is ready to be sent.
+
+    Attributes
+    ----------
+    key : hashable
+        Identifies the call to the caller of ``place_reward_calls``.
+    due_at : Deadline
+        When the results of its batch job are due.
+    missing_items : int
+        Items of its group that have no result yet, this one included.
+    avoided : frozenset of BackendServerName
+        Servers that recently failed to answer the call.
+    """
+
+    key: K
+    due_at: Deadline
+    missing_items: int
+    avoided: frozenset[BackendServerName] = frozenset()
+
+
+@dataclass
+class ScorerCapacity:
+    """Slots of a server that answers reward calls.
+
+    Attributes
+    ----------
+    server : BackendServerName
+        The server.
+    slots : int
+        Number of requests that it runs concurrently.
+    used_slots : int
+        Number of slots that are in use or reserved for requests of callers; rises
+        as calls are placed.
+    slowness : float
+        Time that work takes as a multiple of the usual time.
+    allowed_starts : float
+        Number of requests that the server's limit allows now; falls as calls are
+        placed, and is infinite without a limit.
+    """
+
+    server: BackendServerName
+    slots: int
+    used_slots: int
+    slowness: float = 1.0
+    allowed_starts: float = math.inf
+
+    @property
+    def is_free(self) -> bool:
+        """Whether the server can start another call now."""
+        return self.used_slots < self.slots and self.allowed_starts >= 1
+
+    @property
+    def cost(self) -> float:
+        """Expected relative time of the next call: 1 at an idle server of usual speed.
+
+        A full server of usual speed costs 2.
+        """
+        return self.slowness * (1 + self.used_slots / self.slots)
+
+
+def place_reward_calls(
+    waiting: Sequence[WaitingCall[K]], servers: Sequence[ScorerCapacity]
+) -> list[tuple[K, BackendServerName]]:
+    """Return the keys of the calls to send now, each with its server.
+
+    The texts of a step are completed in bursts, and each call takes many times as
+    long as the callers' requests at the same servers. So calls wait here and not in
+    a server's queue, and leave the slots alone that are reserved for callers.
+
+    A trainer uses complete groups, so the batch job with the earlier due time comes
+    first, and within it the group that lacks the fewest results.
+
+    Parameters
+    ----------
+    waiting : sequence of WaitingCall
+        Calls to one service, in the order in which they became ready.
+    servers : sequence of ScorerCapacity
+        Servers of that service; changed in place.
+    """
+    placed: list[tuple[K, BackendServerName]] = []
+    for call in sorted(waiting, key=lambda call: (call.due_at, call.missing_items)):
+        free = [server for server in servers if server.is_free]
+        if not free:
+            break
+        eligible = [server for server in free if server.server not in call.avoided]
+        if not eligible:
+            continue
+        chosen = min(eligible, key=lambda server: server.cost)
+        chosen.used_slots += 1
+        chosen.allowed_starts -= 1
+        placed.append((call.key, chosen.server))
+    return placed
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -2,32 +2,26 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass
 from typing import Any, cast
 
 import msgspec
-from result import Err, Ok
 
-from ..clock import Deadline, deadline_in, now, remaining_time_s, sleep_until
+from ..clock import deadline_in, now
 from ..connection.backend import BackendServer
 from ..connection.trainer_messages import SampleBody
 from ..durable.batch_job_commands import BatchItem, BatchJobSpec, SampleParameters
-from ..ids import RequestId, ServiceName, SoftwareVersion, WeightVersion, new_id
+from ..ids import RequestId, SoftwareVersion, WeightVersion, new_id
 from ..process.context import EntryContext
-from .attempt import SEND_ERRORS, Attempt, AttemptFailure, send_attempt
+from .attempt import AttemptFailure
 from .caller_request import RequestClass
 from .generation import AttemptError, Generation, generate_at
 from .item_progress import ItemOutput, ItemProgress, RunEnd
 from .outcome import Outcome, RefusedError
+from .reward_call import RewardAnswer, RewardRequest
 
 SAMPLE_TIMEOUT_S = 600.0
-_SCORE_TIMEOUT_S = 30.0
 _SCORE_PATH = "/score"
-_MAX_SCORE_ATTEMPT_COUNT = 5
-_SCORE_RETRY_DELAY_S = 0.2
-_MAX_SCORE_BYTES = 65_536
-_LIMIT_POLL_INTERVAL_S = 0.1
 
 
 class _ScoreAnswer(msgspec.Struct):
@@ -50,14 +44,14 @@
         Prompt of the sample.
     is_generated : bool
         Whether all tokens are generated; only the score may be missing.
-    score : float or None
+    sample_score : float or None
         Score from the scoring service; None before, or without such a service.
     """
 
     generation: Generation
     prompt: str
     is_generated: bool = False
-    score: float | None = None
+    sample_score: float | None = None
 
     @property
     def events(self) -> int:
@@ -74,11 +68,16 @@
         """Software version that generated the tokens; None without tokens."""
         return self.generation.software
 
+    @property
+    def score(self) -> str | None:
+        """None: the content of a sample contains its score."""
+        return None
+
     def start_over(self) -> None:
         """Discard the output and the score."""
         self.generation.start_over()
         self.is_generated = False
-        self.score = None
+        self.sample_score = None
 
     def content(self) -> bytes:
         """Return the encoded ``SampleBody`` that the trainer receives."""
@@ -91,7 +90,7 @@
                 spans=generation.spans,
                 finish_reason=generation.finish_reason or "",
                 request_id=generation.request_id,
-                score=self.score,
+                score=self.sample_score,
             )
         )
 
@@ -113,7 +112,7 @@
     async def run(
         self, progress: ItemProgress, server: BackendServer, context: EntryContext
     ) -> RunEnd:
-        """Generate and score a sample, resuming an earlier interrupted run.
+        """Generate a sample, resuming an earlier interrupted run.
 
         Parameters
         ----------
@@ -125,18 +124,42 @@
             Parts of the entry process.
         """
         sample = cast(Sample, progress.output)
-        if not sample.is_generated:
-            if not context.may_continue(sample.software, server):
-                sample.start_over()
-            end = await _generate(sample, progress, server, context)
-            if end is not RunEnd.COMPLETE or not sample.is_generated:
-                return end
-        progress.server = None
-        parameters = _sample_parameters(progress.spec)
-        if parameters.scorer is None:
-            return RunEnd.COMPLETE
-        sample.score = await _score(sample, parameters, context)
-        return RunEnd.COMPLETE if sample.score is not None else RunEnd.BROKEN
+        if not context.may_continue(sample.software, server):
+            sample.start_over()
+        return await _generate(sample, progress, server, context)
+
+    def reward_request(
+        self, progress: ItemProgress, context: EntryContext
+    ) -> RewardRequest | None:
+        """Return the reward call of a sample; None when its job names no scorer."""
+        sample = cast(Sample, progress.output)
+        scorer = _sample_parameters(progress.spec).scorer
+        if scorer is None:
+            return None
+        body = {"prompt": sample.prompt, "text": sample.generation.generated_text}
+        return RewardRequest(
+            request_id=RequestId(f"{sample.generation.request_id}/score"),
+            host="",
+            path=_SCORE_PATH,
+            headers={"Content-Type": "application/json"},
+            body=msgspec.json.encode(body),
+            service=scorer,
+            may_be_given_up=False,
+        )
+
+    def record_score(
+        self, progress: ItemProgress, answer: RewardAnswer, context: EntryContext
+    ) -> bool:
+        """Record the score in an answer's body; return whether there is one."""
+        try:
+            decoded = _decode_score(answer.body)
+        except msgspec.MsgspecError as error:
+            context.events.record(
+                "score.invalid", item=progress.item.item, reason=str(error)
+            )
+            return False
+        cast(Sample, progress.output).sample_score = decoded.score
+        return True
 
 
 def completion_request(item: BatchItem, spec: BatchJobSpec) -> dict[str, Any]:
@@ -219,75 +242,3 @@
     if failure.outcome is Outcome.NOT_RUN:
         return RunEnd.NOT_RUN
     return RunEnd.SILENT if failure.is_timeout else RunEnd.BROKEN
-
-
-async def _score(
-    sample: Sample, parameters: SampleParameters, context: EntryContext
-) -> float | None:
-    generation = sample.generation
-    body = {"prompt": sample.prompt, "text": generation.generated_text}
-    deadline = deadline_in(_SCORE_TIMEOUT_S)
-    for number in range(_MAX_SCORE_ATTEMPT_COUNT):
-        attempt = Attempt(
-            request_id=RequestId(f"{generation.request_id}/score{number}"),
-            method="POST",
-            path=_SCORE_PATH,
-            headers={"Content-Type": "application/json"},
-            body=msgspec.json.encode(body),
-            deadline=deadline,
-        )
-        score = await _request_score(attempt, parameters, context)
-        if score is not None or not remaining_time_s(deadline):
-            return score
-        await asyncio.sleep(_SCORE_RETRY_DELAY_S)
-    return None
-
-
-async def _choose_scorer(
-    service: ServiceName, deadline: Deadline, context: EntryContext
-) -> BackendServer | None:
-    """Return a server of the scoring service once its limit allows a request."""
-    while remaining_time_s(deadline):
-        servers = context.usable_servers(service)
-        for server in servers:
-            server.request_limit.record_demand()
-        within = [server for server in servers if server.request_limit.may_send]
-        if within:
-            chosen = context.choose(within, context.rng)
-            chosen.request_limit.spend()
-            return chosen
-        if not servers:
-            return None
-        await sleep_until(deadline_in(_LIMIT_POLL_INTERVAL_S))
-    return None
-
-
-async def _request_score(
-    attempt: Attempt, parameters: SampleParameters, context: EntryContext
-) -> float | None:
-    assert parameters.scorer is not None
-    server = await _choose_scorer(parameters.scorer, attempt.deadline, context)
-    if server is None:
-        return None
-    match await send_attempt(
-        attempt, server, context.session, context.settings, context.dialect
-    ):
-        case Ok(answer) if answer.response.status == 200:
-            try:
-                body = await answer.response.content.read(_MAX_SCORE_BYTES)
-                return _decode_score(body).score
-            except (*SEND_ERRORS, msgspec.MsgspecError) as error:
-                reason = str(error) or type(error).__name__
-            finally:
-                answer.response.release()
-        case Ok(answer):
-            answer.response.close()
-            reason = (
-                f"scoring service answered with HTTP status {answer.response.status}"
-            )
-        case Err(failure):
-            reason = failure.reason
-    context.events.record(
-        "score.failed", request=attempt.request_id, server=server.name, reason=reason
-    )
-    return None
--- a/tests/platform/platform_system.py
+++ b/tests/platform/platform_system.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from fakes.platform_engine import PlatformEngine
+from fakes.platform_scorer import PlatformScorer
 from fakes.ports import free_ports
 from pollenlb.commands.control import format_bootstrap_folder
 from pollenlb.platform.control import make_control_application
@@ -129,6 +130,7 @@
         self.controls: list[ControlProcess] = []
         self.entries: list[EntryProcess] = []
         self.engines: list[PlatformEngine] = []
+        self.scorers: list[PlatformScorer] = []
         self.control_urls: list[str] = []
         self.session: aiohttp.ClientSession
 
@@ -150,8 +152,8 @@
 
     async def stop(self) -> None:
         """Stop all processes."""
-        for engine in self.engines:
-            await engine.stop()
+        for server in [*self.engines, *self.scorers]:
+            await server.stop()
         for entry in self.entries:
             entry._settings.values["shutdown_grace_s"] = 0.0
             await entry.stop()
@@ -224,6 +226,19 @@
         self.engines.append(engine)
         return engine
 
+    async def add_scorer(self, name: str, service: str = "scorers") -> PlatformScorer:
+        """Start a fake service of reward calls, and wait until the entries know it."""
+        (port,) = free_ports(1)
+        scorer = PlatformScorer(name, service, port, list(self.control_urls), "")
+        await scorer.start()
+        self.scorers.append(scorer)
+        await wait_until(
+            lambda: all(
+                name in entry.context.directory.servers for entry in self.entries
+            )
+        )
+        return scorer
+
     async def crash_entry(self, number: int) -> None:
         """Stop an entry as a crash would and remove it from ``entries``."""
         entry = self.entries.pop(number)
--- a/tests/system/test_samples.py
+++ b/tests/system/test_samples.py
@@ -242,3 +242,24 @@
     (step,) = system.leader.machine.state.batch_jobs.batch_jobs.values()
     boots = [entry.context.identity.boot for entry in system.entries]
     return boots.index(step.owner)
+
+
+async def test_samples_are_scored_by_the_service_that_their_job_names(
+    start_system, open_client
+):
+    system = await start_system(engines=2, plain_services=2)
+    client = await open_client(system)
+    await client.create_job(
+        JobBody(
+            "job", "model", _GROUP_SIZE, _GROUP_COUNT, 1, _MAX_TOKENS, scorer="shop"
+        )
+    )
+    await client.set_version("job", 1)
+    prompts = [f"prompt {number}" for number in range(_GROUP_COUNT)]
+    await client.submit_step("job", 0, prompts)
+    await wait_until(lambda: any(engine.generated_tokens for engine in system.engines))
+    await system.plain_services[0].stop()
+    batch = await client.pull("job", 1)
+    for delivered in batch.samples:
+        assert delivered.sample.score == len(delivered.sample.text)
+    _check_batch(batch, system, 1)
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -97,6 +97,7 @@
     ItemResult,
     ItemsCommitted,
     ItemState,
+    RewardCall,
     SampleParameters,
     SampleSlot,
     SubmitBatchJob,
@@ -192,7 +193,7 @@
 from pollenlb.platform import names
 from pollenlb.platform.__main__ import SETTINGS_PATH_VARIABLE
 from pollenlb.platform.announcements import LoadedModel, _Deregistration, _Heartbeat
-from pollenlb.platform.batch_jobs import _BatchJob, _Item
+from pollenlb.platform.batch_jobs import _BatchJob, _FieldNames, _Item, _Scorer
 from pollenlb.platform.configuration import (
     _Configuration,
     _Engine,
@@ -221,6 +222,7 @@
 )
 from pollenlb.request.outcome import Outcome, Refusal
 from pollenlb.request.passthrough import CompleteAnswer
+from pollenlb.request.reward_call import RewardCallEnd, RewardCallFailure
 from pollenlb.request.sample import _ScoreAnswer
 from pollenlb.settings.cluster import ClusterSettings, RouteSettings, ServiceSettings
 from pollenlb.settings.control import ControlSettings, MemberSettings
@@ -298,6 +300,7 @@
     ("version_body", VersionBody, JSON),
     ("assign_batch_jobs", AssignBatchJobs, MSGPACK),
     ("batch_item", BatchItem, MSGPACK),
+    ("reward_call", RewardCall, MSGPACK),
     ("batch_job_accepted", BatchJobAccepted, MSGPACK),
     ("batch_job_spec", BatchJobSpec, MSGPACK),
     ("commit_items", CommitItems, MSGPACK),
@@ -387,6 +390,7 @@
     ("platform_heartbeat", _Heartbeat, JSON),
     ("platform_batch_job", _BatchJob, JSON),
     ("platform_item", _Item, JSON),
+    ("platform_scorer", _Scorer, JSON),
     ("platform_configuration", _Configuration, JSON),
     ("platform_engine", _Engine, JSON),
     ("platform_model", _Model, JSON),
@@ -419,6 +423,8 @@
     # Returned by calls within a process.
     AnswerHead,
     AttemptFailure,
+    RewardCallFailure,
+    _FieldNames,
     CallFailure,
     NumberedEvent,
     QueryFailure,
@@ -448,6 +454,7 @@
     (RequestClass, {"interactive", "long", "short"}),
     (Retirement, {"completed", "running", "too-few", "unknown"}),
     (Role, {"follower", "leader", "unformatted"}),
+    (RewardCallEnd, {"failed", "impossible", "interrupted", "not-run"}),
     (
         RunEnd,
         {
@@ -678,6 +685,14 @@
 pollenlb_items_total{end="b",service="a"} 1.0
 # TYPE pollenlb_items_created
 pollenlb_items_created{end="b",service="a"}
+# TYPE pollenlb_reward_calls_total counter
+pollenlb_reward_calls_total{end="b",service="a"} 1.0
+# TYPE pollenlb_reward_calls_created
+pollenlb_reward_calls_created{end="b",service="a"}
+# TYPE pollenlb_unknown_fields_total counter
+pollenlb_unknown_fields_total{field="a"} 1.0
+# TYPE pollenlb_unknown_fields_created
+pollenlb_unknown_fields_created{field="a"}
 # TYPE pollenlb_in_flight gauge
 pollenlb_in_flight 2.0
 """
@@ -963,6 +978,8 @@
     metrics.hedges.labels("a").inc()
     metrics.samples.labels("a", "b").inc()
     metrics.items.labels("a", "b").inc()
+    metrics.reward_calls.labels("a", "b").inc()
+    metrics.unknown_fields.labels("a").inc()
     metrics.in_flight.set(2)
     lines = metrics.exposition().decode().splitlines()
     stable_lines = [
