Save the output of long items in the log, so that a new owner goes on from it

Trainers saw: when the owner of a batch job died or left, its long items were generated from the start at the next owner, and a text that only lacked its score was generated again.

Cause: partial output was kept only in the memory of its owner.

Change: an owner saves the output of an item that has generated for 1.5 s since the last time, with its versions and software version, and all output when it leaves. The new owner, or a later batch job with the same item, goes on from there where the versions allow it. A former owner cannot replace what the present one saved, and saved output goes with the result.

Ruled out: to save each text before its score. The reward call takes 0.2 s at the median, so this would store every text twice to save 0.2 to 1.5 s of work.

Tests: a crashed owner, a draining owner, a text without its score, a later batch job, weights that are too old; all but the last fail without the change, as the item runs from the start again.

--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..durable.batch_job_commands import BatchJobSpec, ItemResult
+from ..durable.batch_job_commands import BatchJobSpec, ItemResult, SavedOutput
 from ..durable.commands import AnyCommand, AnyResult
 from ..durable.configuration_commands import Announcement, Change
 from ..durable.job_commands import JobSettings
@@ -167,11 +167,14 @@
         Items that already have a result.
     age_s : float
         Seconds since it was submitted.
+    saved : list of SavedOutput
+        Output of items without a result that an earlier owner saved.
     """
 
     spec: BatchJobSpec
     listed: set[ItemId]
     age_s: float
+    saved: list[SavedOutput] = []
 
 
 class WorkView(msgspec.Struct, frozen=True):
--- a/pollenlb/durable/batch_job_commands.py
+++ b/pollenlb/durable/batch_job_commands.py
@@ -17,6 +17,7 @@
     ModelName,
     RequestId,
     ServiceName,
+    SoftwareVersion,
     StepNumber,
     WeightVersion,
 )
@@ -252,6 +253,92 @@
         return not self.versions or min(self.versions) >= min_version
 
 
+class SavedOutput(msgspec.Struct, frozen=True):
+    """Output of an item without a result, from which another process goes on.
+
+    Attributes
+    ----------
+    item : ItemId
+        The item.
+    packed : bytes
+        Data of all events so far in order, as a list; compressed with zlib.
+    last_event_number : int
+        Number of the last event.
+    versions : list of WeightVersion
+        Weight versions that generated it, each once, in the order of their use.
+    software : SoftwareVersion
+        Software version of the server that generated it.
+    is_generated : bool
+        Whether it is complete, so that only its score is missing.
+    """
+
+    item: ItemId
+    packed: bytes
+    last_event_number: int
+    versions: list[WeightVersion]
+    software: SoftwareVersion
+    is_generated: bool
+
+    @classmethod
+    def pack(
+        cls,
+        item: ItemId,
+        event_data: list[str],
+        last_event_number: int,
+        versions: list[WeightVersion],
+        software: SoftwareVersion,
+        is_generated: bool,
+    ) -> SavedOutput:
+        """Return the output of an item with its events compressed.
+
+        Parameters
+        ----------
+        item : ItemId
+            The item.
+        event_data : list of str
+            Data of all events so far.
+        last_event_number : int
+            Number of the last event.
+        versions : list of WeightVersion
+            Weight versions that generated it.
+        software : SoftwareVersion
+            Software version that generated it.
+        is_generated : bool
+            Whether it is complete.
+        """
+        encoded = msgspec.msgpack.encode(event_data)
+        return cls(
+            item,
+            zlib.compress(encoded, _COMPRESSION_LEVEL),
+            last_event_number,
+            versions,
+            software,
+            is_generated,
+        )
+
+    @property
+    def event_data(self) -> list[str]:
+        """Data of all events so far, decompressed."""
+        return msgspec.msgpack.decode(zlib.decompress(self.packed), type=list[str])
+
+    def satisfies(self, spec: BatchJobSpec) -> bool:
+        """Return whether a batch job allows the weights that generated it."""
+        if spec.is_single_version and len(self.versions) > 1:
+            return False
+        return all(version >= spec.least_version for version in self.versions)
+
+
+class SaveOutputs(Command, frozen=True):
+    """Stores outputs of items without a result, in place of earlier ones.
+
+    It has no effect unless the owner still runs the batch job.
+    """
+
+    batch_job: BatchJobId
+    owner: BootId
+    outputs: list[SavedOutput]
+
+
 class SubmitBatchJob(Command, frozen=True):
     """Submits a batch job; a repeat of its id has no effect.
 
--- a/pollenlb/durable/batch_jobs.py
+++ b/pollenlb/durable/batch_jobs.py
@@ -17,6 +17,8 @@
     ItemResult,
     ItemsCommitted,
     ItemState,
+    SavedOutput,
+    SaveOutputs,
     SubmitBatchJob,
 )
 from .command_base import Done, Refused
@@ -49,6 +51,8 @@
         Whether it was ended, so that none of its items needs to run any more.
     changed_at : LogIndex
         Log index of the last command that changed what its owner has to run.
+    saved : dict
+        Saved output of items without a result, by item.
     """
 
     spec: BatchJobSpec
@@ -58,6 +62,7 @@
     listed: set[ItemId] = set()
     is_ended: bool = False
     changed_at: LogIndex = LogIndex(0)
+    saved: dict[ItemId, SavedOutput] = {}
 
     @property
     def is_open(self) -> bool:
@@ -96,7 +101,8 @@
         """Add a batch job, unless its id is known.
 
         Items that an earlier batch job has already run get that result at once,
-        if the new job accepts it.
+        if the new job accepts it. Output that was saved of the others goes with
+        them.
 
         Parameters
         ----------
@@ -116,6 +122,7 @@
         for result in self._find_reusable_results(spec):
             batch_job.results.append(result)
             batch_job.listed.add(result.item)
+        self._move_saved_outputs(batch_job)
         self.batch_jobs[spec.batch_job] = batch_job
         self._record_owner_change(command.owner, index)
         return BatchJobAccepted(command.owner)
@@ -138,10 +145,29 @@
                 continue
             batch_job.results.append(result)
             batch_job.listed.add(result.item)
+            batch_job.saved.pop(result.item, None)
         if not batch_job.is_open and batch_job.owner is not None:
             self._record_owner_change(batch_job.owner, index)
         return ItemsCommitted(len(batch_job.listed) - count_before, stale_count)
 
+    def save_outputs(self, command: SaveOutputs) -> AnyResult:
+        """Store outputs of items without a result, if their owner has not changed.
+
+        A former owner must not replace what the present one has saved.
+        """
+        batch_job = self.batch_jobs.get(command.batch_job)
+        if batch_job is None or batch_job.owner != command.owner:
+            return Refused(
+                f"cannot save outputs: {command.owner} does not run batch job "
+                f"{command.batch_job}"
+            )
+        if batch_job.is_open:
+            known_items = {item.item for item in batch_job.spec.items}
+            for output in command.outputs:
+                if output.item in known_items - batch_job.listed:
+                    batch_job.saved[output.item] = output
+        return Done()
+
     def end(self, command: EndBatchJob, index: LogIndex) -> AnyResult:
         """End a batch job; a repeat has no effect."""
         batch_job = self.batch_jobs.get(command.batch_job)
@@ -276,6 +302,23 @@
                     reusable[result.item] = result
         return list(reusable.values())
 
+    def _move_saved_outputs(self, batch_job: BatchJob) -> None:
+        """Move saved output of earlier batch jobs to the same items of a new one."""
+        spec = batch_job.spec
+        requested = {
+            item.item: item for item in spec.items if item.item not in batch_job.listed
+        }
+        for earlier in self.batch_jobs.values():
+            if earlier.spec.model != spec.model:
+                continue
+            for name in earlier.saved.keys() & requested.keys():
+                earlier_item = earlier.find_item(name)
+                if earlier_item is None or earlier_item.body != requested[name].body:
+                    continue
+                output = earlier.saved.pop(name)
+                if output.satisfies(spec):
+                    batch_job.saved[name] = output
+
     def _remove_expired(self, at_ms: int) -> None:
         expired = [
             name
--- a/pollenlb/durable/commands.py
+++ b/pollenlb/durable/commands.py
@@ -11,6 +11,7 @@
     CommitItems,
     EndBatchJob,
     ItemsCommitted,
+    SaveOutputs,
     SubmitBatchJob,
 )
 from .command_base import Done, Refused
@@ -59,6 +60,7 @@
     | ReleaseVersion
     | SubmitBatchJob
     | CommitItems
+    | SaveOutputs
     | EndBatchJob
     | AssignBatchJobs
     | RetireInstance
--- a/pollenlb/durable/state_machine.py
+++ b/pollenlb/durable/state_machine.py
@@ -13,6 +13,7 @@
     CommitItems,
     EndBatchJob,
     ItemsCommitted,
+    SaveOutputs,
     SubmitBatchJob,
 )
 from .batch_jobs import BatchJobTable
@@ -249,6 +250,11 @@
     return result
 
 
+@apply_command.register
+def _(command: SaveOutputs, state: State, position: LogPosition) -> AnyResult:
+    return state.batch_jobs.save_outputs(command)
+
+
 @apply_command.register
 def _(command: EndBatchJob, state: State, position: LogPosition) -> AnyResult:
     return state.batch_jobs.end(command, position.index)
--- a/pollenlb/process/batch_job_service.py
+++ b/pollenlb/process/batch_job_service.py
@@ -149,7 +149,8 @@
     """Return the message from which an entry process runs a batch job."""
     spec = batch_job.spec
     age_s = context.batch_job_age_s(spec.batch_job, batch_job.at_ms)
-    return BatchWork(spec, set(batch_job.listed), age_s)
+    saved = list(batch_job.saved.values())
+    return BatchWork(spec, set(batch_job.listed), age_s, saved)
 
 
 def _limit_to_one_answer(results: list[ItemResult]) -> list[ItemResult]:
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -20,6 +20,8 @@
     CommitItems,
     ItemResult,
     ItemState,
+    SavedOutput,
+    SaveOutputs,
 )
 from ..exceptions import ControlError
 from ..ids import (
@@ -64,6 +66,11 @@
 _COMMIT_RETRY_DELAY_S = 0.2
 # Pause before a reward call whose answer brought no score is repeated.
 _SCORE_RETRY_DELAY_S = 0.5
+# Output is saved once it has taken so long to generate, and then again.
+_UNSAVED_S = 1.5
+_MIN_SAVED_EVENT_COUNT = 5
+_SAVING_INTERVAL_S = 0.25
+_SAVING_TIMEOUT_S = 1.0
 # Postpones the expiry of items, since wall clocks of leaders may jump by seconds.
 _EXPIRY_MARGIN_S = 3.0
 # An item expires after this many failed runs per allowed attempt of its route.
@@ -169,6 +176,7 @@
     def start(self) -> None:
         """Start the task that places items."""
         self._spawn(self._run_placement_loop())
+        self._spawn(self._run_saving_loop())
 
     def wake(self) -> None:
         """Place items at once instead of after the usual interval."""
@@ -206,6 +214,7 @@
             await sleep_until(
                 deadline_in(min(_PLACEMENT_INTERVAL_S, remaining_time_s(deadline)))
             )
+        await self._save_outputs(_MIN_SAVED_EVENT_COUNT)
         for name in list(self._jobs):
             self._context.events.record("batch_job.left", batch_job=name)
             self._release_job(name)
@@ -263,8 +272,11 @@
         spec = work.spec
         known = work.listed | job.items.keys() | job.committing
         missing = [item for item in spec.items if item.item not in known]
+        saved = {output.item: output for output in work.saved}
         for item in missing:
-            job.add(self._create_progress(item, spec, job.expires_at))
+            progress = self._create_progress(item, spec, job.expires_at)
+            _restore_output(progress, saved.get(item.item))
+            job.add(progress)
         return [item.item for item in missing]
 
     def _create_progress(
@@ -312,6 +324,62 @@
                         "items.not_placed", model=model, reason=repr(error)
                     )
 
+    async def _run_saving_loop(self) -> None:
+        while True:
+            await sleep_until(deadline_in(_SAVING_INTERVAL_S))
+            await self._save_outputs(_MIN_SAVED_EVENT_COUNT, _UNSAVED_S)
+
+    async def _save_outputs(self, min_events: int, unsaved_s: float = 0.0) -> None:
+        """Save output that would take long to generate again.
+
+        Parameters
+        ----------
+        min_events : int
+            Change in the number of events below which output is not saved again.
+        unsaved_s : float
+            Seconds since the last time before which it is not saved.
+        """
+        boot = self._context.identity.boot
+        for name, job in list(self._jobs.items()):
+            due = [
+                progress
+                for progress in job.items.values()
+                if abs(progress.output.events - progress.saved_events) >= min_events
+                and now() >= progress.saved_at + unsaved_s
+            ]
+            outputs = {
+                progress.item.item: output
+                for progress in due
+                if (output := progress.output.save(progress.item.item)) is not None
+            }
+            if not outputs:
+                continue
+            events = {progress.item.item: progress.output.events for progress in due}
+            command = SaveOutputs(name, boot, list(outputs.values()))
+            if not await self._propose_saving(command):
+                continue
+            for progress in due:
+                progress.saved_events = events[progress.item.item]
+                progress.saved_at = now()
+
+    async def _propose_saving(self, command: SaveOutputs) -> bool:
+        try:
+            await self._context.control.propose(
+                command, CommandId(new_id("outputs")), deadline_in(_SAVING_TIMEOUT_S)
+            )
+        except ControlError as error:
+            self._context.events.record(
+                "outputs.not_saved", batch_job=command.batch_job, reason=str(error)
+            )
+            return False
+        self._context.events.record(
+            "outputs.saved",
+            batch_job=command.batch_job,
+            items=[output.item for output in command.outputs],
+            bytes=sum(len(output.packed) for output in command.outputs),
+        )
+        return True
+
     def _discard_expired_partials(self) -> None:
         for item, (_, retained_until) in list(self._partials.items()):
             if not remaining_time_s(retained_until):
@@ -703,6 +771,17 @@
         return True
 
 
+def _restore_output(progress: ItemProgress, saved: SavedOutput | None) -> None:
+    """Continue from saved output unless this process has more of its own."""
+    if saved is None or not saved.satisfies(progress.spec):
+        return
+    event_data = saved.event_data
+    if len(event_data) > progress.output.events:
+        progress.output.restore(saved)
+        progress.saved_events = len(event_data)
+        progress.saved_at = now()
+
+
 def _waiting_item(
     name: BatchJobId, job: _OwnedJob, progress: ItemProgress
 ) -> WaitingItem[tuple[BatchJobId, ItemId]]:
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -9,8 +9,8 @@
 
 from ..clock import Deadline, now
 from ..connection.backend import BackendServer
-from ..durable.batch_job_commands import BatchItem, BatchJobSpec
-from ..ids import RequestId, SoftwareVersion, WeightVersion
+from ..durable.batch_job_commands import BatchItem, BatchJobSpec, SavedOutput
+from ..ids import ItemId, RequestId, SoftwareVersion, WeightVersion
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, send_attempt
 from .dialect import NumberedEvent
@@ -83,6 +83,28 @@
         """Return the data of all events in order, separated by line feeds."""
         return "\n".join(self.event_data).encode()
 
+    def save(self, item: ItemId) -> SavedOutput | None:
+        """Return what another process needs to go on; None without events."""
+        if self.last_event_number is None or self.software is None:
+            return None
+        return SavedOutput.pack(
+            item,
+            self.event_data,
+            self.last_event_number,
+            list(self.versions),
+            self.software,
+            self.is_generated,
+        )
+
+    def restore(self, saved: SavedOutput) -> None:
+        """Replace the events by those that another process saved."""
+        self.event_data = saved.event_data
+        self.last_event_number = saved.last_event_number
+        self.versions = list(saved.versions)
+        self.software = saved.software
+        self.is_generated = saved.is_generated
+        self.score = None
+
 
 class RequestItemRunner:
     """Runs items that are requests; implements ``item_progress.ItemRunner``."""
--- a/pollenlb/request/item_progress.py
+++ b/pollenlb/request/item_progress.py
@@ -13,8 +13,9 @@
     BatchJobSpec,
     ItemResult,
     ItemState,
+    SavedOutput,
 )
-from ..ids import BackendServerName, SoftwareVersion, WeightVersion
+from ..ids import BackendServerName, ItemId, SoftwareVersion, WeightVersion
 
 if TYPE_CHECKING:
     from ..process.context import EntryContext
@@ -83,6 +84,12 @@
     def content(self) -> bytes:
         """Return the content of the item's result."""
 
+    def save(self, item: ItemId) -> SavedOutput | None:
+        """Return what another process needs to go on; None without output."""
+
+    def restore(self, saved: SavedOutput) -> None:
+        """Replace the output by one that another process saved."""
+
 
 class ItemRunner(Protocol):
     """Runs the items of one protocol."""
@@ -140,6 +147,11 @@
         Monotonic time at which the last run ended, in seconds.
     is_moving : bool
         Whether the run is being cancelled to continue at another engine.
+    saved_events : int
+        Number of events of the output that was saved last.
+    saved_at : float
+        Monotonic time at which output was saved or its first event arrived, in
+        seconds; infinite before.
     """
 
     item: BatchItem
@@ -154,11 +166,14 @@
     last_event_at: float = 0.0
     run_ended_at: float = float("-inf")
     is_moving: bool = False
+    saved_events: int = 0
+    saved_at: float = float("inf")
 
     def record_event(self, server: BackendServer) -> None:
         """Record an event of the current run at an engine."""
         server.load.record_event_interval(now() - self.last_event_at)
         self.last_event_at = now()
+        self.saved_at = min(self.saved_at, self.last_event_at)
 
     def satisfies(self, spec: BatchJobSpec) -> bool:
         """Return whether a batch job allows the weights that generated the output."""
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -10,8 +10,13 @@
 from ..clock import deadline_in, now
 from ..connection.backend import BackendServer
 from ..connection.trainer_messages import SampleBody
-from ..durable.batch_job_commands import BatchItem, BatchJobSpec, SampleParameters
-from ..ids import RequestId, SoftwareVersion, WeightVersion, new_id
+from ..durable.batch_job_commands import (
+    BatchItem,
+    BatchJobSpec,
+    SampleParameters,
+    SavedOutput,
+)
+from ..ids import ItemId, RequestId, SoftwareVersion, WeightVersion, new_id
 from ..process.context import EntryContext
 from .attempt import AttemptFailure
 from .caller_request import RequestClass
@@ -94,6 +99,13 @@
             )
         )
 
+    def save(self, item: ItemId) -> SavedOutput | None:
+        """Return None: samples start over at another process."""
+        return None
+
+    def restore(self, saved: SavedOutput) -> None:
+        """Do nothing, as no sample is saved."""
+
 
 class SampleItemRunner:
     """Generates and scores samples; implements ``item_progress.ItemRunner``."""
--- a/tests/durable/test_batch_jobs.py
+++ b/tests/durable/test_batch_jobs.py
@@ -12,6 +12,8 @@
     CommitItems,
     EndBatchJob,
     ItemResult,
+    SavedOutput,
+    SaveOutputs,
     SubmitBatchJob,
 )
 from pollenlb.durable.batch_jobs import MAX_TRACKED_OWNER_COUNT, BatchJobTable
@@ -172,3 +174,41 @@
         table.submit(SubmitBatchJob(spec, f"boot-{index}"), index, _AT_MS)
     assert len(table.changed_at) == MAX_TRACKED_OWNER_COUNT
     assert f"boot-{MAX_TRACKED_OWNER_COUNT + 9}" in table.changed_at
+
+
+def _saved(number: int, versions=(3,), events: int = 2) -> SavedOutput:
+    data = [f"event {event}" for event in range(events)]
+    return SavedOutput.pack(
+        f"item-{number}", data, events - 1, list(versions), "v1", False
+    )
+
+
+def test_saved_output_is_replaced_by_its_owner_only():
+    table = _table()
+    table.save_outputs(SaveOutputs("job", "first", [_saved(0, events=2)]))
+    table.assign(AssignBatchJobs({"job": "second"}), 2)
+    refused = table.save_outputs(SaveOutputs("job", "first", [_saved(0, events=9)]))
+    assert isinstance(refused, Refused)
+    assert table.batch_jobs["job"].saved == {"item-0": _saved(0, events=2)}
+    table.save_outputs(SaveOutputs("job", "second", [_saved(0, events=5)]))
+    assert table.batch_jobs["job"].saved == {"item-0": _saved(0, events=5)}
+
+
+def test_saved_output_is_dropped_with_the_result_and_refused_after_it():
+    table = _table()
+    outputs = [_saved(0), _saved(1)]
+    table.save_outputs(SaveOutputs("job", "first", outputs))
+    table.commit(CommitItems("job", [_result(0)]), 2)
+    table.save_outputs(SaveOutputs("job", "first", outputs))
+    assert list(table.batch_jobs["job"].saved) == ["item-1"]
+
+
+def test_saved_output_of_allowed_versions_moves_to_a_later_batch_job():
+    table = _table()
+    outputs = [_saved(0), _saved(1, versions=(2, 3))]
+    table.save_outputs(SaveOutputs("job", "first", outputs))
+    table.end(EndBatchJob("job"), 2)
+    later = _spec("later", least_version=3)
+    table.submit(SubmitBatchJob(later, "first"), 3, _AT_MS)
+    assert table.batch_jobs["later"].saved == {"item-0": _saved(0)}
+    assert table.batch_jobs["job"].saved == {}
--- a/tests/platform/test_batch_jobs.py
+++ b/tests/platform/test_batch_jobs.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 
+import pytest
+
 from pollenlb.process import batch_runner
 from pollenlb.process.batch_runner import BatchRunner
 
@@ -226,3 +228,88 @@
     async with asyncio.timeout(_PLACED_AGAIN_WITHIN_S):
         (result,) = await system.read_all_results(0, "job")
     assert (result["state"], result["text"]) == ("completed", _expected_text(60))
+
+
+async def _crash_owner(system, name: str = "job") -> None:
+    owner = system.leader_machine.state.batch_jobs.batch_jobs[name].owner
+    (number,) = [
+        index
+        for index, entry in enumerate(system.entries)
+        if entry.context.identity.boot == owner
+    ]
+    await system.crash_entry(number)
+
+
+@pytest.fixture
+def saves_often(monkeypatch):
+    """Let owners save output after a tenth of a second."""
+    monkeypatch.setattr(batch_runner, "_UNSAVED_S", 0.1)
+    monkeypatch.setattr(batch_runner, "_SAVING_INTERVAL_S", 0.05)
+
+
+async def test_a_new_owner_goes_on_from_the_output_that_the_former_saved(
+    platform_system, saves_often
+):
+    system = await platform_system(entries=2)
+    await system.submit(0, "job", batch_job({"item": _LONG_EVENT_COUNT}))
+    table = system.leader_machine.state.batch_jobs
+    await wait_until(lambda: table.batch_jobs["job"].saved)
+    await _crash_owner(system)
+    (result,) = await system.read_all_results(0, "job")
+    assert result["text"] == _expected_text(_LONG_EVENT_COUNT)
+    runs = [run for engine in system.engines for run in engine.received_runs]
+    assert [after for _, after in sorted(runs, key=lambda run: run[1])][1:] != []
+    assert sum(after == -1 for _, after in runs) == 1
+    assert table.batch_jobs["job"].saved == {}
+
+
+async def test_a_draining_owner_saves_the_output_of_its_items(platform_system):
+    system = await platform_system(entries=2)
+    await system.submit(0, "job", batch_job({"item": _LONG_EVENT_COUNT}))
+    await wait_until(lambda: any(engine.running for engine in system.engines))
+    table = system.leader_machine.state.batch_jobs
+    owner = table.batch_jobs["job"].owner
+    (number,) = [
+        index
+        for index, entry in enumerate(system.entries)
+        if entry.context.identity.boot == owner
+    ]
+    leaving = system.entries.pop(number)
+    leaving._settings.values["shutdown_grace_s"] = 0.5
+    await leaving.stop()
+    (result,) = await system.read_all_results(0, "job")
+    assert result["text"] == _expected_text(_LONG_EVENT_COUNT)
+    runs = [run for engine in system.engines for run in engine.received_runs]
+    assert sum(after == -1 for _, after in runs) == 1
+
+
+async def test_saved_output_goes_to_a_later_batch_job_with_the_same_item(
+    platform_system, saves_often
+):
+    system = await platform_system(entries=2)
+    await system.submit(0, "job", batch_job({"item": _LONG_EVENT_COUNT}))
+    table = system.leader_machine.state.batch_jobs
+    await wait_until(lambda: table.batch_jobs["job"].saved)
+    assert (await system.call_entry("DELETE", 0, "/-/lots/job"))[0] == 200
+    await _crash_owner(system)
+    await system.submit(0, "later", batch_job({"item": _LONG_EVENT_COUNT}))
+    (result,) = await system.read_all_results(0, "later")
+    assert result["text"] == _expected_text(_LONG_EVENT_COUNT)
+    runs = [run for engine in system.engines for run in engine.received_runs]
+    assert sum(after == -1 for _, after in runs) == 1
+
+
+async def test_saved_output_of_weights_that_are_too_old_is_not_used(
+    platform_system, saves_often
+):
+    system = await platform_system(entries=2)
+    await system.submit(0, "job", batch_job({"item": _LONG_EVENT_COUNT}))
+    table = system.leader_machine.state.batch_jobs
+    await wait_until(lambda: table.batch_jobs["job"].saved)
+    assert (await system.call_entry("DELETE", 0, "/-/lots/job"))[0] == 200
+    for engine in system.engines:
+        engine.version = 2
+    await system.submit(0, "later", batch_job({"item": 30}, min_version=2))
+    (result,) = await system.read_all_results(0, "later")
+    assert result["text"] == _expected_text(30, 2)
+    assert result["versions"] == [2]
--- a/tests/platform/test_reward_calls.py
+++ b/tests/platform/test_reward_calls.py
@@ -9,7 +9,7 @@
 
 from fakes.platform_scorer import proof
 from pollenlb.events import EVENT_FILE
-from pollenlb.process import reward_calls
+from pollenlb.process import batch_runner, reward_calls
 
 from ..local_system import wait_until
 from .platform_system import HOST, batch_job, configuration
@@ -91,6 +91,16 @@
     return {result["id"]: result for result in results}
 
 
+async def _crash_owner(system) -> None:
+    owner = system.leader_machine.state.batch_jobs.batch_jobs["job"].owner
+    (number,) = [
+        index
+        for index, entry in enumerate(system.entries)
+        if entry.context.identity.boot == owner
+    ]
+    await system.crash_entry(number)
+
+
 def _runs(system) -> list[str]:
     return [run for scorer in system.scorers for run, _ in scorer.received_runs]
 
@@ -229,20 +239,34 @@
     lengths = {f"item-{number}": 3 for number in range(4)}
     await system.submit(0, "job", _scored_job(lengths))
     await wait_until(lambda: any(scorer.running for scorer in system.scorers))
-    table = system.leader_machine.state.batch_jobs
-    owner = table.batch_jobs["job"].owner
-    (number,) = [
-        index
-        for index, entry in enumerate(system.entries)
-        if entry.context.identity.boot == owner
-    ]
-    await system.crash_entry(number)
+    await _crash_owner(system)
     results = await _results(system)
     assert {item: result["score"] for item, result in results.items()} == {
         item: proof(f"score-{item}") for item in lengths
     }
 
 
+async def test_a_long_text_is_not_generated_again_to_be_scored(
+    scored_system, monkeypatch
+):
+    monkeypatch.setattr(batch_runner, "_UNSAVED_S", 0.1)
+    system = await scored_system(entries=2)
+    for scorer in system.scorers:
+        scorer.processing_s = 30
+    await system.submit(0, "job", _scored_job({"item": 60}))
+    table = system.leader_machine.state.batch_jobs
+    await wait_until(
+        lambda: any(
+            output.is_generated for output in table.batch_jobs["job"].saved.values()
+        )
+    )
+    for scorer in system.scorers:
+        scorer.processing_s = 0.01
+    await _crash_owner(system)
+    assert (await _results(system))["item"]["score"] == proof("score-item")
+    assert sum(len(engine.received_runs) for engine in system.engines) == 1
+
+
 async def test_ending_a_batch_job_ends_its_reward_calls(scored_system):
     system = await scored_system()
     for scorer in system.scorers:
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -100,6 +100,8 @@
     RewardCall,
     SampleParameters,
     SampleSlot,
+    SavedOutput,
+    SaveOutputs,
     SubmitBatchJob,
 )
 from pollenlb.durable.batch_jobs import BatchJob, BatchJobTable
@@ -308,6 +310,8 @@
     ("item_result", ItemResult, MSGPACK),
     ("items_committed", ItemsCommitted, MSGPACK),
     ("sample_slot", SampleSlot, MSGPACK),
+    ("saved_output", SavedOutput, MSGPACK),
+    ("save_outputs", SaveOutputs, MSGPACK),
     ("sample_terms", SampleParameters, MSGPACK),
     ("submit_batch_job", SubmitBatchJob, MSGPACK),
     ("batch_job", BatchJob, MSGPACK),
