Compress each view once for all entries

At a change, the leader encoded whole tables anew for every entry: a configuration of 1,332 routes, the list of entries and the directory of backend servers, which changes with each server that takes up new weights.

The leader now builds and compresses a view once for a version and sends the same bytes to all entries that say that they accept them; entries of an earlier release get their views as before. Ruled out for now: views of differences, as they need a history at each new leader; and a relay in each domain.

--- a/pollenlb/connection/control.py
+++ b/pollenlb/connection/control.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TypeVar
 
+import msgspec
 from result import Err, Ok, Result
 
 from ..clock import Deadline, deadline_in, remaining_time_s, sleep_until
@@ -40,6 +41,7 @@
     StatusRequest,
 )
 from .leader_search import LeaderSearch
+from .packed_views import unpack_views
 from .rpc import CallFailure, Method, RpcChannel
 
 Q = TypeVar("Q")
@@ -229,10 +231,11 @@
         when it does not reach the leader.
         """
         address = self._search.preferred
+        request = msgspec.structs.replace(request, accepts_packed=True)
         match await self._channel(address).call(RENEW, request, timeout_s):
             case Ok(answer) if answer.status is CallStatus.DONE:
                 self._record_leader(address)
-                return answer
+                return unpack_views(answer)
             case Ok(answer):
                 self._record_failure(address, answer.leader)
             case Err(failure):
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -258,6 +258,8 @@
         What the entry knows of limits, by backend server.
     limits_version : int
         Version of the limits that the entry has.
+    accepts_packed : bool
+        Whether the answer may contain its views in compressed form.
     """
 
     entry: EntryInfo
@@ -272,6 +274,7 @@
     health: EntryHealth = EntryHealth()
     limits: dict[BackendServerName, LimitReport] = {}
     limits_version: int = 0
+    accepts_packed: bool = False
 
 
 class RenewAnswer(msgspec.Struct, frozen=True):
@@ -288,6 +291,9 @@
         All known limits with the entry's shares, by backend server.
     limits_version : int
         Version of these limits.
+    packed : dict
+        Views in compressed form by the name of their field, for an entry process
+        that accepts this form.
     """
 
     status: CallStatus
@@ -302,6 +308,7 @@
     controls: list[Address] = []
     limits: dict[BackendServerName, LimitGrant] = {}
     limits_version: int = 0
+    packed: dict[str, bytes] = {}
 
 
 class ReadBatchJob(msgspec.Struct, frozen=True):
--- a/pollenlb/process/lease_service.py
+++ b/pollenlb/process/lease_service.py
@@ -3,6 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import msgspec
 
 from ..clock import now
 from ..connection.control_api import (
@@ -13,6 +18,7 @@
     RenewRequest,
     WorkView,
 )
+from ..connection.packed_views import PackedViews
 from ..durable.leases import AppliedVersions
 from ..durable.views import (
     build_configuration_view,
@@ -39,6 +45,7 @@
         self._context = context
         self._entries_version = 0
         self._cached_ledger_view = LedgerView(-1, {})
+        self._packed_views = PackedViews()
 
     async def renew(self, request: RenewRequest) -> RenewAnswer:
         """Extend a lease, and answer when a view changes or the wait ends."""
@@ -131,37 +138,10 @@
         lease_s = await leader_state.leases.renew(
             request.entry, applied_versions_of(request), contact_at, request.health
         )
-        machine = self._context.machine
-        revision = machine.state.configuration.revision
-        return RenewAnswer(
+        answer = RenewAnswer(
             CallStatus.DONE,
             leader=Address(self._context.settings.listen),
             lease_s=lease_s,
-            configuration=(
-                build_configuration_view(machine)
-                if request.revision < revision
-                else None
-            ),
-            directory=(
-                build_directory_view(machine)
-                if request.directory < machine.table_version("directory")
-                else None
-            ),
-            ledger=(
-                self.ledger_view()
-                if request.ledger < machine.table_version("ledger")
-                else None
-            ),
-            quarantine=(
-                build_quarantine_view(machine)
-                if request.quarantine < machine.table_version("quarantine")
-                else None
-            ),
-            entries=(
-                self._entries_view(leader_state)
-                if request.entries < self._entries_version
-                else None
-            ),
             work=self._work_view(request),
             controls=[member.address for member in replica.storage.members],
             limits=(
@@ -173,6 +153,59 @@
             ),
             limits_version=leader_state.limits.version if lease_s else 0,
         )
+        changed = self._changed_views(leader_state, request)
+        if not request.accepts_packed:
+            views: dict[str, Any] = {name: build() for name, _, build in changed}
+            return msgspec.structs.replace(answer, **views)
+        packed = {
+            name: self._packed_views.pack(name, version, build)
+            for name, version, build in changed
+        }
+        return msgspec.structs.replace(answer, packed=packed)
+
+    def _changed_views(
+        self, leader_state: LeaderState, request: RenewRequest
+    ) -> list[tuple[str, int, Callable[[], msgspec.Struct]]]:
+        """Return name, version and builder of each view that the entry lacks."""
+        machine = self._context.machine
+        revision = machine.state.configuration.revision
+        views: list[tuple[str, int, int, Callable[[], msgspec.Struct]]] = [
+            (
+                "configuration",
+                request.revision,
+                revision,
+                partial(build_configuration_view, machine),
+            ),
+            (
+                "directory",
+                request.directory,
+                machine.table_version("directory"),
+                partial(build_directory_view, machine),
+            ),
+            (
+                "ledger",
+                request.ledger,
+                machine.table_version("ledger"),
+                self.ledger_view,
+            ),
+            (
+                "quarantine",
+                request.quarantine,
+                machine.table_version("quarantine"),
+                partial(build_quarantine_view, machine),
+            ),
+            (
+                "entries",
+                request.entries,
+                self._entries_version,
+                partial(self._entries_view, leader_state),
+            ),
+        ]
+        return [
+            (name, version, build)
+            for name, known, version, build in views
+            if known < version
+        ]
 
     def _entries_view(self, leader_state: LeaderState) -> EntriesView:
         entries = [lease.entry for lease in leader_state.leases.live_leases()]
--- a/tests/connection/test_control.py
+++ b/tests/connection/test_control.py
@@ -4,6 +4,7 @@
 
 import json
 
+import msgspec
 import pytest
 
 from fakes.ports import free_ports
@@ -14,11 +15,14 @@
     RenewAnswer,
     RenewRequest,
 )
-from pollenlb.connection.rpc import RpcServer
+from pollenlb.connection.packed_views import unpack_views
+from pollenlb.connection.rpc import RpcChannel, RpcServer
 from pollenlb.durable.leases import EntryInfo
 from pollenlb.events import EVENT_FILE, EventLog
 from pollenlb.ids import Address
 
+from ..local_system import LocalSystem
+
 _ENTRY = EntryInfo("entry", "boot", Address("127.0.0.1:1"), "north")
 _REQUEST = RenewRequest(_ENTRY, -1, -1, -1, -1, -1, [], 0.0)
 _TIMEOUT_S = 5.0
@@ -117,3 +121,19 @@
     second.reports(first.address)
     leader.leads()
     assert await _renew_until_answered(connection, 2 * len(instances))
+
+
+async def test_an_entry_of_an_earlier_release_gets_its_views_as_before(tmp_path):
+    system = LocalSystem(tmp_path, entries=1, engines=1)
+    await system.start()
+    try:
+        channel = RpcChannel(system.leader.replica.leader_address, EventLog("e", None))
+        earlier = (await channel.call(RENEW, _REQUEST, _TIMEOUT_S)).unwrap()
+        assert earlier.directory is not None and earlier.packed == {}
+        request = msgspec.structs.replace(_REQUEST, accepts_packed=True)
+        present = (await channel.call(RENEW, request, _TIMEOUT_S)).unwrap()
+        assert present.directory is None
+        assert unpack_views(present).directory == earlier.directory
+        await channel.close()
+    finally:
+        await system.stop()
