Score items in the soak, by services that are slow, fail and lose answers

Every second item of the soak's batch jobs has a reward call. One attempt in five is never answered, aborted, cut off or answered for another request; one item in eleven always fails. Checked: the score is the proof of the item's own call, and only items that always fail expire.

--- a/fakes/platform_scorer.py
+++ b/fakes/platform_scorer.py
@@ -65,6 +65,7 @@
             self.aborted_ids.discard(request_id)
             assert request.transport is not None
             request.transport.abort()
+            await asyncio.Event().wait()  # until the abortion cancels this handler
         answered_id = request_id
         if request_id in self.swapped_ids:
             self.swapped_ids.discard(request_id)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -17,6 +17,7 @@
 )
 
 from .programs import Programs
+from .scorers import SCORE_PATH_PREFIX, SCORERS, find_violation, reward_call
 
 _TIMEOUT = aiohttp.ClientTimeout(total=3)
 _ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
@@ -119,6 +120,19 @@
         version = self.sent_version
         document = configuration(version)
         document["routes"][1] |= {"kind": "streaming", "resumable": True}
+        document["services"].append({"name": SCORERS, "health_path": "/healthz"})
+        document["routes"].append(
+            {
+                "name": "r-scores",
+                "host": HOST,
+                "path_prefix": SCORE_PATH_PREFIX,
+                "kind": "safe",
+                "timeout_ms": 2000,
+                "target_latency_ms": 600,
+                "service": SCORERS,
+                "max_attempts": 2,
+            }
+        )
         status, _ = await self._call_control("POST", "/-/Config.Replace", document)
         if status == 200:
             self.acknowledged_version = max(self.acknowledged_version, version)
@@ -186,9 +200,9 @@
         numbers = [int(line.partition(".")[0]) for line in lines if line]
         if length is None:
             self.violations.append(f"{name} lists the unknown item {result['id']}")
-        elif result["state"] != "completed":
-            self.violations.append(f"{result['id']}: item expired")
-        elif numbers != list(range(length)):
+        elif violation := find_violation(result):
+            self.violations.append(violation)
+        elif result["state"] == "completed" and numbers != list(range(length)):
             self.violations.append(f"{result['id']}: item has the events {numbers}")
         versions = sorted({int(line.partition(".")[2]) for line in lines if line})
         if result["versions"] != versions:
@@ -233,6 +247,7 @@
                 "body": base64.b64encode(b"%d" % length).decode(),
                 "tokens": length,
                 "group": "g",
+                "scorer": reward_call(item),
             }
             for item, length in lengths.items()
         ],
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,6 +16,7 @@
 from .clients import Clients
 from .limits import NamedLimits
 from .programs import Programs
+from .scorers import SCORERS, FaultyScorer
 from .streams import StreamCallers
 
 _START_TIMEOUT_S = 30
@@ -47,7 +48,9 @@
         self._streams_rng = random.Random(f"streams {seed}")
         self._fault_count = faults
         self._relays: list[Relay] = []
+        self._scorers_rng = random.Random(f"scorers {seed}")
         self._engines: list[PlatformEngine] = []
+        self._scorers: list[FaultyScorer] = []
         self.fault_log: list[str] = []
 
     async def run(self) -> list[str]:
@@ -56,12 +59,14 @@
             programs = Programs(Path(folder), controls=3, entries=3)
             try:
                 programs.start_all()
+                for number in range(2):
+                    await self._add_scorer(f"scorer-{number}", programs)
                 for number, software in enumerate(("v1", "v1", "v2")):
                     await self._add_engine(f"engine-{number}", programs, software)
                 return await self._run(programs)
             finally:
-                for engine in self._engines:
-                    await engine.stop()
+                for server in [*self._engines, *self._scorers]:
+                    await server.stop()
                 for relay in self._relays:
                     await relay.stop()
                 programs.stop()
@@ -90,6 +95,8 @@
         callers.check_versions()
         self.fault_log.append(f"{len(clients.accepted_jobs)} batch jobs accepted")
         self.fault_log.append(f"{callers.complete_count} streams complete")
+        calls = sum(len(scorer.received_runs) for scorer in self._scorers)
+        self.fault_log.append(f"{calls} reward calls run")
         return clients.violations + callers.violations + limits.violations
 
     async def _add_engine(self, name: str, programs: Programs, software: str) -> None:
@@ -104,6 +111,13 @@
         self._relays.append(relay)
         self._engines.append(engine)
 
+    async def _add_scorer(self, name: str, programs: Programs) -> None:
+        (port,) = free_ports(1)
+        urls = [programs.base_urls[control] for control in programs.controls]
+        scorer = FaultyScorer(name, SCORERS, port, urls, "", rng=self._scorers_rng)
+        await scorer.start()
+        self._scorers.append(scorer)
+
     async def _inject_faults(self, programs: Programs) -> None:
         """Inject one fault, at times with a concurrent second one, and repair both.
 
