Part the saving of output and the owned job from the batch runner

One move: process/owned_job.py holds the batch job that an entry runs, and process/output_saver.py the saving of output. The tests changed only in the module of two constants.

--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections import Counter
 from collections.abc import Coroutine
-from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
@@ -20,15 +19,12 @@
     CommitItems,
     ItemResult,
     ItemState,
-    SavedOutput,
-    SaveOutputs,
 )
 from ..exceptions import ControlError
 from ..ids import (
     BackendServerName,
     BatchJobId,
     CommandId,
-    GroupName,
     ItemId,
     ModelName,
     ServiceName,
@@ -46,6 +42,8 @@
 from ..request.item_progress import ItemProgress, RunEnd
 from ..version.swap_plan import EngineView, ModelGoal, assign_models
 from .context import EntryContext
+from .output_saver import OutputSaver, restore_output
+from .owned_job import OwnedJob
 from .reward_calls import RewardCalls, ScoredItem
 
 _PLACEMENT_INTERVAL_S = 0.04
@@ -66,59 +64,12 @@
 _COMMIT_RETRY_DELAY_S = 0.2
 # Pause before a reward call whose answer brought no score is repeated.
 _SCORE_RETRY_DELAY_S = 0.5
-# Output is saved once it has taken so long to generate, and then again.
-_UNSAVED_S = 1.5
-_MIN_SAVED_EVENT_COUNT = 5
-_SAVING_INTERVAL_S = 0.25
-_SAVING_TIMEOUT_S = 1.0
 # Postpones the expiry of items, since wall clocks of leaders may jump by seconds.
 _EXPIRY_MARGIN_S = 3.0
 # An item expires after this many failed runs per allowed attempt of its route.
 _MAX_FAILURES_RATIO = 2
 
 
-@dataclass
-class _OwnedJob:
-    """A batch job that this process runs.
-
-    Attributes
-    ----------
-    items : dict
-        Items without a result, by name.
-    tasks : dict
-        Tasks of the items that run, by name of the item.
-    results : list of ItemResult
-        Results that are not yet part of a commit.
-    committing : set of ItemId
-        Items whose result has not been committed yet.
-    has_results : asyncio.Event
-        Set when results wait to be committed.
-    missing_items : Counter of GroupName
-        Number of items without a result by group.
-    """
-
-    spec: BatchJobSpec
-    due_at: Deadline
-    expires_at: Deadline
-    items: dict[ItemId, ItemProgress] = field(default_factory=dict)
-    tasks: dict[ItemId, asyncio.Task] = field(default_factory=dict)
-    results: list[ItemResult] = field(default_factory=list)
-    committing: set[ItemId] = field(default_factory=set)
-    has_results: asyncio.Event = field(default_factory=asyncio.Event)
-    commit_task: asyncio.Task | None = None
-    missing_items: Counter[GroupName] = field(default_factory=Counter)
-
-    def add(self, progress: ItemProgress) -> None:
-        """Add an item that has no result."""
-        self.items[progress.item.item] = progress
-        self.missing_items[progress.item.group] += 1
-
-    def remove(self, progress: ItemProgress) -> None:
-        """Remove an item that now has a result."""
-        if self.items.pop(progress.item.item, None) is not None:
-            self.missing_items[progress.item.group] -= 1
-
-
 class BatchRunner:
     """Places the items of owned batch jobs and commits their results.
 
@@ -136,11 +87,12 @@
 
     def __init__(self, context: EntryContext) -> None:
         self._context = context
-        self._jobs: dict[BatchJobId, _OwnedJob] = {}
+        self._jobs: dict[BatchJobId, OwnedJob] = {}
         self._partials: dict[ItemId, tuple[ItemProgress, Deadline]] = {}
         self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self._reward_calls = RewardCalls(context)
+        self._saver = OutputSaver(context, self._jobs)
         self._events_per_token = 0.0
         self._refused_at: dict[BackendServerName, float] = {}
         self.engine_became_idle = asyncio.Event()
@@ -176,7 +128,7 @@
     def start(self) -> None:
         """Start the task that places items."""
         self._spawn(self._run_placement_loop())
-        self._spawn(self._run_saving_loop())
+        self._spawn(self._saver.run())
 
     def wake(self) -> None:
         """Place items at once instead of after the usual interval."""
@@ -214,7 +166,7 @@
             await sleep_until(
                 deadline_in(min(_PLACEMENT_INTERVAL_S, remaining_time_s(deadline)))
             )
-        await self._save_outputs(_MIN_SAVED_EVENT_COUNT)
+        await self._saver.save()
         for name in list(self._jobs):
             self._context.events.record("batch_job.left", batch_job=name)
             self._release_job(name)
@@ -239,7 +191,7 @@
         spec = work.spec
         expires_in_s = spec.give_up_s + _EXPIRY_MARGIN_S - work.age_s
         due_at = deadline_in(spec.due_s - work.age_s)
-        job = _OwnedJob(spec, due_at, deadline_in(expires_in_s))
+        job = OwnedJob(spec, due_at, deadline_in(expires_in_s))
         items = self._add_missing_items(job, work)
         self._jobs[spec.batch_job] = job
         job.commit_task = self._spawn(self._commit_results(job))
@@ -250,7 +202,7 @@
             age_s=round(work.age_s, 3),
         )
 
-    def _update_job(self, job: _OwnedJob, work: BatchWork) -> None:
+    def _update_job(self, job: OwnedJob, work: BatchWork) -> None:
         """Apply a higher minimum weight version; rerun items that are now too old."""
         job.spec = work.spec
         for progress in job.items.values():
@@ -267,7 +219,7 @@
             reopened=len(reopened),
         )
 
-    def _add_missing_items(self, job: _OwnedJob, work: BatchWork) -> list[ItemId]:
+    def _add_missing_items(self, job: OwnedJob, work: BatchWork) -> list[ItemId]:
         """Add items that have no result, no progress and no commit in flight."""
         spec = work.spec
         known = work.listed | job.items.keys() | job.committing
@@ -275,7 +227,7 @@
         saved = {output.item: output for output in work.saved}
         for item in missing:
             progress = self._create_progress(item, spec, job.expires_at)
-            _restore_output(progress, saved.get(item.item))
+            restore_output(progress, saved.get(item.item))
             job.add(progress)
         return [item.item for item in missing]
 
@@ -324,62 +276,6 @@
                         "items.not_placed", model=model, reason=repr(error)
                     )
 
-    async def _run_saving_loop(self) -> None:
-        while True:
-            await sleep_until(deadline_in(_SAVING_INTERVAL_S))
-            await self._save_outputs(_MIN_SAVED_EVENT_COUNT, _UNSAVED_S)
-
-    async def _save_outputs(self, min_events: int, unsaved_s: float = 0.0) -> None:
-        """Save output that would take long to generate again.
-
-        Parameters
-        ----------
-        min_events : int
-            Change in the number of events below which output is not saved again.
-        unsaved_s : float
-            Seconds since the last time before which it is not saved.
-        """
-        boot = self._context.identity.boot
-        for name, job in list(self._jobs.items()):
-            due = [
-                progress
-                for progress in job.items.values()
-                if abs(progress.output.events - progress.saved_events) >= min_events
-                and now() >= progress.saved_at + unsaved_s
-            ]
-            outputs = {
-                progress.item.item: output
-                for progress in due
-                if (output := progress.output.save(progress.item.item)) is not None
-            }
-            if not outputs:
-                continue
-            events = {progress.item.item: progress.output.events for progress in due}
-            command = SaveOutputs(name, boot, list(outputs.values()))
-            if not await self._propose_saving(command):
-                continue
-            for progress in due:
-                progress.saved_events = events[progress.item.item]
-                progress.saved_at = now()
-
-    async def _propose_saving(self, command: SaveOutputs) -> bool:
-        try:
-            await self._context.control.propose(
-                command, CommandId(new_id("outputs")), deadline_in(_SAVING_TIMEOUT_S)
-            )
-        except ControlError as error:
-            self._context.events.record(
-                "outputs.not_saved", batch_job=command.batch_job, reason=str(error)
-            )
-            return False
-        self._context.events.record(
-            "outputs.saved",
-            batch_job=command.batch_job,
-            items=[output.item for output in command.outputs],
-            bytes=sum(len(output.packed) for output in command.outputs),
-        )
-        return True
-
     def _discard_expired_partials(self) -> None:
         for item, (_, retained_until) in list(self._partials.items()):
             if not remaining_time_s(retained_until):
@@ -399,7 +295,7 @@
                     job.tasks[item] = task
                     task.add_done_callback(partial(self._on_scored, job, item))
 
-    def _on_scored(self, job: _OwnedJob, item: ItemId, _: asyncio.Task) -> None:
+    def _on_scored(self, job: OwnedJob, item: ItemId, _: asyncio.Task) -> None:
         job.tasks.pop(item, None)
         self._changed.set()
 
@@ -439,7 +335,7 @@
 
     def _move_slow_items(
         self,
-        jobs: dict[BatchJobId, _OwnedJob],
+        jobs: dict[BatchJobId, OwnedJob],
         engines: list[EngineCapacity],
         servers: dict[BackendServerName, BackendServer],
     ) -> None:
@@ -574,7 +470,7 @@
             if progress.server == server
         }
 
-    def _start_item(self, job: _OwnedJob, item: ItemId, server: BackendServer) -> None:
+    def _start_item(self, job: OwnedJob, item: ItemId, server: BackendServer) -> None:
         progress = job.items[item]
         progress.server = server.name
         server.request_limit.spend()
@@ -584,7 +480,7 @@
         task.add_done_callback(lambda _: self._on_run_done(job, progress, server))
 
     def _on_run_done(
-        self, job: _OwnedJob, progress: ItemProgress, server: BackendServer
+        self, job: OwnedJob, progress: ItemProgress, server: BackendServer
     ) -> None:
         task = job.tasks.pop(progress.item.item, None)
         if task is not None and not task.cancelled() and task.exception() is not None:
@@ -596,7 +492,7 @@
         self._report_idle_engine(server.name)
 
     async def _run_item(
-        self, job: _OwnedJob, progress: ItemProgress, server: BackendServer
+        self, job: OwnedJob, progress: ItemProgress, server: BackendServer
     ) -> None:
         item = progress.item.item
         started_at = now()
@@ -628,7 +524,7 @@
 
     def _handle_generated(
         self,
-        job: _OwnedJob,
+        job: OwnedJob,
         progress: ItemProgress,
         server: BackendServer,
         started_at: float,
@@ -647,7 +543,7 @@
             seconds=round(now() - started_at, 3),
         )
 
-    async def _score_item(self, job: _OwnedJob, progress: ItemProgress) -> None:
+    async def _score_item(self, job: OwnedJob, progress: ItemProgress) -> None:
         context = self._context
         request = context.item_runner.reward_request(progress, context)
         if request is None:
@@ -678,7 +574,7 @@
 
     def _handle_incomplete_run(
         self,
-        job: _OwnedJob,
+        job: OwnedJob,
         progress: ItemProgress,
         server: BackendServer,
         end: RunEnd,
@@ -717,14 +613,14 @@
             self.engine_became_idle.set()
 
     def _add_result(
-        self, job: _OwnedJob, progress: ItemProgress, state: ItemState
+        self, job: OwnedJob, progress: ItemProgress, state: ItemState
     ) -> None:
         job.remove(progress)
         job.results.append(progress.result(state))
         job.committing.add(progress.item.item)
         job.has_results.set()
 
-    async def _commit_results(self, job: _OwnedJob) -> None:
+    async def _commit_results(self, job: OwnedJob) -> None:
         while True:
             await job.has_results.wait()
             job.has_results.clear()
@@ -735,7 +631,7 @@
                 await sleep_until(deadline_in(_COMMIT_RETRY_DELAY_S))
             self._rerun_stale_items(job, results)
 
-    def _rerun_stale_items(self, job: _OwnedJob, results: list[ItemResult]) -> None:
+    def _rerun_stale_items(self, job: OwnedJob, results: list[ItemResult]) -> None:
         """Rerun items whose weights were too old when their result was committed.
 
         A change of the batch job may reach this process before the answer to a
@@ -771,19 +667,8 @@
         return True
 
 
-def _restore_output(progress: ItemProgress, saved: SavedOutput | None) -> None:
-    """Continue from saved output unless this process has more of its own."""
-    if saved is None or not saved.satisfies(progress.spec):
-        return
-    event_data = saved.event_data
-    if len(event_data) > progress.output.events:
-        progress.output.restore(saved)
-        progress.saved_events = len(event_data)
-        progress.saved_at = now()
-
-
 def _waiting_item(
-    name: BatchJobId, job: _OwnedJob, progress: ItemProgress
+    name: BatchJobId, job: OwnedJob, progress: ItemProgress
 ) -> WaitingItem[tuple[BatchJobId, ItemId]]:
     for server in [
         name
--- /dev/null
+++ b/pollenlb/process/output_saver.py
@@ -0,0 +1,105 @@
+"""Saves the output of long items, so that another owner can go on from it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from ..clock import deadline_in, now, sleep_until
+from ..durable.batch_job_commands import SavedOutput, SaveOutputs
+from ..exceptions import ControlError
+from ..ids import BatchJobId, CommandId, new_id
+from ..request.item_progress import ItemProgress
+from .context import EntryContext
+from .owned_job import OwnedJob
+
+# Output is saved once it has taken so long to generate, and then again.
+_UNSAVED_S = 1.5
+# Output that has changed by fewer events is not saved again.
+_MIN_SAVED_EVENT_COUNT = 5
+_SAVING_INTERVAL_S = 0.25
+_SAVING_TIMEOUT_S = 1.0
+
+
+class OutputSaver:
+    """Stores output of items without a result in the replicated log.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Parts of the entry process.
+    jobs : Mapping
+        Batch jobs that this process runs, kept up to date by their owner.
+    """
+
+    def __init__(
+        self, context: EntryContext, jobs: Mapping[BatchJobId, OwnedJob]
+    ) -> None:
+        self._context = context
+        self._jobs = jobs
+
+    async def run(self) -> None:
+        """Save output in time, until cancelled."""
+        while True:
+            await sleep_until(deadline_in(_SAVING_INTERVAL_S))
+            await self.save(_UNSAVED_S)
+
+    async def save(self, unsaved_s: float = 0.0) -> None:
+        """Save output that would take long to generate again.
+
+        Parameters
+        ----------
+        unsaved_s : float
+            Seconds since the last time before which it is not saved.
+        """
+        boot = self._context.identity.boot
+        for name, job in list(self._jobs.items()):
+            due = [
+                progress
+                for progress in job.items.values()
+                if abs(progress.output.events - progress.saved_events)
+                >= _MIN_SAVED_EVENT_COUNT
+                and now() >= progress.saved_at + unsaved_s
+            ]
+            outputs = {
+                progress.item.item: output
+                for progress in due
+                if (output := progress.output.save(progress.item.item)) is not None
+            }
+            if not outputs:
+                continue
+            events = {progress.item.item: progress.output.events for progress in due}
+            command = SaveOutputs(name, boot, list(outputs.values()))
+            if not await self._propose(command):
+                continue
+            for progress in due:
+                progress.saved_events = events[progress.item.item]
+                progress.saved_at = now()
+
+    async def _propose(self, command: SaveOutputs) -> bool:
+        try:
+            await self._context.control.propose(
+                command, CommandId(new_id("outputs")), deadline_in(_SAVING_TIMEOUT_S)
+            )
+        except ControlError as error:
+            self._context.events.record(
+                "outputs.not_saved", batch_job=command.batch_job, reason=str(error)
+            )
+            return False
+        self._context.events.record(
+            "outputs.saved",
+            batch_job=command.batch_job,
+            items=[output.item for output in command.outputs],
+            bytes=sum(len(output.packed) for output in command.outputs),
+        )
+        return True
+
+
+def restore_output(progress: ItemProgress, saved: SavedOutput | None) -> None:
+    """Continue from saved output unless this process has more of its own."""
+    if saved is None or not saved.satisfies(progress.spec):
+        return
+    event_data = saved.event_data
+    if len(event_data) > progress.output.events:
+        progress.output.restore(saved)
+        progress.saved_events = len(event_data)
+        progress.saved_at = now()
--- a/tests/platform/test_batch_jobs.py
+++ b/tests/platform/test_batch_jobs.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from pollenlb.process import batch_runner
+from pollenlb.process import batch_runner, output_saver
 from pollenlb.process.batch_runner import BatchRunner
 
 from ..local_system import wait_until
@@ -243,8 +243,8 @@
 @pytest.fixture
 def saves_often(monkeypatch):
     """Let owners save output after a tenth of a second."""
-    monkeypatch.setattr(batch_runner, "_UNSAVED_S", 0.1)
-    monkeypatch.setattr(batch_runner, "_SAVING_INTERVAL_S", 0.05)
+    monkeypatch.setattr(output_saver, "_UNSAVED_S", 0.1)
+    monkeypatch.setattr(output_saver, "_SAVING_INTERVAL_S", 0.05)
 
 
 async def test_a_new_owner_goes_on_from_the_output_that_the_former_saved(
--- a/tests/platform/test_reward_calls.py
+++ b/tests/platform/test_reward_calls.py
@@ -9,7 +9,7 @@
 
 from fakes.platform_scorer import proof
 from pollenlb.events import EVENT_FILE
-from pollenlb.process import batch_runner, reward_calls
+from pollenlb.process import output_saver, reward_calls
 
 from ..local_system import wait_until
 from .platform_system import HOST, batch_job, configuration
@@ -249,7 +249,7 @@
 async def test_a_long_text_is_not_generated_again_to_be_scored(
     scored_system, monkeypatch
 ):
-    monkeypatch.setattr(batch_runner, "_UNSAVED_S", 0.1)
+    monkeypatch.setattr(output_saver, "_UNSAVED_S", 0.1)
     system = await scored_system(entries=2)
     for scorer in system.scorers:
         scorer.processing_s = 30
