--- a/pollenlb/process/reward_calls.py
+++ b/pollenlb/process/reward_calls.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+import aiohttp
 from result import Err, Ok, Result
 
 from ..clock import Deadline, deadline_in, now, remaining_time_s, sleep_until
@@ -67,7 +68,7 @@
     missing_items: Counter[GroupName]
 
 
-@dataclass
+@dataclass(eq=False)
 class _Call:
     """Progress of one reward call.
 
@@ -159,7 +160,7 @@
         self._record_attempt(call, server, result, waits_since, started_at)
         return result
 
-    def _session(self, call: _Call):
+    def _session(self, call: _Call) -> aiohttp.ClientSession:
         # An idle connection may be dead, which shows only as a timeout.
         if call.timeouts:
             return self._context.single_use_session
