Review case: a frozen entry accepts a batch job under an old configuration

Cause: the service of a batch job is fixed where it is parsed, and the submission names no revision that the leader could compare.

--- a/review/common/case.py
+++ b/review/common/case.py
@@ -23,7 +23,13 @@
 Case = Callable[[Deployment, Client, Record, bool], Awaitable[bool]]
 
 
-def run_case(folder: Path, case: Case, controls: int = 3, entries: int = 2) -> None:
+def run_case(
+    folder: Path,
+    case: Case,
+    controls: int = 3,
+    entries: int = 2,
+    entry_zones: int = 3,
+) -> None:
     """Run a case and exit with 0 if its rule held, 1 if not, 2 if it could not run.
 
     Parameters
@@ -35,10 +41,12 @@
         wanted; returns whether the rule held.
     controls, entries : int
         Number of control instances and of entries.
+    entry_zones : int
+        Number of zones that the entries are in.
     """
     is_disrupted = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
-    deployment = Deployment(controls, entries)
+    deployment = Deployment(controls, entries, entry_zones)
     code = NOT_RUN
     try:
         deployment.start()
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -121,9 +121,13 @@
     ----------
     controls, entries : int
         Number of control instances and of entries.
+    entry_zones : int
+        Number of zones that the entries are in.
     """
 
-    def __init__(self, controls: int = 3, entries: int = 2) -> None:
+    def __init__(
+        self, controls: int = 3, entries: int = 2, entry_zones: int = 3
+    ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="pollenlb-review-"))
         control_ips = [f"127.0.0.{number + 11}" for number in range(controls)]
         entry_ips = [f"127.0.1.{number + 11}" for number in range(entries)]
@@ -159,7 +163,7 @@
                 {
                     **common,
                     "node_name": f"front-{number}",
-                    "zone": f"zone-{number % 3}",
+                    "zone": f"zone-{number % entry_zones}",
                     "ip": ip,
                     "listen": {"front": f"{ip}:{front}", "ready": f"{ip}:{ready}"},
                     "bootstrap": True,
@@ -187,6 +191,11 @@
             # A disk may be lost later; only the first start may form a cluster.
             program.fields["bootstrap"] = False
 
+    @property
+    def ready_addresses(self) -> list[str]:
+        """Addresses at which the platform asks whether the entries are ready."""
+        return [program.fields["listen"]["ready"] for program in self.entries]
+
     def stop(self) -> None:
         """End all processes and remove their files."""
         for program in [*self.entries, *self.controls]:
