--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,10 @@
-"""Clients and a trainer send paths and queries with escaped characters."""
+"""A server is lost while it runs an item that one version must generate."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -13,82 +14,104 @@
 from review.common.peers import (  # noqa: E402
     Server,
     batch_job,
-    call,
     configuration,
+    whole_text,
 )
 
-_PLAIN_TARGETS = [
-    "/safe/orders/4711",
-    "/safe/orders/4711?full=1&zone=norte",
-    "/safe/customers/ohiggins",
-    "/safe/customers/nunez",
-]
-# RFC 3986 lets a sender escape any character of a path segment or a query.
-_ESCAPED_TARGETS = [
-    "/safe/customers/O%27Higgins",
-    "/safe/customers/nu%c3%b1ez",
-    "/safe/orders/4711%2D2",
-    "/safe/orders/%7Eopen?name=O%27Higgins&note=%28due%29",
-]
-_PLAIN_ITEM_PATH = "/rollout/0/{}"
-_ESCAPED_ITEM_PATH = "/rollout/0%2D1/{}"
-_ROUNDS = 5
-_ITEMS = {f"item-{number}": 5 for number in range(6)}
+_LONG = "item-long"
+_LONG_EVENTS = 170
+_FIRST_STEP = {f"item-0-{number}": 8 for number in range(4)}
+_NEXT_STEP = {f"item-1-{number}": 8 for number in range(4)} | {_LONG: _LONG_EVENTS}
+# The trainer of this deployment gives up a step after this time.
+_STEP_S = 30.0
+# RULES: 5 s of steady state, and no version named in the 6 s before; contact_ms.
+_IDLE_S = 5.0
+_AFTER_VERSION_S = 6.0
+_CONTACT_S = 3.0
+# A run that its sender ends within this time does not count.
+_SHORT_RUN_S = 1.0
 
 
 async def case(deployment, client, record, is_disrupted) -> bool:
-    servers = []
-    for number in range(2):
-        control = deployment.control_addresses
-        servers += [
-            Server(
-                f"d-{number}", "desk", f"127.0.2.{number + 11}", control, record, False
-            ),
-            Server(
-                f"e-{number}", "engines", f"127.0.3.{number + 11}", control, record
-            ),
-        ]
-    for server in servers:
-        await server.start()
-    if not await client.configure(configuration(2)):
+    spans: list[tuple[float, float]] = []
+    engines = []
+
+    async def watch(server, request, writer, number) -> bool:
+        if request["id"] != _LONG:
+            return False
+        if number == int(request["headers"].get("last-event-id", "-1")) + 1:
+            spans.append((time.monotonic(), time.monotonic()))
+        spans[-1] = (spans[-1][0], time.monotonic())
+        return False
+
+    for number in range(4):
+        engine = Server(
+            f"e-{number}",
+            "engines",
+            f"127.0.3.{number + 11}",
+            deployment.control_addresses,
+            record,
+        )
+        engine.event_s = 0.06
+        engine.intervene = watch
+        engines.append(engine)
+        await engine.start()
+    if not await client.configure(configuration(2, single_version=True)):
         raise CaseNotRunError("no acknowledgement of the configuration")
-    if not await client.is_served(len(deployment.entries)):
-        raise CaseNotRunError("safe requests are not served")
+    if not await client.submit("step-0", batch_job(_FIRST_STEP)):
+        raise CaseNotRunError("the first step was not accepted")
+    # The trainer asks a step ahead.
+    if not await client.submit("step-1", batch_job(_NEXT_STEP, step=1)):
+        raise CaseNotRunError("the next step was not accepted")
+    submitted_at = time.monotonic()
+    if len(await client.read_results("step-0", 10.0)) < len(_FIRST_STEP):
+        raise CaseNotRunError("the first step has results missing")
+    await client.until_accepted(deployment.front_addresses, "DELETE", "/-/lots/step-0")
+    if not await client.name_version(2):
+        raise CaseNotRunError("no acknowledgement of version 2")
+    named_at = time.monotonic()
+    record.write("version 2 is named")
+    await _wait_until_others_loaded(engines)
+    holder = next(engine for engine in engines if engine.running)
+    lost_at = time.monotonic()
+    if is_disrupted:
+        record.write(f"{holder.name} is lost for good; it ran {_LONG}")
+        await holder.crash()
+        engines.remove(holder)
+
+    results = await client.read_results(
+        "step-1", submitted_at + _STEP_S - time.monotonic()
+    )
+    ended_at = time.monotonic()
+    listed = {result["id"]: result for result in results}
+    for engine in engines:
+        await engine.crash()
+    if _LONG in listed:
+        result = listed[_LONG]
+        record.write(f"{_LONG} is {result['state']} under {result['versions']}")
+        whole = whole_text(_LONG, _LONG_EVENTS)
+        return result["state"] == "completed" and result["text"] == whole
+    steady_from = max(named_at + _AFTER_VERSION_S, lost_at + _CONTACT_S)
+    runs = [span for span in spans if span[1] - span[0] > _SHORT_RUN_S]
+    last_end = max([steady_from, *(end for _, end in runs)])
+    idle_s = ended_at - last_end
+    record.write(
+        f"the step's time is over; {_LONG} was at no server for {idle_s:.1f} s; "
+        f"servers got it {sum(r['id'] == _LONG for e in engines for r in e.runs)} "
+        "times after the loss"
+    )
+    return idle_s < _IDLE_S
 
-    sent: dict[str, str] = {}
-    targets = _ESCAPED_TARGETS if is_disrupted else _PLAIN_TARGETS
-    for number in range(_ROUNDS * len(targets)):
-        name = f"safe-{number}"
-        sent[name] = targets[number % len(targets)]
-        address = deployment.front_addresses[number % len(deployment.entries)]
-        headers = {"X-Request-Id": name, "X-Deadline-Ms": "1500"}
-        answer = await call(address, "GET", sent[name], b"", headers)
-        status = answer.status if answer is not None else None
-        record.write(f"sent {name} GET {sent[name]} -> {status}")
-    job = batch_job(_ITEMS)
-    path = _ESCAPED_ITEM_PATH if is_disrupted else _PLAIN_ITEM_PATH
-    for item in job["requests"]:
-        sent[item["id"]] = item["path"] = path.format(item["id"])
-        record.write(f"sent item {item['id']} with path {item['path']}")
-    if not await client.submit("job-1", job):
-        raise CaseNotRunError("the batch job was not accepted")
-    await client.read_results("job-1", 15.0)
-    await asyncio.sleep(0.2)
 
-    run = {
-        request["id"]: request["path"]
-        for server in servers
-        for request in server.runs
-        if request["id"] in sent
-    }
-    for server in servers:
-        await server.crash()
-    if len(run) < len(sent) // 2:
-        raise CaseNotRunError("fewer than half of the requests ran")
-    changed = {name: path for name, path in run.items() if path != sent[name]}
-    for name, target in changed.items():
-        record.write(f"UNASKED: {name} was sent as {sent[name]}, it ran as {target}")
-    return not changed
+async def _wait_until_others_loaded(engines) -> None:
+    ends_at = time.monotonic() + 6.0
+    while time.monotonic() < ends_at:
+        loaded = [engine for engine in engines if engine.version == 2]
+        running = [engine for engine in engines if engine.running]
+        if len(loaded) == len(engines) - 1 and len(running) == 1:
+            return
+        await asyncio.sleep(0.02)
+    raise CaseNotRunError("the idle servers did not load version 2 in time")
 
 
 if __name__ == "__main__":
