--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -63,6 +63,12 @@
         """Whether the process has not ended."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self) -> int:
+        """Id of the process that was started last."""
+        assert self._process is not None
+        return self._process.pid
+
     def start(self) -> None:
         """Start the process, with settings rendered anew."""
         template = (ROOT / self._role["template"]).read_text()
--- a/review/common/peers.py
+++ b/review/common/peers.py
@@ -148,6 +148,10 @@
         and each answer of a plain service; returns True if it has ended the answer.
     runs : list of dict
         Requests that began to run.
+    unframed : bool
+        Whether answers have no length and end with their connection.
+    first_check_in_s : float
+        Seconds from the start to the first check-in.
     """
 
     def __init__(
@@ -170,6 +174,7 @@
         self.software = "v1"
         self.event_s = 0.03
         self.unframed = False
+        self.first_check_in_s = 0.0
         self.intervene: Callable | None = None
         self.decide_status: Callable[[str], int] | None = None
         self.runs: list[dict[str, Any]] = []
@@ -227,6 +232,7 @@
         return [{"name": MODEL, "version": self.version, "adapters": []}]
 
     async def _check_in(self) -> None:
+        await asyncio.sleep(self.first_check_in_s)
         while True:
             self._seq += 1
             for _ in self._control:
@@ -362,11 +368,11 @@
                 version = self.version
                 lines.insert(0, f"x-weight-versions: {version}")
             block = "\n".join(lines).encode() + b"\n\n"
-            writer.write(block if self.unframed else _chunk(block))
+            writer.write(block if self.unframed else encode_chunk(block))
             await writer.drain()
             await asyncio.sleep(self.event_s)
         if not self.unframed:
-            writer.write(_chunk(b""))
+            writer.write(encode_chunk(b""))
         await writer.drain()
         return self.unframed
 
@@ -416,7 +422,8 @@
     return "\n".join(event_data(item, number) for number in range(count))
 
 
-def _chunk(data: bytes) -> bytes:
+def encode_chunk(data: bytes) -> bytes:
+    """Return one chunk of a chunked body; an empty one ends the body."""
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
@@ -577,9 +584,7 @@
     async def name_version(self, version: int) -> bool:
         """Name a version of the model until it is acknowledged."""
         body = {"model": MODEL, "version": version}
-        answer = await self.until_accepted(
-            self.control, "POST", "/-/version-put", body
-        )
+        answer = await self.until_accepted(self.control, "POST", "/-/version-put", body)
         return answer is not None
 
     async def submit(self, name: str, job: dict[str, Any]) -> bool:
