Read TROUBLE and name the record in each case; errors of a script exit with 2

Cause: both were hidden in review/common, and an unforeseen error of a script ended with 1, which reads as a broken rule. Ports of scripts that start at the same moment no longer fall together: case 1 once could not run when it was started together with case 2 (not traced further, its record was written over).

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -111,4 +112,8 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, case)
+    run_case(
+        case,
+        record_path=Path(__file__).with_name("record.txt"),
+        is_disrupted=os.environ.get("TROUBLE", "1") != "0",
+    )
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -115,4 +116,8 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, case)
+    run_case(
+        case,
+        record_path=Path(__file__).with_name("record.txt"),
+        is_disrupted=os.environ.get("TROUBLE", "1") != "0",
+    )
--- a/review/common/case.py
+++ b/review/common/case.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -24,8 +23,9 @@
 
 
 def run_case(
-    folder: Path,
     case: Case,
+    record_path: Path,
+    is_disrupted: bool,
     controls: int = 3,
     entries: int = 2,
     entry_zones: int = 3,
@@ -34,24 +34,25 @@
 
     Parameters
     ----------
-    folder : Path
-        Folder of the case, for the record.
     case : callable
         Gets the deployment, a client, the record and whether the disruption is
         wanted; returns whether the rule held.
+    record_path : Path
+        File to which what was sent, answered and run is written.
+    is_disrupted : bool
+        Whether the disruption is wanted.
     controls, entries : int
         Number of control instances and of entries.
     entry_zones : int
         Number of zones that the entries are in.
     """
-    is_disrupted = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     deployment = Deployment(controls, entries, entry_zones)
     code = NOT_RUN
     try:
         deployment.start()
         code = asyncio.run(_run(deployment, case, record, is_disrupted))
-    except (CaseNotRunError, TimeoutError) as error:
+    except Exception as error:  # an error of the script says nothing of the rule
         record.write(f"case could not run: {error!r}")
     finally:
         deployment.stop()
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -215,7 +215,9 @@
 def free_ports(ips: list[str], count: int) -> list[int]:
     """Return ports that are free on every one of some loopback addresses."""
     ports: list[int] = []
-    candidate = 20_000 + os.getpid() % 20_000
+    # Spread, so that scripts that start together choose different ports, and below the
+    # ports that the kernel gives to clients.
+    candidate = 20_000 + 97 * os.getpid() % 12_000
     while len(ports) < count:
         candidate += 1
         try:
--- a/review/trials/failed_runs.py
+++ b/review/trials/failed_runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -82,4 +83,9 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, case, entries=3)
+    run_case(
+        case,
+        record_path=Path(__file__).with_name("record.txt"),
+        is_disrupted=os.environ.get("TROUBLE", "1") != "0",
+        entries=3,
+    )
--- a/review/trials/large_state.py
+++ b/review/trials/large_state.py
@@ -126,4 +126,8 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, case)
+    run_case(
+        case,
+        record_path=Path(__file__).with_name("record.txt"),
+        is_disrupted=os.environ.get("TROUBLE", "1") != "0",
+    )
