Let changes of the storage end before a cancellation takes effect

Operators saw: a control instance that had been frozen did not start again, "log is damaged at byte N".

Cause: gRPC cancels a handler whose caller is gone or whose deadline has passed. The write goes on in its thread, but what follows it does not: after a truncation the offsets in memory stayed those of the old file, so that the next record was written behind a hole.

Evidence: the new tests cancel each change at each of its writes and compare the reopened folder with the memory.

The caller keeps the lock until then, so that nobody starts from a state between the two.

Ruled out: a shield around the handlers only. Leaders that step down cancel their own tasks, too.

--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -40,6 +40,7 @@
 )
 from .rpc_handlers import RpcHandlers
 from .storage import Storage, first_hard_state
+from .uninterrupted import uninterrupted
 
 # Longest slice of log entries that is applied at once, and the pause after it: an
 # answer to another replica takes several turns of the event loop.
@@ -347,6 +348,7 @@
         self._last_leader_contact_at = now()
         self.postpone_election()
 
+    @uninterrupted
     async def install_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the state by a snapshot from the leader; the caller holds the lock.
 
--- a/pollenlb/durable/storage.py
+++ b/pollenlb/durable/storage.py
@@ -17,6 +17,7 @@
 from ..ids import ClusterId, LogIndex, ReplicaId, Term
 from .files import encode_frame, read_file, read_frames, replace_file, sync_folder
 from .records import EntryKind, HardState, LogEntry, Member, Snapshot, decode_members
+from .uninterrupted import uninterrupted
 
 T = TypeVar("T")
 
@@ -33,8 +34,9 @@
 class Storage:
     """Hard state, snapshot and log entries of one replica.
 
-    Every write returns only after a sync. After a failed write or sync the
-    storage refuses all further writes, since the content of the disk is unknown.
+    Every write returns only after a sync, also to a caller that is cancelled. After a
+    failed write or sync the storage refuses all further writes, since the content of
+    the disk is unknown.
     Methods that write raise ``StorageError`` then.
 
     Parameters
@@ -135,6 +137,7 @@
             ) from error
         self._update_members()
 
+    @uninterrupted
     async def format(self, hard_state: HardState, entries: list[LogEntry]) -> None:
         """Write the identity and the first log entries of a new replica.
 
@@ -143,6 +146,7 @@
         await self.append(entries)
         await self.save_hard_state(hard_state)
 
+    @uninterrupted
     async def save_hard_state(self, hard_state: HardState) -> None:
         """Write identity, term and vote."""
         payload = _encode(hard_state)
@@ -170,6 +174,7 @@
         start = index - self.first_index
         return self._entries[start : start + max_count]
 
+    @uninterrupted
     async def append(self, entries: list[LogEntry]) -> None:
         """Append log entries and sync them."""
         if not entries:
@@ -182,6 +187,7 @@
         if any(entry.kind is EntryKind.MEMBERS for entry in entries):
             self._update_members()
 
+    @uninterrupted
     async def truncate_from(self, index: LogIndex) -> None:
         """Remove the log entries from an index on."""
         position = index - self.first_index
@@ -191,6 +197,7 @@
         self._update_members()
         await self._rewrite_log()
 
+    @uninterrupted
     async def save_snapshot(self, snapshot: Snapshot) -> None:
         """Store a snapshot and drop the log entries that it covers.
 
@@ -297,7 +304,7 @@
             future.add_done_callback(
                 lambda _: self._write_started_at.pop(write_id, None)
             )
-            return await asyncio.shield(future)
+            return await future
         except OSError as error:
             self._failure = StorageError(
                 f"write to data folder {self._folder} failed: {error}"
--- a/tests/durable/test_replica.py
+++ b/tests/durable/test_replica.py
@@ -13,6 +13,7 @@
 
 from fakes.relay import LinkState
 from pollenlb.commands.control import format_data_folder
+from pollenlb.durable.records import Snapshot
 from pollenlb.exceptions import (
     CommitInDoubtError,
     LogError,
@@ -21,6 +22,7 @@
 )
 
 from ..local_system import wait_until
+from .gated_disk import cancel_at_write
 from .linearizability import Operation, is_linearizable
 from .replica_set import Node, Registers, ReplicaSet, Write, propose
 
@@ -226,6 +228,24 @@
                 await failing.replica.fatal_error
 
 
+# Guards against a state that lags behind the snapshot in the log's place.
+async def test_cancelled_installation_of_a_snapshot_takes_effect(tmp_path):
+    async with ReplicaSet(tmp_path, seed=9) as replicas:
+        leader = await replicas.write("x", 1)
+        follower = _others(replicas, leader)[0]
+        replicas.isolate(follower)
+        replica = follower.replica
+        snapshot = Snapshot(replica.term, 500, [], Registers().snapshot())
+
+        async def install() -> None:
+            async with replica.lock:
+                await replica.install_snapshot(snapshot)
+
+        await cancel_at_write(replica.storage, install(), 2)
+        assert replica.storage.snapshot.index == 500
+        assert replica.applied_index == replica.commit_index == 500
+
+
 class _Recorder:
     """Runs clients and records the history of their operations by register."""
 
--- a/tests/durable/test_storage.py
+++ b/tests/durable/test_storage.py
@@ -6,6 +6,7 @@
 import os
 import shutil
 import tempfile
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -16,6 +17,8 @@
 from pollenlb.durable.storage import Storage, first_hard_state
 from pollenlb.exceptions import StorageDamagedError, StorageError
 
+from .gated_disk import cancel_at_write
+
 
 def _entry(term: int, index: int) -> LogEntry:
     payload = b"%d/%d" % (term, index)
@@ -105,6 +108,64 @@
     assert storage.last_index == 1
 
 
+_CHANGES = {
+    "append": (lambda storage: storage.append([_entry(1, 4)]), 1),
+    "truncate": (lambda storage: storage.truncate_from(2), 1),
+    "snapshot of the log": (
+        lambda storage: storage.save_snapshot(Snapshot(1, 2, [], b"state")),
+        2,
+    ),
+    "snapshot of a leader": (
+        lambda storage: storage.save_snapshot(Snapshot(2, 9, [], b"state")),
+        2,
+    ),
+    "hard state": (
+        lambda storage: storage.save_hard_state(first_hard_state("b", "c")),
+        1,
+    ),
+}
+
+
+# Guards against a log with a hole: a cancelled change went on at the disk alone.
+@pytest.mark.parametrize(
+    ("kind", "write"),
+    [(kind, n + 1) for kind, (_, writes) in _CHANGES.items() for n in range(writes)],
+)
+async def test_cancelled_change_takes_effect_in_memory_and_on_disk(
+    tmp_path, kind, write
+):
+    storage = _open_storage(tmp_path)
+    await storage.format(first_hard_state("a", "c"), [_entry(1, 1)])
+    await storage.append([_entry(1, 2), _entry(1, 3)])
+    await cancel_at_write(storage, _CHANGES[kind][0](storage), write)
+    await storage.append([_entry(3, storage.last_index + 1)])
+    reopened = _open_storage(tmp_path)
+    assert reopened.hard_state == storage.hard_state
+    assert reopened.snapshot == storage.snapshot
+    entries = storage.entries_from(storage.first_index, 1000)
+    assert reopened.entries_from(reopened.first_index, 1000) == entries
+    assert entries[-1].term == 3
+    reopened.close()
+    storage.close()
+
+
+# Guards against writes after a failed one that nobody waited for any more.
+async def test_failed_write_of_a_cancelled_change_is_the_last_one(tmp_path):
+    failures = [OSError("no space left")]
+
+    def fail_once(descriptor: int) -> None:
+        if failures:
+            raise failures.pop()
+
+    storage = Storage(tmp_path, fail_once)
+    storage.open()
+    with suppress(StorageError):
+        await cancel_at_write(storage, storage.append([_entry(1, 1)]), 1)
+    with pytest.raises(StorageError, match="no space left"):
+        await storage.append([_entry(1, 1)])
+    storage.close()
+
+
 class StorageComparison(RuleBasedStateMachine):
     """Compares a storage with a plain list over random operations and restarts."""
 
@@ -154,6 +215,22 @@
         self.entries.clear()
         self.base = index
 
+    @rule(back=st.integers(0, 3), write=st.integers(1, 2))
+    def cancelled_truncate(self, back: int, write: int) -> None:
+        retained = max(0, len(self.entries) - back)
+        change = self.storage.truncate_from(self.base + retained + 1)
+        self.loop.run_until_complete(cancel_at_write(self.storage, change, write))
+        del self.entries[retained:]
+        self.term += 1
+
+    @rule(ahead=st.integers(1, 5), write=st.integers(1, 2))
+    def cancelled_install_snapshot(self, ahead: int, write: int) -> None:
+        index = self.base + len(self.entries) + ahead
+        change = self.storage.save_snapshot(Snapshot(self.term, index, [], b"received"))
+        self.loop.run_until_complete(cancel_at_write(self.storage, change, write))
+        self.entries.clear()
+        self.base = index
+
     @rule()
     def restart(self) -> None:
         self.storage.close()
