Start an item of a single version over when nobody can continue it

Cause: the run, the placement and the end of a run each decided by themselves whether output can be continued, from different facts. The run gave up at the head of the answer, the placement saw only the oldest version that the batch job allows, and the end of the run started over only output that is not allowed any more.

Change: the placement asks for the weights that generated the output, as it does for the software: it prefers engines that have them, waits for a slot there for a second, and else lets another engine start over. Moves to faster engines follow the same condition, so that a move does not cost the output. A newer version that an answer names counts until the announcement changes.

Ruled out: to start over at the first engine with other weights. A test has an engine with the same weights left, which goes on with the output.

--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -78,6 +78,7 @@
         self._usable_until = Deadline(0.0)
         self._is_leaving = announcement.state is ServerState.LEAVING
         self._version: WeightVersion | None = None
+        self._answered_versions: dict[ModelName, WeightVersion] = {}
         self._load = ServerLoad(announcement.slots)
         self._request_limit = RequestLimit(
             announcement.server, limit_shares, random.Random()
@@ -123,8 +124,11 @@
 
         An engine that announces no models reports its version in probes, and
         none while it changes weights; -1 stands for none. Otherwise the
-        version is the announced one, or 0 when the model was not announced.
+        version is the announced one, or 0 when the model was not announced. A newer
+        one that an answer named counts until the announcement changes.
         """
+        if model in self._answered_versions:
+            return self._answered_versions[model]
         if self._announcement.models or not self._is_probed:
             return self._announcement.models.get(model, WeightVersion(0))
         return self._version if self._version is not None else _NO_VERSION
@@ -211,6 +215,11 @@
             self._is_leaving = False
         if not self._is_probed:
             self._boot = announcement.boot
+        if (announcement.boot, announcement.models) != (
+            self._announcement.boot,
+            self._announcement.models,
+        ):
+            self._answered_versions.clear()
         self._announcement = announcement
 
     def record_answer(self, latency_s: float | None = None) -> None:
@@ -228,6 +237,15 @@
         if latency_s is not None:
             self._load.record_latency(latency_s)
 
+    def record_version(self, model: ModelName, version: WeightVersion) -> None:
+        """Record the weight version that an answer named.
+
+        A late answer may name an older version than the announced one, which has no
+        effect.
+        """
+        if version > self.model_version(model):
+            self._answered_versions[model] = version
+
     def record_failure(self) -> None:
         """Record a failed request.
 
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Coroutine
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -50,9 +51,9 @@
 # An item avoids an engine for this long after a run there that did not complete.
 _AVOID_SERVER_S = 0.5
 # An interrupted item with this many events waits for so long for a slot at an engine
-# of the software version that generated them, before another version starts it over.
+# that can continue them, before another one starts it over.
 _MIN_KEPT_EVENT_COUNT = 5
-_SOFTWARE_WAIT_S = 1.0
+_CONTINUATION_WAIT_S = 1.0
 # A change of weights takes 0.9 s; an engine that refused an item is tried again
 # after this delay, so that the end of the change is found soon.
 _REFUSAL_RETRY_DELAY_S = 0.2
@@ -348,6 +349,7 @@
                 progress.output.events,
                 self._expected_events(progress),
                 now() - progress.run_started_at,
+                progress.required_version,
             )
             for name, job in jobs.items()
             for progress in job.items.values()
@@ -355,9 +357,12 @@
         ]
         min_version = max((job.spec.least_version for job in jobs.values()), default=0)
         speeds = [
-            self._speed_of(
-                servers[engine.server],
-                engine.free_slots if engine.version >= min_version else 0,
+            replace(
+                self._speed_of(
+                    servers[engine.server],
+                    engine.free_slots if engine.version >= min_version else 0,
+                ),
+                version=engine.version,
             )
             for engine in engines
         ]
@@ -586,7 +591,7 @@
             progress.failed_runs += 1
         elif end in (RunEnd.BROKEN, RunEnd.SILENT):
             progress.interrupted_runs += 1
-        elif end is RunEnd.TOO_OLD and not progress.satisfies(job.spec):
+        elif not progress.satisfies(job.spec):
             progress.output.start_over()
         is_expired = not remaining_time_s(progress.expires_at)
         if (
@@ -687,6 +692,7 @@
         least_version=job.spec.least_version,
         avoided=frozenset(progress.avoided),
         software=progress.output.software,
-        is_waiting_for_software=progress.output.events >= _MIN_KEPT_EVENT_COUNT
-        and now() < progress.run_ended_at + _SOFTWARE_WAIT_S,
+        version=progress.required_version,
+        is_waiting_to_continue=progress.output.events >= _MIN_KEPT_EVENT_COUNT
+        and now() < progress.run_ended_at + _CONTINUATION_WAIT_S,
     )
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -119,7 +119,8 @@
     ) -> RunEnd:
         """Run an item at an engine, resuming an earlier interrupted run.
 
-        An engine of another software version than the earlier one starts over.
+        An engine of another software version than the earlier one starts over, and so
+        does one with other weights if a single version must generate the item.
 
         Parameters
         ----------
@@ -131,7 +132,9 @@
             Parts of the entry process.
         """
         item, output = progress.item, _output_of(progress)
-        if not context.may_continue(output.software, server):
+        version = server.model_version(progress.spec.model)
+        has_same_weights = progress.required_version in (None, version)
+        if not has_same_weights or not context.may_continue(output.software, server):
             output.start_over()
         failure = await check_process(server, output.software is not None, context)
         if failure is not None:
@@ -256,6 +259,8 @@
     if status != 200:
         raise ValueError(f"engine answered with unexpected HTTP status {status}")
     version = answer.head.version
+    if version is not None:
+        answer.server.record_version(progress.spec.model, version)
     if not _is_version_allowed(progress, version):
         return RunEnd.TOO_OLD
     output = _output_of(progress)
@@ -263,7 +268,9 @@
         answer.response.content, _STALL_TIMEOUT_S, MAX_OUTPUT_BYTES
     ):
         event = context.dialect.read_numbered_event(block)
-        version = event.version or version
+        if event.version is not None:
+            version = event.version
+            answer.server.record_version(progress.spec.model, version)
         if not _is_version_allowed(progress, version):
             return RunEnd.TOO_OLD
         if (
@@ -291,7 +298,4 @@
         return True
     if version < progress.spec.least_version:
         return False
-    if not progress.spec.is_single_version:
-        return True
-    used = progress.output.versions
-    return not used or used == [version]
+    return progress.required_version in (None, version)
--- a/pollenlb/request/item_moves.py
+++ b/pollenlb/request/item_moves.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from ..ids import BackendServerName, BatchJobId, SoftwareVersion
+from ..ids import BackendServerName, BatchJobId, SoftwareVersion, WeightVersion
 
 K = TypeVar("K", bound=Hashable)
 
@@ -45,6 +45,8 @@
         Number of events expected by the end of the item.
     run_s : float
         Seconds since the run at this engine started.
+    version : WeightVersion or None
+        Weight version that must generate the rest; None if any allowed one may.
     """
 
     key: K
@@ -53,6 +55,7 @@
     events: int
     expected_events: float
     run_s: float
+    version: WeightVersion | None = None
 
     @property
     def remaining_events(self) -> float:
@@ -80,6 +83,8 @@
         recently; 0 without a recent report.
     software : SoftwareVersion
         Version of the engine's software.
+    version : WeightVersion or None
+        Version of the items' model that the engine serves.
     """
 
     server: BackendServerName
@@ -88,6 +93,7 @@
     free_slots: int
     reported_slowness: float = 0.0
     software: SoftwareVersion = SoftwareVersion("")
+    version: WeightVersion | None = None
 
 
 def typical_event_interval_s(speeds: Sequence[EngineSpeed]) -> float:
@@ -133,10 +139,8 @@
         for speed in speeds
     }
     software = {speed.server: speed.software for speed in speeds}
-    free_slots: Counter[SoftwareVersion] = Counter()
-    for speed in speeds:
-        if slowness[speed.server] < SLOW_RATIO:
-            free_slots[speed.software] += speed.free_slots
+    targets = [speed for speed in speeds if slowness[speed.server] < SLOW_RATIO]
+    free_slots = Counter({target.server: target.free_slots for target in targets})
     longest: dict[BatchJobId, float] = {}
     for item in running:
         weighted_events = item.remaining_events * slowness.get(item.server, 1.0)
@@ -153,9 +157,20 @@
     slow.sort(key=lambda item: -item.remaining_events)
     moved = []
     for item in slow:
-        # Another software version would have to generate the item anew.
-        if free_slots[software[item.server]] > 0:
-            free_slots[software[item.server]] -= 1
+        # Other software, or other weights if a single version must generate the item,
+        # would have to generate it anew.
+        target = next(
+            (
+                target.server
+                for target in targets
+                if free_slots[target.server] > 0
+                and target.software == software[item.server]
+                and item.version in (None, target.version)
+            ),
+            None,
+        )
+        if target is not None:
+            free_slots[target] -= 1
             moved.append(item.key)
     return moved
 
--- a/pollenlb/request/item_placement.py
+++ b/pollenlb/request/item_placement.py
@@ -55,9 +55,12 @@
     software : SoftwareVersion or None
         Software version that generated its output so far, which engines of other
         versions generate anew; None without output.
-    is_waiting_for_software : bool
-        Whether it waits for an engine of that version, if there is one, rather than
-        start over.
+    version : WeightVersion or None
+        Weight version that generated its output so far, if a single version must
+        generate all of it; None if any allowed version may go on.
+    is_waiting_to_continue : bool
+        Whether it waits for an engine that can continue its output, if there is one,
+        rather than start over.
     """
 
     key: K
@@ -69,7 +72,8 @@
     least_version: WeightVersion
     avoided: frozenset[BackendServerName] = frozenset()
     software: SoftwareVersion | None = None
-    is_waiting_for_software: bool = False
+    version: WeightVersion | None = None
+    is_waiting_to_continue: bool = False
 
 
 @dataclass
@@ -130,8 +134,10 @@
     the same number of slots each, so that a small one does not wait for a large
     one.
 
-    An item with output continues at an engine of the same software version if one
-    has a free slot. Otherwise it waits for one or starts over at another engine.
+    An item with output continues at an engine of the same software version, and of
+    the same weight version where a single one must generate it, if one has a free
+    slot. Otherwise it waits for one or starts over at another engine. This covers a
+    server that is lost after all others have loaded the next version.
 
     When all slots are taken, items wait here and not in an engine's queue, from
     which they could not be moved to another engine.
@@ -158,9 +164,9 @@
             if not any(engine.free_slots for engine in engines):
                 break
             continue
-        continuing = [engine for engine in eligible if engine.software == item.software]
-        if not continuing and item.is_waiting_for_software:
-            if any(engine.software == item.software for engine in engines):
+        continuing = [engine for engine in eligible if _can_continue(engine, item)]
+        if not continuing and item.is_waiting_to_continue:
+            if any(_can_continue(engine, item) for engine in engines):
                 continue
         chosen = min(
             continuing or eligible, key=lambda engine: _placement_cost(engine, item)
@@ -172,6 +178,12 @@
     return placed
 
 
+def _can_continue(engine: EngineCapacity, item: WaitingItem) -> bool:
+    """Return whether an engine can go on with the output of an item."""
+    has_same_weights = item.version in (None, engine.version)
+    return engine.software == item.software and has_same_weights
+
+
 def _sort_by_priority(
     waiting: Sequence[WaitingItem[K]], running: Mapping[BatchJobId, int]
 ) -> list[WaitingItem[K]]:
--- a/pollenlb/request/item_progress.py
+++ b/pollenlb/request/item_progress.py
@@ -36,7 +36,8 @@
     IMPOSSIBLE
         The engine answered that it can never run the item.
     TOO_OLD
-        The engine's weights are not allowed for the item.
+        The engine's weights are not allowed for the item, or for the rest of its
+        output.
     BROKEN
         The run was interrupted, for example by a failed connection.
     SILENT
@@ -175,6 +176,13 @@
         self.last_event_at = now()
         self.saved_at = min(self.saved_at, self.last_event_at)
 
+    @property
+    def required_version(self) -> WeightVersion | None:
+        """Weight version that must generate the rest; None if any allowed one may."""
+        if not self.spec.is_single_version or not self.output.versions:
+            return None
+        return self.output.versions[0]
+
     def satisfies(self, spec: BatchJobSpec) -> bool:
         """Return whether a batch job allows the weights that generated the output."""
         versions = self.output.versions
--- a/tests/platform/test_batch_jobs.py
+++ b/tests/platform/test_batch_jobs.py
@@ -13,7 +13,7 @@
 from pollenlb.process.batch_runner import BatchRunner
 
 from ..local_system import wait_until
-from .platform_system import MODEL, batch_job
+from .platform_system import MODEL, batch_job, configuration
 
 _CRASH_COUNT = 8  # more than twice the attempts of the route
 _PLACED_AGAIN_WITHIN_S = 10.0
@@ -110,6 +110,62 @@
     assert old.received_runs == []
 
 
+async def _start_single_version_item(platform_system) -> tuple:
+    """Start a long item of a single version; return system, its engine, the other."""
+    system = await platform_system(engines=2)
+    body = configuration(2, single_version=True)
+    assert (await system.call_control("POST", "/-/Config.Replace", body))[0] == 200
+    await system.submit(0, "job", batch_job({"item": _LONG_EVENT_COUNT}))
+    await wait_until(lambda: any(engine.running for engine in system.engines))
+    holder, other = sorted(system.engines, key=lambda engine: not engine.running)
+    await asyncio.sleep(20 * holder.event_interval_s)
+    return system, holder, other
+
+
+# Guards against an item that is sent for ever to engines which may not continue it.
+@pytest.mark.parametrize("is_announced", [True, False])
+async def test_a_single_version_item_starts_over_when_its_weights_are_gone(
+    platform_system, is_announced
+):
+    system, holder, other = await _start_single_version_item(platform_system)
+    if not is_announced:
+        other.stop_heartbeats()
+    other.version = 2
+    if is_announced:
+        await wait_until(
+            lambda: all(
+                entry.context.directory.servers[other.name].model_version(MODEL) == 2
+                for entry in system.entries
+            )
+        )
+    await holder.stop()
+    async with asyncio.timeout(_PLACED_AGAIN_WITHIN_S):
+        (result,) = await system.read_all_results(0, "job")
+    assert result["state"] == "completed"
+    assert result["versions"] == [2]
+    assert result["text"] == _expected_text(_LONG_EVENT_COUNT, 2)
+
+
+async def test_a_single_version_item_goes_on_where_its_weights_are_served(
+    platform_system,
+):
+    system, holder, other = await _start_single_version_item(platform_system)
+    newer = await system.add_engine("i-newer")
+    newer.version = 2
+    await wait_until(
+        lambda: all(
+            "i-newer" in entry.context.directory.servers
+            and entry.context.directory.servers["i-newer"].model_version(MODEL) == 2
+            for entry in system.entries
+        )
+    )
+    await holder.stop()
+    (result,) = await system.read_all_results(0, "job")
+    assert result["versions"] == [1]
+    assert result["text"] == _expected_text(_LONG_EVENT_COUNT)
+    assert newer.received_runs == []
+
+
 async def test_an_item_that_engines_reject_with_422_expires(platform_system):
     system = await platform_system()
     for engine in system.engines:
--- a/tests/request/test_item_placement.py
+++ b/tests/request/test_item_placement.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from dataclasses import replace
 
 from pollenlb.request.item_moves import EngineSpeed, RunningItem, choose_moves
 from pollenlb.request.item_placement import EngineCapacity, WaitingItem, place_items
@@ -228,7 +229,7 @@
         EngineCapacity("other", _SLOTS, 0, 2, software="v2"),
         EngineCapacity("same", _SLOTS, _SLOTS, 2, software="v1"),
     ]
-    waiting = [_waiting(0, software="v1", is_waiting_for_software=True)]
+    waiting = [_waiting(0, software="v1", is_waiting_to_continue=True)]
     assert place_items(waiting, engines) == []
     assert place_items(waiting, engines[:1]) == [(0, "other")]
 
@@ -243,6 +244,34 @@
     assert choose_moves(running, speeds) == [0]
 
 
+# Guards against an item that is sent round engines which may not continue it.
+def test_an_item_of_a_single_version_starts_over_only_without_its_weights():
+    same = EngineCapacity("same", _SLOTS, 0, 2)
+    other = EngineCapacity("other", _SLOTS, 0, 3)
+    waiting = [
+        _waiting(0, software="", version=2, is_waiting_to_continue=True, avoided=avoids)
+        for avoids in (frozenset(), frozenset(["same"]))
+    ]
+    assert place_items(waiting[:1], [other, same]) == [(0, "same")]
+    assert place_items(waiting[1:], [other, same]) == []
+    assert place_items(waiting[1:], [other]) == [(0, "other")]
+
+
+def test_an_item_of_a_single_version_is_not_moved_to_other_weights():
+    speeds = [
+        replace(speed, version=version)
+        for speed, version in zip(
+            _speeds(0.14, _EVENT_INTERVAL_S, _EVENT_INTERVAL_S), (2, 3, 3)
+        )
+    ]
+    any_version = [_running(0, 0, 10, 100), _running(1, 1, 10, 100)]
+    single_version = [replace(item, version=2) for item in any_version]
+    assert choose_moves(any_version, speeds) == [0]
+    assert choose_moves(single_version, speeds) == []
+    speeds[2] = replace(speeds[2], version=2)
+    assert choose_moves(single_version, speeds) == [0]
+
+
 def test_no_more_items_start_than_the_limit_of_an_engine_allows():
     engines = [EngineCapacity("engine", _SLOTS, 0, 2, allowed_starts=2.6)]
     assert len(place_items([_waiting(key) for key in range(4)], engines)) == 2
