Tell callers that their connection ends during a planned stop

Callers saw: with open connections each lost one request to a stop of their entry, also one that may not be repeated; requests that still ran at its end got no answer.

Cause: aiohttp chooses the headers of the connection before the hook in which the entry asked for the close, so no answer said it. Connections whose last answer came from before the stop were closed without a word. Requests were passed on however little time was left.

Change: every answer of a stop has Connection: close. The grace counts from the signal. A request that usually takes longer than is left is refused as not run; the deadline of others ends with the stop; what outlasts it is answered with 504.

Ruled out: closing connections later, which tells callers nothing.

--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from dataclasses import dataclass, field
 
 import aiohttp
 
+from ..clock import Deadline
 from ..connection.backend import BackendServer
 from ..connection.control import ControlConnection
 from ..connection.control_api import LedgerView, QuarantineView
@@ -19,6 +21,7 @@
 from ..events import EventLog
 from ..ids import BackendServerName, ServiceName, SoftwareVersion
 from ..request.admission import AdmissionPolicy, admissible_servers
+from ..request.caller_request import RequestClass
 from ..request.choice import ChoicePolicy, choose_server
 from ..request.dialect import Dialect
 from ..request.item_placement import PlacementPolicy, place_items
@@ -31,6 +34,8 @@
 
 # Quantile of a service's recent latencies after which a request is hedged.
 HEDGE_QUANTILE = 0.95
+# Quantile of recent durations within which a request is expected to end.
+_DURATION_QUANTILE = 0.95
 # An election of a leader takes less time, so that streams go on during it.
 _MAX_SOFTWARE_AGE_S = 2.0
 
@@ -86,6 +91,10 @@
         runs.
     is_draining : bool
         Whether the process is shutting down.
+    drain_deadline : Deadline
+        When requests of callers must have ended; infinite before a shutdown.
+    durations : dict
+        Recent durations of requests that ran, by service and class.
     """
 
     settings: EntrySettings
@@ -114,6 +123,10 @@
     place_items: PlacementPolicy = place_items
     batch_jobs_version: int = 0
     is_draining: bool = False
+    drain_deadline: Deadline = Deadline(math.inf)
+    durations: dict[tuple[ServiceName, RequestClass], RecentLatencies] = field(
+        default_factory=dict
+    )
 
     @property
     def accepts_requests(self) -> bool:
@@ -182,6 +195,15 @@
             self.latencies[service] = RecentLatencies(HEDGE_QUANTILE)
         return self.latencies[service]
 
+    def recent_durations(
+        self, service: ServiceName, request_class: RequestClass
+    ) -> RecentLatencies:
+        """Return the recent durations of requests, created at their first use."""
+        key = (service, request_class)
+        if key not in self.durations:
+            self.durations[key] = RecentLatencies(_DURATION_QUANTILE)
+        return self.durations[key]
+
     def servers_with_long_slot(self, service: ServiceName) -> list[BackendServer]:
         """Return the usable backend servers with a free slot for long requests.
 
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -10,7 +10,7 @@
 import aiohttp
 from aiohttp import web
 
-from ..clock import deadline_in, remaining_time_s, sleep_until
+from ..clock import Deadline, deadline_in, remaining_time_s, sleep_until
 from ..connection.backend_api import ProbeAnswer
 from ..connection.control import ControlConnection
 from ..connection.control_api import LedgerView, QuarantineView
@@ -29,6 +29,7 @@
 from ..version.configuration import AppliedConfiguration
 from .batch_runner import BatchRunner
 from .context import EntryContext
+from .drain import Drain
 from .http_server import HttpServer
 from .metrics import Metrics
 from .renewals import LeaseRenewer
@@ -37,6 +38,9 @@
 
 # aiohttp takes a shutdown timeout of 0 as no limit.
 _MIN_SHUTDOWN_TIMEOUT_S = 0.01
+# Part of the grace that is left to end tasks and to close connections.
+_STOP_TIME_S = 0.5
+_STOP_TIME_RATIO = 0.125
 
 
 @dataclass(frozen=True)
@@ -74,12 +78,13 @@
         self._settings = settings
         self._context = _open_context(settings, protocol)
         self._add_routes = protocol.add_routes
+        self._drain = Drain(self._context)
         self._batch_runner = BatchRunner(self._context)
         self._lease_renewer = LeaseRenewer(self._context, self._batch_runner)
         self._http = HttpServer(
             self._application(),
             settings.listen,
-            shutdown_timeout=max(_MIN_SHUTDOWN_TIMEOUT_S, settings.shutdown_grace_s),
+            shutdown_timeout=_MIN_SHUTDOWN_TIMEOUT_S,
             max_line_size=settings.max_header_bytes,
             max_field_size=settings.max_header_bytes,
             handler_cancellation=True,
@@ -116,20 +121,23 @@
         """Drain the process, then stop it.
 
         Load balancers get ``balancer_delay_s`` to notice before the process
-        stops listening. Requests in progress then have ``shutdown_grace_s`` to
-        finish; batch jobs have what is left of ``shutdown_grace_s`` since the
-        call.
+        stops listening. Requests and batch jobs have what is left of
+        ``shutdown_grace_s`` since the call, less the time to stop the process.
         """
         context = self._context
+        grace_s = self._settings.shutdown_grace_s
+        deadline = deadline_in(grace_s - min(_STOP_TIME_S, grace_s * _STOP_TIME_RATIO))
+        context.drain_deadline = deadline
         context.is_draining = True
-        context.events.record("entry.draining")
-        deadline = deadline_in(self._settings.shutdown_grace_s)
-        await sleep_until(deadline_in(self._settings.balancer_delay_s))
+        context.events.record("entry.draining", grace_s=grace_s)
+        listens_until = deadline_in(self._settings.balancer_delay_s)
+        await sleep_until(Deadline(min(deadline, listens_until)))
         await self._http.stop_listening()
         await asyncio.gather(
             self._batch_runner.drain(remaining_time_s(deadline)),
-            self._http.stop(),
+            self._drain.run(self._http, deadline),
         )
+        await self._http.stop()
         if self._ready_http is not None:
             await self._ready_http.stop()
         await self._lease_renewer.stop()
@@ -146,7 +154,7 @@
             client_max_size=self._settings.max_body_bytes,
             handler_args={"auto_decompress": False},
         )
-        application.on_response_prepare.append(self._close_connection_while_draining)
+        self._drain.add_to(application)
         self._add_health_routes(application.router)
         self._add_routes(application.router, self._context)
         handler = RequestHandler(self._context)
@@ -163,13 +171,6 @@
         router.add_get(self._context.dialect.ready_path, self._answer_ready)
         router.add_get("/metrics", self._answer_metrics)
 
-    async def _close_connection_while_draining(
-        self, request: web.Request, response: web.StreamResponse
-    ) -> None:
-        # Callers with open connections then connect again, to another entry.
-        if self._context.is_draining:
-            response.force_close()
-
     async def _answer_health(self, request: web.Request) -> web.Response:
         return web.Response(text="alive\n")
 
--- a/pollenlb/process/http_server.py
+++ b/pollenlb/process/http_server.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 
 # Connections that the kernel queues until they are accepted.
 _LISTEN_BACKLOG_COUNT = 1024
@@ -31,6 +32,11 @@
             application, access_log=None, handle_signals=False, **options
         )
 
+    @property
+    def connections(self) -> list[RequestHandler]:
+        """Open connections."""
+        return self._runner.server.connections if self._runner.server else []
+
     async def start(self) -> None:
         """Start to listen.
 
--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -6,14 +6,14 @@
 
 from aiohttp import web
 
-from ..clock import now
+from ..clock import Deadline, deadline_in, now
 from ..connection.engine_api import COMPLETIONS_PATH
 from ..ids import ServiceName
 from ..process.context import EntryContext
 from ..settings.cluster import RouteSettings
 from .at_most_once import run_at_most_once
 from .batch_job import submit_batch_job
-from .caller_request import CallerRequest, RequestBody
+from .caller_request import CallerRequest, RequestBody, RequestClass
 from .completion import answer_completion
 from .outcome import (
     Outcome,
@@ -28,6 +28,12 @@
 # A leader election among the control instances takes about this long; the caller
 # may retry after it.
 _CONTROL_RETRY_AFTER_S = 0.4
+# New connections reach other entries while this one stops.
+_STOPPING_RETRY_AFTER_S = 0.05
+# A backend server ends its work at its deadline; its answer takes a moment.
+_STOPPING_MARGIN_S = 0.4
+# Expected duration of requests of which not enough have ended yet.
+_UNKNOWN_DURATION_S = 1.0
 
 
 class RequestHandler:
@@ -42,6 +48,11 @@
     def __init__(self, context: EntryContext) -> None:
         self._context = context
 
+    @property
+    def _last_end(self) -> Deadline:
+        """When requests have to end, so that they are answered before a stop."""
+        return Deadline(self._context.drain_deadline - _STOPPING_MARGIN_S)
+
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer one request of a caller.
 
@@ -51,7 +62,7 @@
         """
         received_at = now()
         request_id = self._context.dialect.request_id_of(request)
-        service = "none"
+        service = ServiceName("none")
         request_class = "none"
         outcome = Outcome.RAN
         metrics = self._context.metrics
@@ -64,6 +75,9 @@
             request_class = caller.request_class.value
             response = await self._dispatch(caller)
             status = response.status
+            self._context.recent_durations(service, caller.request_class).add(
+                now() - received_at
+            )
             return response
         except RefusedError as error:
             outcome = error.refusal.outcome
@@ -118,13 +132,14 @@
         self._check_content_length(request)
         terms = context.dialect.read_parameters(request, route, limits)
         service = self._choose_service(route)
+        self._check_can_end(service, terms.request_class)
         caller = CallerRequest(
             request_id=terms.request_id,
             route=route,
             service_name=service,
             service=cluster.services[service],
             request_class=terms.request_class,
-            deadline=terms.deadline,
+            deadline=Deadline(min(terms.deadline, self._last_end)),
             is_repeatable=terms.is_repeatable,
             key=terms.key,
             http_request=request,
@@ -143,6 +158,16 @@
             reason = "no valid lease or configuration from the control instances"
             raise unavailable(reason, _CONTROL_RETRY_AFTER_S)
 
+    def _check_can_end(self, service: ServiceName, request_class: RequestClass) -> None:
+        """Refuse a request that is not expected to end before a planned stop."""
+        recent = self._context.recent_durations(service, request_class)
+        expected_s = recent.quantile_s
+        if expected_s is None:
+            expected_s = _UNKNOWN_DURATION_S
+        if deadline_in(expected_s) > self._last_end:
+            reason = "the instance is about to stop; another one can serve the request"
+            raise unavailable(reason, _STOPPING_RETRY_AFTER_S)
+
     def _check_content_length(self, request: web.Request) -> None:
         max_bytes = self._context.settings.max_body_bytes
         if request.content_length is not None and request.content_length > max_bytes:
--- a/pollenlb/settings/entry.py
+++ b/pollenlb/settings/entry.py
@@ -79,7 +79,8 @@
     """Seconds between failing readiness checks and refusing new connections."""
 
     shutdown_grace_s = Number(0, 3600, 60.0)
-    """Seconds that requests in flight have to finish during a shutdown."""
+    """Seconds from the signal to stop until the process has ended. Requests in flight
+    have until shortly before."""
 
     max_items_in_flight = Integer(1, 100_000, 4096)
     """Greatest number of samples and batch job items that run here concurrently."""
--- a/tests/system/test_leaving.py
+++ b/tests/system/test_leaving.py
@@ -8,7 +8,9 @@
 import aiohttp
 
 from demo.cluster import Cluster, ClusterPlan
-from pollenlb.clock import deadline_in, sleep_until
+from fakes.cut_answer import CutAnswer
+from fakes.flood import REQUEST_ID
+from pollenlb.clock import deadline_in, now, sleep_until
 
 from ..local_system import wait_until
 
@@ -70,6 +72,156 @@
     assert (await system.get(0, "/shop/1"))[1] == "ran"
 
 
+_STOP_OPTIONS = {"balancer_delay_s": 0.6, "shutdown_grace_s": 3.0}
+
+
+async def _start_slow(start_system, processing_s: float, **options):
+    """Start two entries and a plain service, and let the entries learn its speed."""
+    system = await start_system(
+        entries=2, plain_services=1, entry_options={**_STOP_OPTIONS, **options}
+    )
+    plain = system.plain_services[0]
+    plain.processing_s = processing_s
+    await asyncio.gather(*(_post(system, 0, f"/billing/{n}") for n in range(24)))
+    return system, plain
+
+
+async def _stop_entry(system) -> None:
+    """Stop the first entry as SIGTERM does."""
+    await system.entries[0].stop()
+    del system.entries[0]
+
+
+async def _post(system, entry: int, path: str) -> tuple:
+    """Send a request on a new connection; return its status and headers."""
+    async with aiohttp.ClientSession() as session:
+        async with session.post(system.url(entry, path), data=b"x") as response:
+            await response.read()
+            return response.status, response.headers
+
+
+# Guards against a connection that is closed after an answer that did not say so.
+async def test_callers_with_open_connections_lose_no_request_to_a_stop(start_system):
+    system, _ = await _start_slow(start_system, 0.25)
+    unanswered: list[str] = []
+    unannounced: list[str] = []
+    urls = [system.url(0), system.url(1)]
+    has_stopped = asyncio.Event()
+    is_stopping = False
+
+    async def send_continuously(worker: int) -> int:
+        entry, count = 0, 0
+        async with aiohttp.ClientSession() as session:
+            while not has_stopped.is_set() or count < 4:
+                count += 1
+                path = f"/billing/{worker}/{count}"
+                was_stopping = is_stopping
+                try:
+                    url = urls[entry] + path
+                    async with session.post(url, data=b"x") as response:
+                        await response.read()
+                except aiohttp.ClientError:
+                    unanswered.append(path)
+                    entry = 1
+                    continue
+                if response.headers.get("Connection") == "close":
+                    entry = 1
+                elif entry == 0 and was_stopping:
+                    unannounced.append(path)
+        return count
+
+    workers = [asyncio.create_task(send_continuously(n)) for n in range(20)]
+    await asyncio.sleep(0.4)
+    is_stopping = True
+    await _stop_entry(system)
+    has_stopped.set()
+    counts = await asyncio.gather(*workers)
+    assert sum(counts) > 100
+    assert unanswered == []
+    assert unannounced == []
+
+
+async def test_every_kind_of_answer_says_that_the_connection_ends(start_system):
+    system = await start_system(entries=1, plain_services=1, engines=1)
+    await system.change_configuration(
+        {
+            "routes.events.service": "shop",
+            "routes.events.path_prefix": "/events",
+            "routes.events.streaming": True,
+        }
+    )
+    events = b"HTTP/1.1 200 OK\r\nPollenlb-Request-Id: " + REQUEST_ID + b"\r\n\r\n"
+    floods = system.plain_services[0].floods
+    floods["/events"] = CutAnswer(events + b"id: 0\ndata: a\n\n", False)
+    floods["/shop/unframed"] = CutAnswer(events + b"body", False)
+    completion = {"model": "model", "prompt": "a", "max_tokens": 3, "stream": True}
+    system.entries[0].context.is_draining = True
+    for method, path, options in (
+        ("GET", "/shop/1", {}),
+        ("GET", "/shop/unframed", {}),
+        ("GET", "/events", {}),
+        ("GET", "/unknown", {}),
+        ("GET", "/pollenlb/v1/jobs/none/batches", {}),
+        ("POST", "/v1/completions", {"json": completion}),
+    ):
+        async with system.session.request(
+            method, system.url(0, path), **options
+        ) as response:
+            assert response.headers.get("Connection") == "close", path
+
+
+async def test_idle_connections_are_closed_once_no_new_ones_are_accepted(start_system):
+    system, _ = await _start_slow(start_system, 0.01)
+    host, _, port = system.entries[0].context.identity.http.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    started_at = now()
+    stopping = asyncio.create_task(_stop_entry(system))
+    assert await reader.read() == b""
+    assert now() < started_at + _STOP_OPTIONS["shutdown_grace_s"] / 2
+    writer.close()
+    await stopping
+
+
+# Guards against a request that is passed on late in a stop and cut at its end.
+async def test_late_request_that_cannot_end_before_the_stop_is_refused(start_system):
+    system, plain = await _start_slow(start_system, 1.2, balancer_delay_s=2.8)
+    stopping = asyncio.create_task(_stop_entry(system))
+    await wait_until(lambda: system.entries[0].context.is_draining)
+    status, headers = await _post(system, 0, "/billing/soon")
+    assert (status, headers["Connection"]) == (200, "close")
+    await asyncio.sleep(0.5)
+    received = len(plain.executions)
+    status, headers = await _post(system, 0, "/billing/late")
+    assert (status, headers["Pollenlb-Outcome"]) == (503, "not-run")
+    assert float(headers["Retry-After"]) <= 1.0
+    assert len(plain.executions) == received
+    await stopping
+
+
+# Guards against a request that gets no answer because its entry stops.
+async def test_request_that_outlasts_a_stop_is_answered(start_system):
+    system, plain = await _start_slow(start_system, 0.01)
+    plain.may_answer.clear()
+    plain.request_received.clear()
+    request = asyncio.create_task(_post(system, 0, "/billing/hangs"))
+    await plain.request_received.wait()
+    await _stop_entry(system)
+    status, headers = await request
+    assert (status, headers["Pollenlb-Outcome"]) == (504, "unknown")
+
+
+async def test_a_stop_takes_no_longer_than_its_grace(start_system):
+    system, plain = await _start_slow(start_system, 0.01, balancer_delay_s=2.0)
+    plain.may_answer.clear()
+    plain.request_received.clear()
+    request = asyncio.create_task(_post(system, 0, "/billing/hangs"))
+    await plain.request_received.wait()
+    started_at = now()
+    await _stop_entry(system)
+    assert now() < started_at + _STOP_OPTIONS["shutdown_grace_s"]
+    await asyncio.gather(request, return_exceptions=True)
+
+
 def _plan(folder) -> ClusterPlan:
     return ClusterPlan(
         folder=folder,
