--- a/tests/local_system.py
+++ b/tests/local_system.py
@@ -91,7 +91,7 @@
     ]
 
 
-class _CutChannel:
+class CutChannel:
     """Channel to a peer that cannot be reached: each call ends with its timeout."""
 
     def __init__(self, address: Address) -> None:
@@ -223,7 +223,7 @@
             for control in group:
                 for other in others:
                     address = Address(other.replica.settings.listen)
-                    control.replica._channels[address] = _CutChannel(address)
+                    control.replica._channels[address] = CutChannel(address)
 
     async def add_relay(self, port: int) -> Relay:
         """Start a relay to a port of the loopback address."""
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -4,9 +4,12 @@
 
 from collections import defaultdict
 
+import pytest
+
 from fakes.platform_engine import PlatformEngine
+from pollenlb.process.renewals import LeaseRenewer
 
-from ..local_system import wait_until
+from ..local_system import CutChannel, wait_until
 from .platform_system import HOST, MODEL, PlatformSystem, batch_job, configuration
 
 _STREAM_PATH = "/safe/1"
@@ -229,3 +232,44 @@
             "POST", 0, _STREAM_PATH, 3, X_Request_Id=f"r{number}", X_Deadline_Ms="4000"
         )
     assert engine.received_runs == []
+
+
+# Guards against streams of a new software version that go on at a former one, as an
+# entry that missed the release knows only servers of that.
+@pytest.mark.parametrize("trouble", ["cut off", "frozen"])
+async def test_an_entry_that_missed_a_release_joins_no_stream_of_the_new_version(
+    platform_system, trouble
+):
+    system = await _start(platform_system, ["v1", "v1"])
+    late = system.entries[1]
+    if trouble == "cut off":
+        context = late.context
+        reached = dict(context.control._channels)
+        for address in reached:
+            context.control._channels[address] = CutChannel(address)
+    else:
+        await late._lease_renewer.stop()
+    for number in range(2):
+        await system.add_engine(f"i-new-{number}", "v2")
+    await wait_until(
+        lambda: "i-new-1" in system.entries[0].context.directory.servers
+        and "i-new-0" in system.entries[0].context.directory.servers
+    )
+    assert "i-new-0" not in late.context.directory.servers
+    last: dict[str, int] = {}
+    for number in range(12):
+        request = f"stream-{number}"
+        last[request] = await _read_events(system, 0, request, 3)
+    assert {"v1", "v2"} == set().union(*(_software_of(system, each) for each in last))
+    if trouble == "frozen":
+        # It renews its lease after the thaw, while callers come to it.
+        late._lease_renewer = LeaseRenewer(late.context, late._batch_runner)
+        late._lease_renewer.start()
+    statuses = []
+    for began_as, last_event in last.items():
+        again = f"again-{began_as}"
+        status, _, _ = await _resume(system, 1, again, began_as, last_event)
+        statuses.append(status)
+        assert _software_of(system, again) <= _software_of(system, began_as)
+        assert (status == 200) == bool(_software_of(system, again))
+    assert set(statuses) <= {200, 503}
--- a/tests/system/test_endless_answers.py
+++ b/tests/system/test_endless_answers.py
@@ -30,6 +30,12 @@
     "blank lines": (b"", b"\r\n"),
     "no protocol": (b"", b"\0"),
 }
+_ENDLESS_FRAMING = {
+    "chunk size": (b"5\r\nhello\r\n", b"0"),
+    "chunk extension": (b"5\r\nhello\r\n5;", b"a=b;"),
+    "trailer line": (b"5\r\nhello\r\n0\r\nX-Filler: ", b"a"),
+    "trailers": (b"5\r\nhello\r\n0\r\n", b"X-Filler: a\r\n"),
+}
 _ENDLESS_TOKENS = {
     "id": REQUEST_ID.decode(),
     "choices": [{"text": "more ", "finish_reason": None}],
@@ -116,6 +122,27 @@
     await check_ended(flood)
 
 
+# Guards against framing of a body that is kept in memory until its end.
+@pytest.mark.parametrize("kind", _ENDLESS_FRAMING)
+@pytest.mark.parametrize("headers", [{}, {"Idempotency-Key": "key"}])
+async def test_framing_without_end_costs_bounded_memory(
+    start_system, check_ended, kind, headers
+):
+    system = await _start(start_system, plain_services=1)
+    flood = Flood(_HEAD + _ENDLESS_FRAMING[kind][0], _ENDLESS_FRAMING[kind][1])
+    system.plain_services[0].floods["/billing"] = flood
+    started_at = now()
+    try:
+        url = system.url(0, "/billing/1")
+        async with system.session.post(url, data=b"x", headers=headers) as response:
+            await response.read()
+            assert response.status in (502, 504)
+    except aiohttp.ClientPayloadError:
+        assert not headers
+    assert now() < started_at + _ENDED_WITHIN_S
+    await check_ended(flood)
+
+
 async def test_body_without_end_of_a_probe_is_not_read(start_system, check_ended):
     system = await _start(start_system, plain_services=1)
     flood = Flood(_HEAD, b"a" * 1000, is_chunked=True)
