Send nothing new to a server that says in an answer that it leaves

Operators saw: nothing read the header Server-Leaving.

Cause: only announcements and probes could mark a server as leaving.

Change: the adapter decodes the header into the head of an answer, of any status but 421, and of the report that a server gives on its process. The entry marks that process at once and without control, until another start of the server is known. An answer counts for the process to which its request was sent, and a process that is listed again is still known to leave.

The enum of process checks got a value; the test that lists all values has it.

--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -67,6 +67,8 @@
         Answers written without aiohttp, by prefix of the path.
     request_limit_per_s : float or None
         Limit that its answers name.
+    is_leaving : bool
+        Whether its answers say that it leaves.
     received_at : list of float
         Monotonic times in seconds at which requests, orders and calls arrived.
     """
@@ -99,6 +101,7 @@
         self.running: set[str] = set()
         self.floods: dict[str, RawAnswer] = {}
         self.request_limit_per_s: float | None = None
+        self.is_leaving = False
         self.received_at: list[float] = []
         self._sequence = 0
         self._runner: web.AppRunner | None = None
@@ -109,7 +112,7 @@
         application = web.Application(
             middlewares=[floods_middleware(self.floods), self._count_arrival]
         )
-        application.on_response_prepare.append(self._name_limit)
+        application.on_response_prepare.append(self._describe_server)
         application.router.add_get("/-/report", self._handle_report)
         application.router.add_post("/-/order", self._handle_order)
         application.router.add_get("/healthz", self._handle_health)
@@ -175,9 +178,11 @@
         self.received_at.append(asyncio.get_running_loop().time())
         return await handler(request)
 
-    async def _name_limit(
+    async def _describe_server(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
+        if self.is_leaving:
+            response.headers["Server-Leaving"] = "1"
         if self.request_limit_per_s is not None:
             response.headers["Server-Limit"] = str(self.request_limit_per_s)
 
--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -58,6 +58,9 @@
         seconds. Returns None when there is no valid answer.
     limit_shares : LimitShares
         This entry's shares of the limits that backend servers name.
+    report_leaving : callable
+        Called once with the announcement of a process that says in an answer that it
+        leaves.
     """
 
     def __init__(
@@ -68,7 +71,9 @@
         events: EventLog,
         send_probe: SendProbe,
         limit_shares: LimitShares,
+        report_leaving: Callable[[Announcement], None],
     ) -> None:
+        self._report_leaving = report_leaving
         self._send_probe = send_probe
         self._announcement = announcement
         self._settings = settings
@@ -246,6 +251,21 @@
         if version > self.model_version(model):
             self._answered_versions[model] = version
 
+    def record_leaving(self, boot: BootId) -> None:
+        """Record that a process said in an answer that it takes no new work.
+
+        It counts until another process of the backend server is known, whatever its
+        announcements say. An answer of a former process has no effect.
+
+        Parameters
+        ----------
+        boot : BootId
+            Boot id of the process that answered.
+        """
+        if boot == self._boot and not self._is_leaving:
+            self._mark_leaving()
+            self._report_leaving(self._announcement)
+
     def record_failure(self) -> None:
         """Record a failed request.
 
--- a/pollenlb/connection/backend_api.py
+++ b/pollenlb/connection/backend_api.py
@@ -52,6 +52,8 @@
         It says so.
     OTHER
         Another process runs there.
+    LEAVING
+        It says that it takes no new work.
     SILENT
         No answer came in time.
     UNKNOWN
@@ -60,5 +62,6 @@
 
     SAME = "same"
     OTHER = "other"
+    LEAVING = "leaving"
     SILENT = "silent"
     UNKNOWN = "unknown"
--- a/pollenlb/connection/directory.py
+++ b/pollenlb/connection/directory.py
@@ -11,6 +11,7 @@
 from ..events import EventLog
 from ..ids import (
     BackendServerName,
+    BootId,
     ModelName,
     ServiceName,
     SoftwareVersion,
@@ -21,6 +22,9 @@
 from .control_api import DirectoryView, LimitGrant, LimitReport
 from .request_limit import LimitShares
 
+# A process that is listed again after it left is found among this many.
+_MAX_LEFT_BOOT_COUNT = 4096
+
 
 class BackendDirectory:
     """The entry's copy of the replicated directory of backend servers.
@@ -54,7 +58,10 @@
         self._version = -1
         self._servers: dict[BackendServerName, BackendServer] = {}
         self._releases: dict[ModelName, WeightVersion] = {}
+        self._found_leaving: asyncio.Queue[Announcement] = asyncio.Queue()
         self._stop_tasks: set[asyncio.Task] = set()
+        # In the order in which they were removed.
+        self._left_boots: dict[BootId, None] = {}
 
     @property
     def version(self) -> int:
@@ -71,6 +78,11 @@
         """Shares of this entry of the limits that backend servers name."""
         return self._limit_shares
 
+    @property
+    def found_leaving(self) -> asyncio.Queue[Announcement]:
+        """Announcements of processes that said in an answer that they leave."""
+        return self._found_leaving
+
     @property
     def releases(self) -> dict[ModelName, WeightVersion]:
         """Released weight version by model, which backend servers should have."""
@@ -97,7 +109,10 @@
                 self._events,
                 self._send_probe,
                 self._limit_shares,
+                self._found_leaving.put_nowait,
             )
+            if announcement.boot in self._left_boots:
+                server.record_leaving(announcement.boot)
             server.start()
             self._servers[name] = server
 
@@ -182,6 +197,10 @@
         await asyncio.gather(*self._stop_tasks, return_exceptions=True)
 
     def _schedule_stop(self, server: BackendServer) -> None:
+        if server.is_leaving:
+            self._left_boots[server.boot] = None
+            if len(self._left_boots) > _MAX_LEFT_BOOT_COUNT:
+                del self._left_boots[next(iter(self._left_boots))]
         task = asyncio.get_running_loop().create_task(server.stop())
         self._stop_tasks.add(task)
         task.add_done_callback(self._stop_tasks.discard)
--- a/pollenlb/platform/dialect.py
+++ b/pollenlb/platform/dialect.py
@@ -39,6 +39,7 @@
     REQUEST_ID_HEADER,
     RESUMES_HEADER,
     SERVER_ID_HEADER,
+    SERVER_LEAVING_HEADER,
     SERVER_PROOF_HEADER,
     WEIGHT_VERSION_HEADER,
     parse_in_flight,
@@ -166,6 +167,7 @@
             version=WeightVersion(int(version)) if version.isdigit() else None,
             retry_after_s=parse_retry_after_s(headers.get("Retry-After")),
             request_limit_per_s=parse_request_limit(headers),
+            is_leaving=not is_other_server and _says_it_leaves(headers),
         )
 
     async def probe(
@@ -209,6 +211,8 @@
             async with session.get(url, timeout=timeout, headers=headers) as response:
                 if response.status == MISDIRECTED_STATUS:
                     return ProcessCheck.OTHER
+                if _says_it_leaves(response.headers):
+                    return ProcessCheck.LEAVING
                 if response.status != 200:
                     return ProcessCheck.UNKNOWN
                 body = await read_body(response.content, _MAX_REPORT_BYTES)
@@ -304,6 +308,10 @@
         return NumberedEvent(number, "\n".join(data), version)
 
 
+def _says_it_leaves(headers: Mapping[str, str]) -> bool:
+    return headers.get(SERVER_LEAVING_HEADER) == "1"
+
+
 def _request_deadline(request: web.Request, route: RouteSettings) -> Deadline:
     """Return the earlier of the caller's deadline and the route's timeout."""
     text = request.headers.get(DEADLINE_MS_HEADER, "")
--- a/pollenlb/platform/names.py
+++ b/pollenlb/platform/names.py
@@ -23,6 +23,7 @@
 SERVER_ID_HEADER = "X-Instance-Id"  # backend server that answered
 SERVER_PROOF_HEADER = "X-Server-Stamp"  # proof that a server gave the answer
 WEIGHT_VERSION_HEADER = "X-Weight-Versions"  # a single number, despite the plural
+SERVER_LEAVING_HEADER = "Server-Leaving"  # 1 in all answers of a server that leaves
 SERVER_LIMIT_HEADER = "Server-Limit"  # requests a second from all entries together
 LAST_EVENT_ID_HEADER = "Last-Event-Id"
 RESUMES_HEADER = "Resumes"  # request that brought the first event of the stream
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -31,6 +31,7 @@
 from .context import EntryContext
 from .drain import Drain
 from .http_server import HttpServer
+from .leaving_reports import LeavingReports
 from .metrics import Metrics
 from .renewals import LeaseRenewer
 
@@ -81,6 +82,7 @@
         self._drain = Drain(self._context)
         self._batch_runner = BatchRunner(self._context)
         self._lease_renewer = LeaseRenewer(self._context, self._batch_runner)
+        self._leaving_reports = LeavingReports(self._context)
         self._http = HttpServer(
             self._application(),
             settings.listen,
@@ -104,6 +106,7 @@
         """Start to renew the lease, to run batch jobs and to listen."""
         self._context.events.record("entry.started", boot=self._context.identity.boot)
         self._lease_renewer.start()
+        self._leaving_reports.start()
         self._batch_runner.start()
         await self._http.start()
         if self._ready_http is not None:
@@ -140,6 +143,7 @@
         await self._http.stop()
         if self._ready_http is not None:
             await self._ready_http.stop()
+        await self._leaving_reports.stop()
         await self._lease_renewer.stop()
         await context.directory.close()
         await context.stream_origins.close()
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -123,6 +123,7 @@
     """
     tracker = SendTracker()
     sent_at = now()
+    boot = server.boot
     server.record_limited_request(attempt.request_id)
     headers = {
         **attempt.headers,
@@ -145,6 +146,8 @@
         operation = f"request to {server.name} (timeout {head_s:.3f} s)"
         return Err(classify_send_error(error, tracker, operation))
     head = dialect.read_head(attempt.request_id, response.status, response.headers)
+    if head.is_leaving:
+        server.record_leaving(head.boot or boot)
     if head.is_for_request and not head.is_other_server:
         server.record_request_limit(head.request_limit_per_s, sent_at)
     return _check_head(server, response, head)
--- a/pollenlb/request/dialect.py
+++ b/pollenlb/request/dialect.py
@@ -76,6 +76,8 @@
     request_limit_per_s : float or None
         Requests a second that the server takes from all entries together at
         present.
+    is_leaving : bool
+        Whether the process that answered says that it takes no new work.
     """
 
     is_not_run: bool = False
@@ -87,6 +89,7 @@
     version: WeightVersion | None = None
     retry_after_s: float | None = None
     request_limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class NumberedEvent(msgspec.Struct, frozen=True):
--- a/pollenlb/request/process_check.py
+++ b/pollenlb/request/process_check.py
@@ -36,6 +36,7 @@
     if not is_continuing and not server.is_process_in_doubt:
         return None
     asked_at = now()
+    boot = server.boot
     check = await context.dialect.check_process(
         context.single_use_session, server.announcement, _TIMEOUT_S
     )
@@ -43,6 +44,10 @@
         server.record_confirmation(asked_at)
         return None
     context.events.record("server.not_confirmed", server=server.name, check=check.value)
+    if check is ProcessCheck.LEAVING:
+        server.record_leaving(boot)
+        reason = f"{server.name} is leaving"
+        return AttemptFailure(Outcome.NOT_RUN, reason)
     if check is ProcessCheck.OTHER:
         reason = f"{server.name} runs another process than it announced"
         return AttemptFailure(Outcome.NOT_RUN, reason, is_other_server=True)
--- a/tests/request/test_decisions.py
+++ b/tests/request/test_decisions.py
@@ -59,6 +59,7 @@
         EventLog("test", None),
         _no_answer,
         LimitShares(),
+        lambda announcement: None,
     )
 
 
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -460,7 +460,7 @@
     (RequestClass, {"interactive", "long", "short"}),
     (Retirement, {"completed", "running", "too-few", "unknown"}),
     (Role, {"follower", "leader", "unformatted"}),
-    (ProcessCheck, {"other", "same", "silent", "unknown"}),
+    (ProcessCheck, {"leaving", "other", "same", "silent", "unknown"}),
     (RewardCallEnd, {"failed", "impossible", "interrupted", "not-run"}),
     (
         RunEnd,
