Let a slow server finish while another attempt starts beside it

Callers saw: on a route whose callers wait 9 s, servers that work 2.5 s answered no request; each ended with 504 after 2.0 s. With attempts left the same work was started up to three times and thrown away.

Cause: a silent connection and a slow server look alike, and the entry cancelled the attempt after progress_timeout_s, also when no other one could follow.

Change: an attempt that may be repeated goes on, and another one starts beside it on a new connection after progress_timeout_s, within the attempts and the retry budget. One that cannot be repeated waits until the deadline, as does the rest of an answer whose head was passed on, and a stream that cannot be resumed.

Not compared: a wait that follows the service's latencies. Extra work under overload was not measured; the retry budget bounds it as before.

--- a/pollenlb/request/hedging.py
+++ b/pollenlb/request/hedging.py
@@ -1,4 +1,4 @@
-"""Request hedging: a second attempt for a request that is slower than most."""
+"""Request hedging: further attempts for a request that is slower than most."""
 
 from __future__ import annotations
 
@@ -29,10 +29,13 @@
     server: BackendServer,
     send: SendAttempt,
 ) -> tuple[BackendServer, Result]:
-    """Return the first success of an attempt and, if it is late, of its hedge.
+    """Return the first success of an attempt and, if it is late, of its hedges.
 
-    The slower attempt is cancelled. A hedge takes a token from the service's
-    retry budget.
+    The first hedge is sent when the attempt is slower than most, another one each
+    time that nothing was heard for ``progress_timeout_s``. The attempts before go on,
+    since a silent connection may be dead, but its server may also be slow and sound.
+    The slower attempts are cancelled. Each hedge takes a token from the service's
+    retry budget and counts as an attempt.
 
     Parameters
     ----------
@@ -64,19 +67,26 @@
     tasks: dict[asyncio.Future, BackendServer] = {first: server}
     try:
         delay_s = _hedge_delay_s(caller, context, retries)
-        if delay_s is not None:
-            await asyncio.wait(tasks, timeout=delay_s)
-            if not first.done():
-                other = retries.hedge_server(server)
-                context.events.record(
-                    "request.hedged",
-                    request=caller.request_id,
-                    first=server.name,
-                    second=other.name if other is not None else None,
-                    after_s=round(delay_s, 3),
-                )
-                if other is not None:
-                    tasks[asyncio.ensure_future(send(other))] = other
+        while delay_s is not None:
+            done, _ = await asyncio.wait(
+                tasks, timeout=delay_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if done:
+                break
+            is_silent = delay_s >= context.settings.progress_timeout_s
+            other = retries.hedge_server(list(tasks.values()), is_silent)
+            context.events.record(
+                "request.hedged",
+                request=caller.request_id,
+                first=server.name,
+                second=other.name if other is not None else None,
+                after_s=round(now() - started_at, 3),
+            )
+            if other is None and is_silent:
+                break
+            if other is not None:
+                tasks[asyncio.ensure_future(send(other))] = other
+            delay_s = context.settings.progress_timeout_s
         winner, result = await _first_success(tasks, retries)
         if first in tasks and winner is not server and isinstance(result, Ok):
             server.load.record_cancelled_attempt(now() - started_at)
@@ -86,21 +96,24 @@
             _cancel_attempt(task)
 
 
+def may_hedge(caller: CallerRequest) -> bool:
+    """Return whether a request may run at several servers at the same time."""
+    is_short = caller.request_class is not RequestClass.LONG
+    return caller.is_repeatable and is_short and caller.body.buffered_bytes is not None
+
+
 def _hedge_delay_s(
     caller: CallerRequest, context: EntryContext, retries: Retries
 ) -> float | None:
-    is_short = caller.request_class is not RequestClass.LONG
-    may_hedge = (
-        caller.is_repeatable and is_short and caller.body.buffered_bytes is not None
-    )
-    if not may_hedge or retries.is_on_trial:
+    if not may_hedge(caller) or retries.is_on_trial:
         return None
     quantile_s = context.recent_latencies(caller.service_name).quantile_s
     delays = [quantile_s] if quantile_s is not None else []
     if caller.route.target_latency_s:
         # An entry process with few requests has too few latencies of its own.
         delays.append(_TARGET_LATENCY_RATIO * caller.route.target_latency_s)
-    return max(_MIN_HEDGE_DELAY_S, min(delays)) if delays else None
+    delays.append(context.settings.progress_timeout_s)
+    return max(_MIN_HEDGE_DELAY_S, min(delays))
 
 
 async def _first_success(
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -24,7 +24,7 @@
 from .broken_answer import break_off
 from .caller_request import CallerRequest, RequestClass
 from .dialect import Dialect
-from .hedging import send_hedged
+from .hedging import may_hedge, send_hedged
 from .outcome import Outcome, Refusal, RefusedError
 from .retries import Retries, RetryPolicy
 
@@ -110,7 +110,8 @@
         server = await retries.next_server()
 
         def send_to(target: BackendServer):
-            return _run_attempt(caller, target, retries.session, context)
+            head_deadline = _head_deadline(caller, retries, context)
+            return _run_attempt(caller, target, retries.session, context, head_deadline)
 
         try:
             server, result = await send_hedged(
@@ -158,6 +159,7 @@
     server: BackendServer,
     session: aiohttp.ClientSession,
     context: EntryContext,
+    head_deadline: Deadline,
 ) -> Result[CompleteAnswer | Answer, AttemptFailure]:
     attempt = Attempt(
         request_id=caller.request_id,
@@ -176,7 +178,7 @@
             session,
             context.settings,
             context.dialect,
-            _head_deadline(caller, context),
+            head_deadline,
         ):
             case Err(failure):
                 return Err(failure)
@@ -190,10 +192,20 @@
     raise AssertionError
 
 
-def _head_deadline(caller: CallerRequest, context: EntryContext) -> Deadline:
-    # A repeatable request is retried instead of waiting on a connection that may be
-    # dead; any other waits for its answer up to the deadline.
-    if not caller.is_repeatable:
+def _head_deadline(
+    caller: CallerRequest, retries: Retries, context: EntryContext
+) -> Deadline:
+    """Return when an attempt is given up that has no head of an answer yet.
+
+    The connection may be dead, or the server slow and sound. An attempt that can be
+    repeated at the same time is hedged and goes on, and one that cannot be repeated
+    has nothing to gain from an early end.
+    """
+    is_replayable = caller.body.buffered_bytes is not None
+    may_follow = is_replayable and not retries.is_last_attempt
+    if not caller.is_repeatable or not may_follow:
+        return caller.deadline
+    if may_hedge(caller) and not retries.is_on_trial:
         return caller.deadline
     progress_s = context.settings.progress_timeout_s
     return Deadline(min(caller.deadline, deadline_in(progress_s)))
@@ -230,12 +242,11 @@
     is_long = caller.request_class is RequestClass.LONG
     try:
         with answer.server.load.track_request(is_long):
-            await _copy_body(answer.response, response, caller.deadline, context)
+            await _copy_body(answer.response, response, caller.deadline)
         await response.write_eof()
     except SEND_ERRORS as error:
         reason = (
-            f"forwarding the answer of {answer.server.name} (progress timeout "
-            f"{context.settings.progress_timeout_s:g} s) failed: "
+            f"forwarding the answer of {answer.server.name} failed: "
             f"{str(error) or type(error).__name__}"
         )
         context.events.record("answer.cut", request=caller.request_id, reason=reason)
@@ -252,19 +263,19 @@
     source: aiohttp.ClientResponse,
     target: web.StreamResponse,
     deadline: Deadline,
-    context: EntryContext,
 ) -> None:
     """Forward the body of an answer as it arrives.
 
+    The answer cannot be had from another server any more, so that a silent one has
+    until the deadline.
+
     Raises
     ------
     TimeoutError
-        When the deadline passes, even if the caller reads slowly, or no byte
-        arrives within the progress timeout.
+        When the deadline passes, even if the caller reads slowly.
     """
     while remaining_time_s(deadline):
-        timeout_s = min(context.settings.progress_timeout_s, remaining_time_s(deadline))
-        async with asyncio.timeout(timeout_s):
+        async with asyncio.timeout(remaining_time_s(deadline)):
             chunk = await source.content.readany()
         if not chunk:
             return
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -225,29 +225,44 @@
         elif failure.is_connection_lost:
             await self._handle_lost_connection(server)
 
-    def hedge_server(self, first: BackendServer) -> BackendServer | None:
+    @property
+    def is_last_attempt(self) -> bool:
+        """Whether no attempt may follow the current one."""
+        return self._attempts >= self._policy.max_attempts
+
+    def hedge_server(
+        self, running: list[BackendServer], is_silent: bool
+    ) -> BackendServer | None:
         """Return the backend server for a hedge, and count the attempt.
 
-        None when no other server is eligible or the attempts or the retry
-        budget are used up.
+        None when no server is eligible or the attempts or the retry budget are used
+        up.
 
         Parameters
         ----------
-        first : BackendServer
-            Server of the attempt that is hedged; it does not get the hedge.
+        running : list of BackendServer
+            Servers of the attempts that are hedged; others are preferred.
+        is_silent : bool
+            Whether nothing was heard of them for the progress timeout. The
+            connections may be dead then, so that the hedge gets a new one and, without
+            another server, goes to one of the same.
         """
+        if is_silent:
+            self._timed_out_servers.update(server.name for server in running)
         typical_s = typical_latency_s(self._context.usable_servers(self._service))
-        servers = [
+        sound = [
             server
             for server in self._candidates()
-            if server.name != first.name
-            and server.name not in self._failed_servers
-            and not is_slow(server, typical_s)
+            if server.name not in self._failed_servers
             and server.request_limit.may_send
+            and (is_silent or not is_slow(server, typical_s))
         ]
+        servers = [server for server in sound if server not in running]
+        if is_silent and not servers:
+            servers = sound
         entries = len(self._context.live_entries.all)
         servers = self._context.admit(servers, entries, self._policy.deadline)
-        if not servers or self._attempts >= self._policy.max_attempts:
+        if not servers or self.is_last_attempt:
             return None
         if not self._context.retry_budget(self._service).try_spend():
             return None
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -150,7 +150,7 @@
                 is_timeout = isinstance(error, TimeoutError)
                 reason = (
                     f"stream from {server.name} (progress timeout "
-                    f"{context.settings.progress_timeout_s:g} s) failed: "
+                    f"{self._progress_timeout_s():.1f} s) failed: "
                     f"{str(error) or type(error).__name__}"
                 )
                 return AttemptFailure(
@@ -181,12 +181,22 @@
         progress_s = self._context.settings.progress_timeout_s
         return Deadline(min(self._caller.deadline, deadline_in(progress_s)))
 
+    def _progress_timeout_s(self) -> float:
+        """Return the longest time without an event, in seconds.
+
+        A stream that cannot be resumed has nothing to gain from an early end.
+        """
+        left_s = remaining_time_s(self._caller.deadline)
+        if not self._caller.route.resumable:
+            return left_s
+        return min(left_s, self._context.settings.progress_timeout_s)
+
     async def _forward(self, answer: Answer) -> None:
         if answer.response.status != 200:
             await self._forward_error(answer)
             return
         response = await self._start_response(answer)
-        timeout_s = self._context.settings.progress_timeout_s
+        timeout_s = self._progress_timeout_s()
         async for block in iter_event_blocks(answer.response.content, timeout_s):
             event = self._context.dialect.read_numbered_event(block)
             if (
--- a/pollenlb/settings/entry.py
+++ b/pollenlb/settings/entry.py
@@ -72,8 +72,9 @@
     """Timeout, in seconds, for opening a connection to a backend server."""
 
     progress_timeout_s = Number(0.2, 3600, 10.0)
-    """Seconds without data, or in a stream of events without a complete event, after
-    which a response counts as failed."""
+    """Seconds without an answer after which another attempt may start beside the first,
+    and seconds without a complete event after which a resumable stream goes on at
+    another server."""
 
     balancer_delay_s = Number(0, 60, 1.0)
     """Seconds between failing readiness checks and refusing new connections."""
