Forward paths and queries as they were sent

A path with an escaped slash went by the route of the unescaped path.

Cause: the target was passed to aiohttp as text, which quotes it anew; routes were chosen by the decoded path.

Change: the URL is built from the target as it is, the empty query included. Routes are chosen by the path as sent. The absolute form loses scheme and host. A target that HTTP does not allow, as an item may bring, is quoted as before.

--- a/fakes/plain_service.py
+++ b/fakes/plain_service.py
@@ -61,6 +61,7 @@
                 "server": self.name,
                 "method": request.method,
                 "path": request.path_qs,
+                "target": request.raw_path,
                 "length": len(body),
             }
             return web.json_response(answer, headers=self.response_headers(request))
--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -61,6 +61,8 @@
         Accepted swap orders, oldest first.
     received_runs : list of tuple
         Id and last event id (-1 without one) of each request that was run.
+    received_targets : list of str
+        Path and query of each of them, as received.
     running : set of str
         Ids of the requests that run now.
     floods : dict of str to RawAnswer
@@ -98,6 +100,7 @@
         self.forced_statuses: dict[str, int] = {}
         self.orders: list[dict] = []
         self.received_runs: list[tuple[str, int]] = []
+        self.received_targets: list[str] = []
         self.running: set[str] = set()
         self.floods: dict[str, RawAnswer] = {}
         self.request_limit_per_s: float | None = None
@@ -225,6 +228,7 @@
         body = await request.read()
         last_event_id = int(request.headers.get("Last-Event-Id", "-1"))
         self.received_runs.append((request_id, last_event_id))
+        self.received_targets.append(request.raw_path)
         self.running.add(request_id)
         try:
             return await self._stream(request, body, last_event_id)
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
 
 import aiohttp
 import msgspec
 from result import Err, Ok, Result
+from yarl import URL
 
 from ..clock import Deadline, now, remaining_time_s
 from ..connection.backend import BackendServer
@@ -20,6 +22,8 @@
 from .event_blocks import MAX_OUTPUT_BYTES
 from .outcome import Outcome
 
+# Visible ASCII characters.
+_ALLOWED_TARGET = re.compile(r"/[!-~]*")
 SEND_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
 
 
@@ -59,8 +63,8 @@
 
     Attributes
     ----------
-    path : str
-        Path with the query string.
+    target : str
+        Path and query string, forwarded as they are.
     body : bytes, async iterator of bytes or None
         Complete body, or its chunks as they arrive from the caller.
     deadline : Deadline
@@ -69,7 +73,7 @@
 
     request_id: RequestId
     method: str
-    path: str
+    target: str
     headers: Mapping[str, str]
     body: bytes | AsyncIterator[bytes] | None
     deadline: Deadline
@@ -134,7 +138,7 @@
         async with asyncio.timeout(head_s):
             response = await session.request(
                 attempt.method,
-                server.url + attempt.path,
+                _request_url(server, attempt.target),
                 headers=headers,
                 data=attempt.body,
                 allow_redirects=False,
@@ -195,6 +199,18 @@
     return Ok(body)
 
 
+def _request_url(server: BackendServer, target: str) -> URL:
+    """Return the URL of a target at a server, without a change to its escapes.
+
+    A target that HTTP does not allow, as an item may bring, is quoted.
+    """
+    if not _ALLOWED_TARGET.fullmatch(target):
+        return URL(server.url + target)
+    return URL.build(
+        scheme="http", authority=server.announcement.address, path=target, encoded=True
+    )
+
+
 def _client_timeout(attempt: Attempt, settings: EntrySettings) -> aiohttp.ClientTimeout:
     return aiohttp.ClientTimeout(
         # aiohttp takes a total of 0 for no timeout.
--- a/pollenlb/request/caller_request.py
+++ b/pollenlb/request/caller_request.py
@@ -166,21 +166,30 @@
     body: RequestBody
     received_at: float
 
+    @property
+    def target(self) -> str:
+        """Path and query string as the caller sent them."""
+        return target_of(self.http_request)
+
     @property
     def fingerprint(self) -> Fingerprint:
         """Digest of the request's content, the same for each resend.
 
         A body that is not buffered is left out of it.
         """
-        text = (
-            f"{self.service_name}\n{self.http_request.method}\n"
-            f"{self.http_request.path_qs}\n"
-        )
+        text = f"{self.service_name}\n{self.http_request.method}\n" f"{self.target}\n"
         digest = hashlib.sha256(text.encode())
         digest.update(self.body.buffered_bytes or b"")
         return Fingerprint(digest.hexdigest()[:32])
 
 
+def target_of(request: web.Request) -> str:
+    """Return the path and query string of a request as they were sent."""
+    target = request.raw_path
+    # In the absolute form, which proxies get, scheme and host stand in front.
+    return target if target.startswith("/") else request.rel_url.raw_path_qs
+
+
 def request_id_of(request: web.Request) -> RequestId:
     """Return the caller's request id, or a new one when it is missing or invalid."""
     text = request.headers.get(REQUEST_ID_HEADER, "")
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -264,7 +264,7 @@
     attempt = Attempt(
         request_id=attempt_id,
         method="POST",
-        path=COMPLETIONS_PATH,
+        target=COMPLETIONS_PATH,
         headers={"Content-Type": "application/json"},
         body=completion_body(
             generation.request_body,
--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -13,7 +13,7 @@
 from ..settings.cluster import RouteSettings
 from .at_most_once import run_at_most_once
 from .batch_job import submit_batch_job
-from .caller_request import CallerRequest, RequestBody, RequestClass
+from .caller_request import CallerRequest, RequestBody, RequestClass, target_of
 from .completion import answer_completion
 from .outcome import (
     Outcome,
@@ -122,11 +122,10 @@
         context = self._context
         self._check_may_take_work()
         cluster = context.configuration.settings
-        route = cluster.route_for(request.host, request.path, request.method)
+        path, _, _ = target_of(request).partition("?")
+        route = cluster.route_for(request.host, path, request.method)
         if route is None:
-            raise bad_request(
-                f"no route matches {request.method} {request.path}", "path", 404
-            )
+            raise bad_request(f"no route matches {request.method} {path}", "path", 404)
         limits = context.settings
         body = RequestBody(request, limits.replay_body_bytes, limits.max_body_bytes)
         self._check_content_length(request)
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -153,7 +153,7 @@
         attempt = Attempt(
             request_id=RequestId(item.item),
             method="POST",
-            path=item.path,
+            target=item.path,
             headers=headers,
             body=item.body,
             deadline=progress.expires_at,
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -164,7 +164,7 @@
     attempt = Attempt(
         request_id=caller.request_id,
         method=caller.http_request.method,
-        path=caller.http_request.path_qs,
+        target=caller.target,
         headers=request_headers(caller, context.dialect),
         body=caller.body.stream() or None,
         deadline=caller.deadline,
--- a/pollenlb/request/reward_call.py
+++ b/pollenlb/request/reward_call.py
@@ -182,7 +182,7 @@
     attempt = Attempt(
         request_id=request.request_id,
         method="POST",
-        path=request.path,
+        target=request.path,
         headers=request.headers,
         body=request.body,
         deadline=deadline,
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -125,7 +125,7 @@
         attempt = Attempt(
             request_id=caller.request_id,
             method=caller.http_request.method,
-            path=caller.http_request.path_qs,
+            target=caller.target,
             headers=headers,
             body=caller.body.stream() or None,
             deadline=caller.deadline,
--- a/tests/platform/test_batch_jobs.py
+++ b/tests/platform/test_batch_jobs.py
@@ -79,6 +79,15 @@
     assert result["text"] == _expected_text(20)
 
 
+async def test_the_path_of_an_item_reaches_its_engine_as_it_is(platform_system):
+    system = await platform_system(engines=1)
+    body = batch_job({"item": 3})
+    body["requests"][0]["path"] = target = "/rollouts/0%2D1/../O%27x?a=%28b%29"
+    await system.submit(0, "job", body)
+    await system.read_all_results(0, "job")
+    assert system.engines[0].received_targets == [target]
+
+
 async def test_a_result_lists_the_weight_versions_of_its_text(platform_system):
     system = await platform_system(engines=1)
     (engine,) = system.engines
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -5,13 +5,14 @@
 import asyncio
 
 import pytest
+from yarl import URL
 
 from pollenlb.platform.dialect import PlatformDialect
 from pollenlb.platform.names import parse_in_flight, parse_slowness
 from pollenlb.request.outcome import Outcome, Refusal
 
 from ..local_system import wait_until
-from .platform_system import batch_job, configuration
+from .platform_system import HOST, batch_job, configuration
 
 
 def _streaming_configuration(**options) -> dict:
@@ -196,3 +197,16 @@
         b"x-weight-versions: 4\nid: 7\ndata: one\ndata: two"
     )
     assert (piece.number, piece.data, piece.version) == (7, "one\ntwo", 4)
+
+
+async def test_the_target_of_a_stream_reaches_its_server_as_it_is(platform_system):
+    system = await platform_system(engines=1)
+    await system.call_control("POST", "/-/Config.Replace", _streaming_configuration())
+    target = "/safe/nu%c3%b1ez/%2e%2e/%7E?a=%28b%29"
+    host = system.entries[0].context.identity.http
+    url = URL.build(scheme="http", authority=host, path=target, encoded=True)
+    headers = {"Host": HOST, "X-Request-Id": "stream", "X-Deadline-Ms": "2000"}
+    async with system.session.post(url, json=3, headers=headers) as response:
+        assert response.status == 200
+        await response.read()
+    assert system.engines[0].received_targets == [target]
