Refuse a batch job that follows from an older configuration

Cause: the entry fixes the service and the limits when it parses the batch job, with whatever configuration it has, and the submission did not name it. The route was looked up before the body was read.

Change: the submission names its revision. The log refuses one that follows from an older revision; the entry waits for the newer one, reads the batch job under it and submits it again, or refuses it as not run.

Evidence: the test stops the renewals of an entry, moves the route and submits there, with and without renewals afterwards. Both fail before (the item runs at the former service) and pass after.

Stored and sent data: SubmitBatchJob has the field revision; data without it are read as before.

--- a/pollenlb/durable/batch_job_commands.py
+++ b/pollenlb/durable/batch_job_commands.py
@@ -16,6 +16,7 @@
     JobName,
     ModelName,
     RequestId,
+    Revision,
     ServiceName,
     SoftwareVersion,
     StepNumber,
@@ -348,10 +349,14 @@
         The batch job.
     owner : BootId
         Entry process that is to run it.
+    revision : Revision
+        Revision of the configuration that the specification follows from. A later
+        one makes the submission fail; -1 for any.
     """
 
     spec: BatchJobSpec
     owner: BootId
+    revision: Revision = Revision(-1)
 
 
 class BatchJobAccepted(CommandResult, frozen=True):
--- a/pollenlb/durable/state_machine.py
+++ b/pollenlb/durable/state_machine.py
@@ -23,6 +23,7 @@
 from .configuration_commands import (
     AnnounceServer,
     ChangeConfiguration,
+    ConfigurationConflict,
     ForgetServer,
     NoteModelVersion,
     NoteOrder,
@@ -237,6 +238,10 @@
 
 @apply_command.register
 def _(command: SubmitBatchJob, state: State, position: LogPosition) -> AnyResult:
+    current = state.configuration.revision
+    is_known = command.spec.batch_job in state.batch_jobs.batch_jobs
+    if not is_known and 0 <= command.revision < current:
+        return ConfigurationConflict(current, None)
     return state.batch_jobs.submit(command, position.index, position.at_ms)
 
 
--- a/pollenlb/request/batch_job.py
+++ b/pollenlb/request/batch_job.py
@@ -4,13 +4,15 @@
 
 from aiohttp import web
 
-from ..clock import Deadline, deadline_in
+from ..clock import Deadline, deadline_in, remaining_time_s, sleep_until
 from ..connection.control_api import BatchJobRead, ReadBatchJob, ReadItem
 from ..durable.batch_job_commands import BatchJobSpec, EndBatchJob, SubmitBatchJob
 from ..durable.command_base import Refused
+from ..durable.configuration_commands import ConfigurationConflict
 from ..exceptions import CommandInDoubtError, ControlError
-from ..ids import BatchJobId, CommandId, ItemId
+from ..ids import BatchJobId, CommandId, ItemId, Revision
 from ..process.context import EntryContext
+from ..settings.cluster import RouteSettings
 from .caller_request import CallerRequest
 from .outcome import Outcome, Refusal, RefusedError, bad_request, unavailable
 
@@ -19,6 +21,7 @@
 _SUBMIT_TIMEOUT_S = 3.0
 _READ_TIMEOUT_S = 2.0
 _RETRY_AFTER_S = 0.3
+_POLL_INTERVAL_S = 0.02
 # Field names come from callers, and each is kept for the life of the process.
 _MAX_REPORTED_FIELD_COUNT = 50
 _OTHER_FIELDS = "(others)"
@@ -36,19 +39,8 @@
         whether it was stored.
     """
     body = await caller.body.read_complete(context.settings.max_body_bytes)
-    spec = context.dialect.read_batch_job(
-        caller.http_request, body, caller.route, context.settings
-    )
-    _report_unknown_fields(spec, body, context)
-    command = SubmitBatchJob(spec, context.identity.boot)
-    command_id = CommandId(f"batch-job-{spec.batch_job}")
     deadline = Deadline(min(caller.deadline, deadline_in(_SUBMIT_TIMEOUT_S)))
-    try:
-        await context.control.propose(command, command_id, deadline)
-    except CommandInDoubtError as error:
-        raise RefusedError(Refusal(504, Outcome.UNKNOWN, str(error))) from error
-    except ControlError as error:
-        raise unavailable(str(error), _RETRY_AFTER_S) from error
+    spec = await _submit_under_newest_configuration(caller, body, deadline, context)
     context.events.record(
         "batch_job.accepted",
         batch_job=spec.batch_job,
@@ -59,6 +51,70 @@
     return context.dialect.batch_job_accepted(spec)
 
 
+async def _submit_under_newest_configuration(
+    caller: CallerRequest, body: bytes, deadline: Deadline, context: EntryContext
+) -> BatchJobSpec:
+    """Submit a batch job as the newest configuration has it, and return it.
+
+    The configuration of this entry may be older than one that was acknowledged, as
+    after a freeze. The leader refuses what follows from an older one.
+    """
+    is_reported = False
+    while True:
+        # No other task runs between these, so that the route is of this revision.
+        revision = context.configuration.revision
+        spec = context.dialect.read_batch_job(
+            caller.http_request, body, _current_route(caller, context), context.settings
+        )
+        if not is_reported:
+            is_reported = True
+            _report_unknown_fields(spec, body, context)
+        command = SubmitBatchJob(spec, context.identity.boot, revision)
+        command_id = CommandId(f"batch-job-{spec.batch_job}-{revision}")
+        try:
+            result = await context.control.propose(command, command_id, deadline)
+        except CommandInDoubtError as error:
+            raise RefusedError(Refusal(504, Outcome.UNKNOWN, str(error))) from error
+        except ControlError as error:
+            raise unavailable(str(error), _RETRY_AFTER_S) from error
+        if not isinstance(result, ConfigurationConflict):
+            return spec
+        context.events.record(
+            "batch_job.outdated",
+            batch_job=spec.batch_job,
+            revision=revision,
+            newest=result.revision,
+        )
+        await _wait_for_revision(result.revision, deadline, context)
+
+
+def _current_route(caller: CallerRequest, context: EntryContext) -> RouteSettings:
+    path, _, _ = caller.target.partition("?")
+    request = caller.http_request
+    settings = context.configuration.settings
+    route = settings.route_for(request.host, path, request.method)
+    if route is None or not route.batch_jobs:
+        raise bad_request(f"no route takes batch jobs at {path}", "path", 404)
+    return route
+
+
+async def _wait_for_revision(
+    revision: Revision, deadline: Deadline, context: EntryContext
+) -> None:
+    """Return when this entry has applied a revision of the configuration.
+
+    Raises
+    ------
+    RefusedError
+        When the deadline passes first.
+    """
+    while context.configuration.revision < revision:
+        if not remaining_time_s(deadline):
+            reason = f"this instance has not received configuration {revision} yet"
+            raise unavailable(reason, _RETRY_AFTER_S)
+        await sleep_until(Deadline(min(deadline, deadline_in(_POLL_INTERVAL_S))))
+
+
 def _report_unknown_fields(
     spec: BatchJobSpec, body: bytes, context: EntryContext
 ) -> None:
--- a/tests/platform/test_batch_jobs.py
+++ b/tests/platform/test_batch_jobs.py
@@ -11,6 +11,7 @@
 from fakes.flood import REQUEST_ID
 from pollenlb.process import batch_runner, output_saver
 from pollenlb.process.batch_runner import BatchRunner
+from pollenlb.process.renewals import LeaseRenewer
 
 from ..local_system import wait_until
 from .platform_system import MODEL, batch_job, configuration
@@ -59,6 +60,35 @@
     assert ("item", 6) in first.received_runs + second.received_runs
 
 
+# Guards against a batch job that follows from an older configuration than one that was
+# acknowledged, and whose items run at the former service.
+@pytest.mark.parametrize("is_updated", [True, False])
+async def test_a_batch_job_follows_from_the_newest_configuration(
+    platform_system, is_updated
+):
+    system = await platform_system(entries=2)
+    former, moved = system.engines
+    frozen = system.entries[1]
+    await frozen._lease_renewer.stop()
+    changed = configuration(2)
+    changed["services"].append({**changed["services"][0], "name": "other-engines"})
+    changed["routes"][0]["service"] = moved.service = "other-engines"
+    moved.started_at_ms += 1_000
+    while (await system.call_control("POST", "/-/Config.Replace", changed))[0] != 200:
+        pass
+    submission = asyncio.create_task(system.submit(1, "job", batch_job({"item": 3})))
+    await asyncio.sleep(0.2)
+    if is_updated:
+        frozen._lease_renewer = LeaseRenewer(frozen.context, frozen._batch_runner)
+        frozen._lease_renewer.start()
+        assert await submission == 202
+        await system.read_all_results(0, "job")
+        assert moved.received_runs == [("item", -1)]
+    else:
+        assert await submission == 503
+    assert former.received_runs == []
+
+
 # Guards against the first events of an item's output that are listed as all of it.
 async def test_an_unframed_stream_that_is_reset_between_events_is_resumed(
     platform_system,
