Serve the entry's own pages at the ready address only

Cause: the pages were served at the address of callers, in front of the routes.

Change: with ready_listen they are served there only.

Evidence: the new test fails before (200 from the entry) and passes after.

--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -159,7 +159,8 @@
             handler_args={"auto_decompress": False},
         )
         self._drain.add_to(application)
-        self._add_health_routes(application.router)
+        if not self._settings.ready_listen:
+            self._add_health_routes(application.router)
         self._add_routes(application.router, self._context)
         handler = RequestHandler(self._context)
         application.router.add_route("*", "/{path:.*}", handler.handle)
--- a/pollenlb/settings/entry.py
+++ b/pollenlb/settings/entry.py
@@ -39,7 +39,8 @@
     """Port of the control instances' gRPC servers; 0 uses that given in ``control``."""
 
     ready_listen: Option[str] = SocketAddress("")
-    """Address of a separate readiness endpoint for a load balancer, if any."""
+    """Address of a separate readiness endpoint for a load balancer, if any. Health and
+    metrics are served there, too, and all paths at ``listen`` are those of callers."""
 
     serves_without_lease = Flag(False)
     """Whether to keep serving on the last configuration without contact to control."""
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -158,6 +158,29 @@
         assert response.status == 503
 
 
+# Guards against pages of the entry that answer in place of a backend server.
+async def test_paths_of_own_pages_belong_to_callers(platform_system):
+    system = await platform_system(engines=1)
+    changed = configuration(2)
+    changed["routes"][1]["path_prefix"] = "/"
+    await system.call_control("POST", "/-/Config.Replace", changed)
+    settings = system.entries[0].context.settings
+    for path in ("/metrics", "/healthz", "/-/ready"):
+        status, _, _ = await system.call_entry(
+            "POST", 0, path, 2, X_Request_Id=path, X_Deadline_Ms="2000"
+        )
+        assert status == 200
+        async with system.session.get(
+            f"http://{settings.listen}{path}", headers={"Host": HOST}
+        ) as response:
+            assert response.status == 400  # a request without an id
+        async with system.session.get(
+            f"http://{settings.ready_listen}{path}"
+        ) as response:
+            assert response.status == 200
+    assert system.engines[0].received_targets == ["/metrics", "/healthz", "/-/ready"]
+
+
 @pytest.mark.parametrize(
     ("status", "outcome", "sent_status"),
     [
