Save the number of failed runs of an item for its next owner

Cause: the number was kept in the memory of the owner only.

Change: the owner saves it in the log, with the output and at once after each failure. The next owner goes on from it.

Evidence: the new test kills the owner after four failures.

Ruled out: holding the next run until the log knows of the failure; a kill in between costs one run of the three that are spare.

Stored and sent data: SaveOutputs, BatchJob and BatchWork have the field failed_runs; data without it are read as before.

--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -169,12 +169,15 @@
         Seconds since it was submitted.
     saved : list of SavedOutput
         Output of items without a result that an earlier owner saved.
+    failed_runs : dict
+        Number of runs that engines ended with an error, by item without a result.
     """
 
     spec: BatchJobSpec
     listed: set[ItemId]
     age_s: float
     saved: list[SavedOutput] = []
+    failed_runs: dict[ItemId, int] = {}
 
 
 class WorkView(msgspec.Struct, frozen=True):
--- a/pollenlb/durable/batch_job_commands.py
+++ b/pollenlb/durable/batch_job_commands.py
@@ -333,11 +333,23 @@
     """Stores outputs of items without a result, in place of earlier ones.
 
     It has no effect unless the owner still runs the batch job.
+
+    Attributes
+    ----------
+    batch_job : BatchJobId
+        The batch job.
+    owner : BootId
+        Entry process that runs it.
+    outputs : list of SavedOutput
+        Outputs to store.
+    failed_runs : dict
+        Number of runs that engines ended with an error, by item.
     """
 
     batch_job: BatchJobId
     owner: BootId
     outputs: list[SavedOutput]
+    failed_runs: dict[ItemId, int] = {}
 
 
 class SubmitBatchJob(Command, frozen=True):
--- a/pollenlb/durable/batch_jobs.py
+++ b/pollenlb/durable/batch_jobs.py
@@ -53,6 +53,8 @@
         Log index of the last command that changed what its owner has to run.
     saved : dict
         Saved output of items without a result, by item.
+    failed_runs : dict
+        Number of runs that engines ended with an error, by item without a result.
     """
 
     spec: BatchJobSpec
@@ -63,6 +65,7 @@
     is_ended: bool = False
     changed_at: LogIndex = LogIndex(0)
     saved: dict[ItemId, SavedOutput] = {}
+    failed_runs: dict[ItemId, int] = {}
 
     @property
     def is_open(self) -> bool:
@@ -146,6 +149,7 @@
             batch_job.results.append(result)
             batch_job.listed.add(result.item)
             batch_job.saved.pop(result.item, None)
+            batch_job.failed_runs.pop(result.item, None)
         if not batch_job.is_open and batch_job.owner is not None:
             self._record_owner_change(batch_job.owner, index)
         return ItemsCommitted(len(batch_job.listed) - count_before, stale_count)
@@ -162,10 +166,12 @@
                 f"{command.batch_job}"
             )
         if batch_job.is_open:
-            known_items = {item.item for item in batch_job.spec.items}
+            open_items = {item.item for item in batch_job.spec.items} - batch_job.listed
             for output in command.outputs:
-                if output.item in known_items - batch_job.listed:
+                if output.item in open_items:
                     batch_job.saved[output.item] = output
+            for item in command.failed_runs.keys() & open_items:
+                batch_job.failed_runs[item] = command.failed_runs[item]
         return Done()
 
     def end(self, command: EndBatchJob, index: LogIndex) -> AnyResult:
--- a/pollenlb/process/batch_job_service.py
+++ b/pollenlb/process/batch_job_service.py
@@ -150,7 +150,8 @@
     spec = batch_job.spec
     age_s = context.batch_job_age_s(spec.batch_job, batch_job.at_ms)
     saved = list(batch_job.saved.values())
-    return BatchWork(spec, set(batch_job.listed), age_s, saved)
+    failed_runs = dict(batch_job.failed_runs)
+    return BatchWork(spec, set(batch_job.listed), age_s, saved, failed_runs)
 
 
 def _limit_to_one_answer(results: list[ItemResult]) -> list[ItemResult]:
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -229,6 +229,8 @@
         for item in missing:
             progress = self._create_progress(item, spec, job.expires_at)
             restore_output(progress, saved.get(item.item))
+            failed_runs = work.failed_runs.get(item.item, 0)
+            progress.failed_runs = progress.saved_failed_runs = failed_runs
             job.add(progress)
         return [item.item for item in missing]
 
@@ -589,6 +591,7 @@
             self._refused_at[server.name] = now()
         if end is RunEnd.FAILED:
             progress.failed_runs += 1
+            self._saver.wake()
         elif end in (RunEnd.BROKEN, RunEnd.SILENT):
             progress.interrupted_runs += 1
         elif not progress.satisfies(job.spec):
--- a/pollenlb/process/output_saver.py
+++ b/pollenlb/process/output_saver.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Mapping
 
-from ..clock import deadline_in, now, sleep_until
+from ..clock import deadline_in, now
 from ..durable.batch_job_commands import SavedOutput, SaveOutputs
 from ..exceptions import ControlError
 from ..ids import BatchJobId, CommandId, new_id
@@ -36,13 +37,26 @@
     ) -> None:
         self._context = context
         self._jobs = jobs
+        self._woken = asyncio.Event()
 
     async def run(self) -> None:
-        """Save output in time, until cancelled."""
+        """Save output in time, and failed runs at once, until cancelled."""
         while True:
-            await sleep_until(deadline_in(_SAVING_INTERVAL_S))
+            try:
+                async with asyncio.timeout(_SAVING_INTERVAL_S):
+                    await self._woken.wait()
+            except TimeoutError:
+                pass
+            self._woken.clear()
             await self.save(_UNSAVED_S)
 
+    def wake(self) -> None:
+        """Save at once that a run has failed.
+
+        Another owner must not run an item more often than its failures allow.
+        """
+        self._woken.set()
+
     async def save(self, unsaved_s: float = 0.0) -> None:
         """Save output that would take long to generate again.
 
@@ -65,12 +79,22 @@
                 for progress in due
                 if (output := progress.output.save(progress.item.item)) is not None
             }
-            if not outputs:
+            failed = [
+                progress
+                for progress in job.items.values()
+                if progress.failed_runs > progress.saved_failed_runs
+            ]
+            failed_runs = {
+                progress.item.item: progress.failed_runs for progress in failed
+            }
+            if not outputs and not failed_runs:
                 continue
             events = {progress.item.item: progress.output.events for progress in due}
-            command = SaveOutputs(name, boot, list(outputs.values()))
+            command = SaveOutputs(name, boot, list(outputs.values()), failed_runs)
             if not await self._propose(command):
                 continue
+            for progress in failed:
+                progress.saved_failed_runs = failed_runs[progress.item.item]
             for progress in due:
                 progress.saved_events = events[progress.item.item]
                 progress.saved_at = now()
@@ -89,6 +113,7 @@
             "outputs.saved",
             batch_job=command.batch_job,
             items=[output.item for output in command.outputs],
+            failed_runs=command.failed_runs,
             bytes=sum(len(output.packed) for output in command.outputs),
         )
         return True
--- a/pollenlb/request/item_progress.py
+++ b/pollenlb/request/item_progress.py
@@ -133,6 +133,8 @@
         What was generated so far.
     failed_runs : int
         Number of runs that the engine ended with an error.
+    saved_failed_runs : int
+        Number of these that the replicated log knows.
     interrupted_runs : int
         Number of runs that ended ``BROKEN`` or ``SILENT``.
     server : BackendServerName or None
@@ -160,6 +162,7 @@
     expires_at: Deadline
     output: ItemOutput
     failed_runs: int = 0
+    saved_failed_runs: int = 0
     interrupted_runs: int = 0
     server: BackendServerName | None = None
     avoided: dict[BackendServerName, Deadline] = field(default_factory=dict)
--- a/tests/platform/test_batch_jobs.py
+++ b/tests/platform/test_batch_jobs.py
@@ -364,6 +364,39 @@
     monkeypatch.setattr(output_saver, "_SAVING_INTERVAL_S", 0.05)
 
 
+# Guards against an item that fails at each run and starts anew with each owner.
+async def test_a_new_owner_knows_how_often_an_item_failed(platform_system):
+    system = await platform_system(entries=2, engines=4)
+    for engine in system.engines:
+        engine.forced_statuses["bad"] = 500
+    received: list[str] = []
+
+    class Recorder:
+        def __init__(self, engine) -> None:
+            self._engine = engine
+
+        async def answer(self, request):
+            received.append(request.headers["X-Request-Id"])
+            return await self._engine._handle_request(request)
+
+    for engine in system.engines:
+        engine.floods["/rollouts/bad"] = Recorder(engine)
+    lengths = {"bad": 3, "long": _LONG_EVENT_COUNT}
+    assert await system.submit(0, "job", batch_job(lengths)) == 202
+    await wait_until(lambda: len(received) >= 4)
+    await asyncio.sleep(0.05)
+    owner = next(
+        number
+        for number, entry in enumerate(system.entries)
+        if entry._batch_runner.batch_jobs
+    )
+    await system.crash_entry(owner)
+    results = {each["id"]: each for each in await system.read_all_results(0, "job")}
+    assert results["bad"]["state"] == "expired"
+    assert results["long"]["state"] == "completed"
+    assert len(received) <= 3 * configuration()["routes"][0]["max_attempts"]
+
+
 async def test_a_new_owner_goes_on_from_the_output_that_the_former_saved(
     platform_system, saves_often
 ):
