Ask a server for its process before it begins a stream

Cause: answers do not name the software, and the entry took the announced one. It asked a server for its process only before output was continued or after a request had failed.

Change: a server is asked before a stream that can be taken up begins there, unless it was within the last second.

Evidence: the new test restarts a server unseen by the entry; it received streams before and receives none after.

The test of an entry that missed a release failed once: the renewal in flight when the entry was cut off told it of the first new server, so that the entry had not missed it.

--- a/pollenlb/request/process_check.py
+++ b/pollenlb/request/process_check.py
@@ -13,7 +13,7 @@
 
 
 async def check_process(
-    server: BackendServer, is_continuing: bool, context: EntryContext
+    server: BackendServer, must_be_certain: bool, context: EntryContext
 ) -> AttemptFailure | None:
     """Return a failure if a backend server may not run the announced process.
 
@@ -25,15 +25,16 @@
     ----------
     server : BackendServer
         Server that is about to run a request whose output can be continued.
-    is_continuing : bool
-        Whether it is to continue output. Then it is asked unless it was a moment
-        ago; otherwise only after a request to it has failed.
+    must_be_certain : bool
+        Whether it is to continue output, or to begin a stream whose origin others
+        rely on. Then it is asked unless it was a moment ago; otherwise only after a
+        request to it has failed.
     context : EntryContext
         Parts of the entry process.
     """
     if server.is_process_confirmed:
         return None
-    if not is_continuing and not server.is_process_in_doubt:
+    if not must_be_certain and not server.is_process_in_doubt:
         return None
     asked_at = now()
     boot = server.boot
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -116,7 +116,8 @@
     async def _run_attempt(self, server: BackendServer) -> AttemptFailure | None:
         caller, context = self._caller, self._context
         if caller.route.resumable:
-            failure = await check_process(server, self._software is not None, context)
+            # The origin of the stream is recorded for those who continue it.
+            failure = await check_process(server, True, context)
             if failure is not None:
                 return failure
         headers = request_headers(caller, context.dialect)
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -216,6 +216,21 @@
     assert _software_of(system, "again") == {"v1"}
 
 
+# Guards against a stream whose recorded origin is the former software of its server.
+async def test_a_server_that_started_again_unseen_begins_no_stream(platform_system):
+    system = await _start(platform_system, ["v1", "v1"], entries=1)
+    restarted, _ = system.engines
+    restarted.stop_heartbeats()
+    restarted.started_at_ms += 1_000
+    restarted.software = "v2"
+    for number in range(8):
+        status, _, _ = await system.call_entry(
+            "POST", 0, _STREAM_PATH, 3, X_Request_Id=f"r{number}", X_Deadline_Ms="4000"
+        )
+        assert status == 200
+    assert restarted.received_runs == []
+
+
 async def test_a_stream_begun_after_a_restart_is_not_taken_for_the_former_version(
     platform_system,
 ):
@@ -242,13 +257,14 @@
 ):
     system = await _start(platform_system, ["v1", "v1"])
     late = system.entries[1]
+    # Ends the renewal in flight, whose answer would tell of the first new server.
+    await late._lease_renewer.stop()
     if trouble == "cut off":
-        context = late.context
-        reached = dict(context.control._channels)
-        for address in reached:
-            context.control._channels[address] = CutChannel(address)
-    else:
-        await late._lease_renewer.stop()
+        channels = late.context.control._channels
+        for address in list(channels):
+            channels[address] = CutChannel(address)
+        late._lease_renewer = LeaseRenewer(late.context, late._batch_runner)
+        late._lease_renewer.start()
     for number in range(2):
         await system.add_engine(f"i-new-{number}", "v2")
     await wait_until(
