--- a/pollenlb/request/batch_job.py
+++ b/pollenlb/request/batch_job.py
@@ -13,7 +13,7 @@
 from ..ids import BatchJobId, CommandId, ItemId, Revision
 from ..process.context import EntryContext
 from ..settings.cluster import RouteSettings
-from .caller_request import CallerRequest
+from .caller_request import CallerRequest, path_of
 from .outcome import Outcome, Refusal, RefusedError, bad_request, unavailable
 
 # Kept short, since a trainer that gets no answer submits its batch job again at
@@ -89,8 +89,8 @@
 
 
 def _current_route(caller: CallerRequest, context: EntryContext) -> RouteSettings:
-    path, _, _ = caller.target.partition("?")
     request = caller.http_request
+    path = path_of(request)
     settings = context.configuration.settings
     route = settings.route_for(request.host, path, request.method)
     if route is None or not route.batch_jobs:
--- a/pollenlb/request/caller_request.py
+++ b/pollenlb/request/caller_request.py
@@ -190,6 +190,11 @@
     return target if target.startswith("/") else request.rel_url.raw_path_qs
 
 
+def path_of(request: web.Request) -> str:
+    """Return the path of a request as it was sent, by which routes are chosen."""
+    return target_of(request).partition("?")[0]
+
+
 def request_id_of(request: web.Request) -> RequestId:
     """Return the caller's request id, or a new one when it is missing or invalid."""
     text = request.headers.get(REQUEST_ID_HEADER, "")
--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -13,7 +13,7 @@
 from ..settings.cluster import RouteSettings
 from .at_most_once import run_at_most_once
 from .batch_job import submit_batch_job
-from .caller_request import CallerRequest, RequestBody, RequestClass, target_of
+from .caller_request import CallerRequest, RequestBody, RequestClass, path_of
 from .completion import answer_completion
 from .outcome import (
     Outcome,
@@ -87,6 +87,8 @@
         except asyncio.CancelledError:
             outcome = Outcome.UNKNOWN
             reason = "the caller disconnected"
+            if self._context.is_draining:
+                reason += " or the instance stopped"
             raise
         except web.HTTPException:
             raise
@@ -122,7 +124,7 @@
         context = self._context
         self._check_may_take_work()
         cluster = context.configuration.settings
-        path, _, _ = target_of(request).partition("?")
+        path = path_of(request)
         route = cluster.route_for(request.host, path, request.method)
         if route is None:
             raise bad_request(f"no route matches {request.method} {path}", "path", 404)
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -145,13 +145,14 @@
                 return sent.err_value
             answer = sent.ok_value
             self._record_start(server)
+            progress_timeout_s = self._progress_timeout_s()
             try:
-                await self._forward(answer)
+                await self._forward(answer, progress_timeout_s)
             except (*SEND_ERRORS, ValueError) as error:
                 is_timeout = isinstance(error, TimeoutError)
                 reason = (
                     f"stream from {server.name} (progress timeout "
-                    f"{self._progress_timeout_s():.1f} s) failed: "
+                    f"{progress_timeout_s:.3g} s) failed: "
                     f"{str(error) or type(error).__name__}"
                 )
                 return AttemptFailure(
@@ -192,13 +193,13 @@
             return left_s
         return min(left_s, self._context.settings.progress_timeout_s)
 
-    async def _forward(self, answer: Answer) -> None:
+    async def _forward(self, answer: Answer, progress_timeout_s: float) -> None:
         if answer.response.status != 200:
             await self._forward_error(answer)
             return
         response = await self._start_response(answer)
-        timeout_s = self._progress_timeout_s()
-        async for block in iter_event_blocks(answer.response.content, timeout_s):
+        content = answer.response.content
+        async for block in iter_event_blocks(content, progress_timeout_s):
             event = self._context.dialect.read_numbered_event(block)
             if (
                 self._last_event_number is not None
