Do not take a reset before the first byte for a fault in the tests

Cause: a reset discards what the peer has not read. When it comes before the entry has read the head, the entry rightly answers 502, and the test expected a broken answer.

--- a/fakes/cut_answer.py
+++ b/fakes/cut_answer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import struct
 from collections.abc import Iterable
@@ -10,6 +11,8 @@
 
 from .flood import REQUEST_ID
 
+# A reset discards what the peer has not read yet.
+_CUT_DELAY_S = 0.05
 _LINGER_RESETS = struct.pack("ii", 1, 0)
 
 
@@ -45,6 +48,7 @@
         assert transport is not None
         transport.write(self._content.replace(REQUEST_ID, request_id.encode()))
         self.count += 1
+        await asyncio.sleep(_CUT_DELAY_S)
         if self._is_reset:
             reset_connections([transport])
         else:
