Collect the decisions under load in one folder

Admission, choice, placement, moves, slots, retry budget, assignment of owners and the plan of weight changes lay in four folders. They are functions of plain data; pollenlb/scheduling/ keeps them below the layers that do input and output, and test_imports.py checks that.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 
 from benchmarks.fake_servers import FakeServer
-from pollenlb.request.admission import AdmissionPolicy, admissible_servers
-from pollenlb.request.choice import ChoicePolicy, choose_server
-from pollenlb.request.item_placement import PlacementPolicy, place_items
+from pollenlb.scheduling.admission import AdmissionPolicy, admissible_servers
+from pollenlb.scheduling.choice import ChoicePolicy, choose_server
+from pollenlb.scheduling.item_placement import PlacementPolicy, place_items
 
 
 @dataclass
--- a/pollenlb/process/batch_job_service.py
+++ b/pollenlb/process/batch_job_service.py
@@ -18,7 +18,7 @@
 from ..durable.job_commands import SubmitStep
 from ..exceptions import NotLeaderError
 from ..ids import Address, BatchJobId, BootId, ServiceName
-from .assignment import Candidate, choose_owner
+from ..scheduling.assignment import Candidate, choose_owner
 from .control_context import ControlContext, LeaderState
 
 MAX_ANSWER_BYTES = 600_000  # leaves a margin below the 1 MB limit of an answer
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -32,16 +32,16 @@
     WeightVersion,
     new_id,
 )
-from ..request.item_moves import (
+from ..request.item_progress import ItemProgress, RunEnd
+from ..scheduling.item_moves import (
     EngineSpeed,
     RunningItem,
     choose_moves,
     estimate_slowness,
     typical_event_interval_s,
 )
-from ..request.item_placement import EngineCapacity, WaitingItem
-from ..request.item_progress import ItemProgress, RunEnd
-from ..version.swap_plan import EngineView, ModelGoal, assign_models
+from ..scheduling.item_placement import EngineCapacity, WaitingItem
+from ..scheduling.swap_plan import EngineView, ModelGoal, assign_models
 from .context import EntryContext
 from .output_saver import OutputSaver, restore_output
 from .owned_job import OwnedJob
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -15,20 +15,20 @@
 from ..connection.control_api import LedgerView, QuarantineView
 from ..connection.directory import BackendDirectory
 from ..connection.entries import LiveEntries
-from ..connection.long_slots import allocate_long_slots
 from ..connection.stream_origins import StreamOrigins
 from ..durable.leases import EntryInfo
 from ..events import EventLog
 from ..ids import BackendServerName, ServiceName, SoftwareVersion
-from ..request.admission import AdmissionPolicy, admissible_servers
 from ..request.caller_request import RequestClass
-from ..request.choice import ChoicePolicy, choose_server
 from ..request.dialect import Dialect
-from ..request.item_placement import PlacementPolicy, place_items
 from ..request.item_progress import ItemRunner
+from ..scheduling.admission import AdmissionPolicy, admissible_servers
+from ..scheduling.budget import RetryBudget
+from ..scheduling.choice import ChoicePolicy, choose_server
+from ..scheduling.item_placement import PlacementPolicy, place_items
+from ..scheduling.long_slots import allocate_long_slots
 from ..settings.entry import EntrySettings
 from ..version.configuration import AppliedConfiguration
-from .budget import RetryBudget
 from .latencies import RecentLatencies
 from .metrics import Metrics
 
--- a/pollenlb/process/reward_calls.py
+++ b/pollenlb/process/reward_calls.py
@@ -19,7 +19,7 @@
     RewardRequest,
     send_reward_call,
 )
-from ..request.reward_placement import (
+from ..scheduling.reward_placement import (
     ScorerCapacity,
     WaitingCall,
     place_reward_calls,
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -20,10 +20,10 @@
     WeightVersion,
 )
 from ..process.context import EntryContext
-from .admission import retry_after_s
+from ..scheduling.admission import retry_after_s
+from ..scheduling.choice import is_slow, typical_latency_s
 from .attempt import AttemptFailure
 from .caller_request import RequestClass
-from .choice import is_slow, typical_latency_s
 from .crash_trial import CrashTrial
 from .outcome import CONDEMNED_STATUS, Outcome, Refusal, RefusedError
 
--- /dev/null
+++ b/pollenlb/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: who waits, who is refused, and where work goes."""
--- a/pollenlb/version/order_channel.py
+++ b/pollenlb/version/order_channel.py
@@ -13,8 +13,8 @@
 from ..connection.sessions import ConnectionLostError
 from ..durable.configuration_commands import Announcement
 from ..ids import InstanceName, ModelName, Term, WeightVersion
+from ..scheduling.swap_plan import SwapMode
 from .order_api import FencingNumber, Order, OrderKind, encode_order
-from .swap_plan import SwapMode
 
 # Errors after which it is not known whether a backend server got a request.
 ORDER_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
--- a/pollenlb/version/orders.py
+++ b/pollenlb/version/orders.py
@@ -28,9 +28,9 @@
     WeightVersion,
 )
 from ..process.control_context import ControlContext
+from ..scheduling.swap_plan import EngineView, ModelGoal, Swap, next_swaps
 from ..settings.cluster import ClusterSettings, ServiceSettings
 from .order_channel import EngineReport, OrderChannel, OrderOutcome, SwapOrder
-from .swap_plan import EngineView, ModelGoal, Swap, next_swaps
 
 _POLL_INTERVAL_S = 0.1
 # A change of weights takes at least 0.9 s, so asking earlier whether it is done
--- a/tests/process/test_assignment.py
+++ b/tests/scheduling/test_assignment.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from pollenlb.process.assignment import (
+from pollenlb.scheduling.assignment import (
     MAX_EVENT_LOOP_LAG_S,
     MAX_OPEN_ITEM_COUNT,
     Candidate,
--- a/tests/request/test_decisions.py
+++ b/tests/scheduling/test_decisions.py
@@ -12,14 +12,14 @@
 
 from pollenlb import clock
 from pollenlb.connection.backend import BackendServer
-from pollenlb.connection.long_slots import allocate_long_slots
 from pollenlb.connection.request_limit import LimitShares
 from pollenlb.durable.configuration_commands import Announcement, ServerState
 from pollenlb.events import EventLog
-from pollenlb.process.budget import RetryBudget
 from pollenlb.process.latencies import RecentLatencies
-from pollenlb.request.admission import admissible_servers
-from pollenlb.request.choice import choose_server, is_slow, typical_latency_s
+from pollenlb.scheduling.admission import admissible_servers
+from pollenlb.scheduling.budget import RetryBudget
+from pollenlb.scheduling.choice import choose_server, is_slow, typical_latency_s
+from pollenlb.scheduling.long_slots import allocate_long_slots
 from pollenlb.settings.entry import EntrySettings
 
 _TRACES = Path(__file__).parent / "traces"
--- a/tests/request/test_item_placement.py
+++ b/tests/scheduling/test_item_placement.py
@@ -6,8 +6,8 @@
 import random
 from dataclasses import replace
 
-from pollenlb.request.item_moves import EngineSpeed, RunningItem, choose_moves
-from pollenlb.request.item_placement import EngineCapacity, WaitingItem, place_items
+from pollenlb.scheduling.item_moves import EngineSpeed, RunningItem, choose_moves
+from pollenlb.scheduling.item_placement import EngineCapacity, WaitingItem, place_items
 
 _SLOTS = 4
 _EVENT_INTERVAL_S = 0.04
--- a/tests/request/test_reward_placement.py
+++ b/tests/scheduling/test_reward_placement.py
@@ -4,7 +4,7 @@
 
 import heapq
 
-from pollenlb.request.reward_placement import (
+from pollenlb.scheduling.reward_placement import (
     ScorerCapacity,
     WaitingCall,
     place_reward_calls,
--- a/tests/version/test_swap_plan.py
+++ b/tests/scheduling/test_swap_plan.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, strategies as st
 
-from pollenlb.version.swap_plan import (
+from pollenlb.scheduling.swap_plan import (
     EngineView,
     ModelGoal,
     SwapMode,
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -42,7 +42,7 @@
     return imported
 
 
-@pytest.mark.parametrize("lower", ["connection", "durable", "settings"])
+@pytest.mark.parametrize("lower", ["connection", "durable", "scheduling", "settings"])
 @pytest.mark.parametrize("upper", ["process", "request", "commands", "platform"])
 def test_lower_layers_import_no_upper_layer(lower, upper):
     violations = {
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -227,6 +227,7 @@
 from pollenlb.request.passthrough import CompleteAnswer
 from pollenlb.request.reward_call import RewardCallEnd, RewardCallFailure
 from pollenlb.request.sample import _ScoreAnswer
+from pollenlb.scheduling.swap_plan import SwapMode
 from pollenlb.settings.cluster import ClusterSettings, RouteSettings, ServiceSettings
 from pollenlb.settings.control import ControlSettings, MemberSettings
 from pollenlb.settings.ctl import CtlSettings
@@ -234,7 +235,6 @@
 from pollenlb.settings.options import Choice, Problem, Settings
 from pollenlb.version.order_api import FencingNumber, Order, OrderKind
 from pollenlb.version.order_channel import EngineReport, OrderOutcome, SwapOrder
-from pollenlb.version.swap_plan import SwapMode
 
 _PACKAGE = Path(pollenlb.__file__).parent
 _SAMPLES = json.loads(Path(__file__).with_name("stored_and_sent.json").read_text())
