Survive a full disk in control instances

Cause: the storage took every failed write for an unknown disk, and the replica took the error as fatal. Change: a write without room has no effect and raises DiskFullError; the leader gives up its term, votes and appends fail as if lost, later writes are tried. A failed sync still stops the process.

--- a/pollenlb/durable/files.py
+++ b/pollenlb/durable/files.py
@@ -8,10 +8,10 @@
 import os
 import struct
 import zlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
-from ..exceptions import StorageDamagedError
+from ..exceptions import StorageDamagedError, StorageError
 
 _MAGIC = b"PLB1"
 _HEADER = struct.Struct("<4sII")
@@ -57,14 +57,21 @@
     Raises
     ------
     OSError
-        When writing or syncing fails.
+        When writing fails; the file is unchanged.
+    StorageError
+        When syncing fails.
     """
     temporary = path.with_suffix(".new")
-    with temporary.open("wb") as file:
-        file.write(encode_frame(payload))
-        file.flush()
-        os.fsync(file.fileno())
-    os.replace(temporary, path)
+    try:
+        with temporary.open("wb") as file:
+            file.write(encode_frame(payload))
+            file.flush()
+            sync_file(file.fileno(), os.fsync)
+        os.replace(temporary, path)
+    except OSError:
+        # Gives the room that the incomplete file takes back to a full disk.
+        temporary.unlink(missing_ok=True)
+        raise
     sync_folder(path.parent)
 
 
@@ -91,11 +98,32 @@
     return payload
 
 
+def sync_file(descriptor: int, sync: Callable[[int], None]) -> None:
+    """Sync the content of a file.
+
+    Raises
+    ------
+    StorageError
+        When that fails, for whatever reason: the system may have dropped what it had
+        not written, so that a later sync would say nothing about it.
+    """
+    try:
+        sync(descriptor)
+    except OSError as error:
+        raise StorageError(f"sync failed: {error}") from error
+
+
 def sync_folder(folder: Path) -> None:
-    """Sync a folder, so that the names in it survive a crash."""
+    """Sync a folder, so that the names in it survive a crash.
+
+    Raises
+    ------
+    StorageError
+        When that fails.
+    """
     descriptor = os.open(folder, os.O_RDONLY)
     try:
-        os.fsync(descriptor)
+        sync_file(descriptor, os.fsync)
     finally:
         os.close(descriptor)
 
--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -9,7 +9,7 @@
 from msgspec.structs import replace
 
 from ..clock import deadline_in, now, remaining_time_s, sleep_until
-from ..exceptions import CommitInDoubtError, LogError, NotLeaderError
+from ..exceptions import CommitInDoubtError, DiskFullError, LogError, NotLeaderError
 from ..ids import FailureDomain, InstanceName, LogIndex, ReplicaId, Term
 from .follower import Follower
 from .membership import MemberHealth, next_members
@@ -280,7 +280,11 @@
             async with self._replica.lock:
                 if self._is_ended:
                     return
-                await self._append_batch()
+                try:
+                    await self._append_batch()
+                except DiskFullError as error:
+                    self._replica.step_down(str(error))
+                    return
             self._wake_followers()
             self._advance_commit_index()
 
@@ -295,7 +299,12 @@
             self._pending[index] = future
             if kind is EntryKind.MEMBERS:
                 self._latest_members_index = index
-        await storage.append(entries)
+        try:
+            await storage.append(entries)
+        except DiskFullError:
+            for entry in entries:
+                _set_exception(self._pending.pop(entry.index), NotLeaderError())
+            raise
         if any(entry.kind is EntryKind.MEMBERS for entry in entries):
             self._update_followers()
 
--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -15,7 +15,7 @@
 from ..connection.leader_search import LeaderSearch
 from ..connection.rpc import RpcChannel, RpcServer
 from ..events import EventLog
-from ..exceptions import NotLeaderError
+from ..exceptions import DiskFullError, NotLeaderError
 from ..ids import (
     Address,
     FailureDomain,
@@ -47,6 +47,7 @@
 _APPLY_SLICE_S = 0.004
 _JOIN_TIMEOUT_S = 2.0
 _JOIN_RETRY_DELAY_S = 0.05
+_FULL_DISK_RETRY_S = 1.0
 # Shortest delay of the first election after a start, as a ratio of the election
 # timeout; the longest is three times as much.
 _MIN_STARTUP_DELAY_RATIO = 0.25
@@ -131,6 +132,7 @@
         self._election_deadline = Deadline(0.0)
         self._channels: dict[Address, RpcChannel] = {}
         self._is_saving_snapshot = False
+        self._full_disk_recorded_until = Deadline(0.0)
         self._apply_task: asyncio.Task | None = None
         self._tasks: set[asyncio.Task] = set()
         self._fatal_error: asyncio.Future[None] = (
@@ -364,7 +366,10 @@
         """Adopt the term of an answer if it is later; takes the lock."""
         if term > self.term:
             async with self._lock:
-                await self.adopt_term(term)
+                try:
+                    await self.adopt_term(term)
+                except DiskFullError as error:
+                    self.record_full_disk(error)
 
     def become_leader(self, term: Term, election_started_at: float) -> None:
         """Start the leadership of a term; the caller holds the lock.
@@ -470,9 +475,19 @@
         try:
             async with self._lock:
                 await self._storage.save_snapshot(snapshot)
+        except DiskFullError as error:
+            self.record_full_disk(error)
+            # A snapshot is due again at once, and would be serialized in vain.
+            await sleep_until(deadline_in(_FULL_DISK_RETRY_S))
         finally:
             self._is_saving_snapshot = False
 
+    def record_full_disk(self, error: DiskFullError) -> None:
+        """Record as an event that a write found no room, at most once a second."""
+        if now() >= self._full_disk_recorded_until:
+            self._full_disk_recorded_until = deadline_in(_FULL_DISK_RETRY_S)
+            self._events.record("disk.full", reason=str(error))
+
     async def _run(self) -> None:
         if not self._storage.is_formatted:
             await self._join()
@@ -488,7 +503,10 @@
                 continue
             self.postpone_election()
             if self._leadership is None and self.is_voter:
-                await hold_election(self)
+                try:
+                    await hold_election(self)
+                except DiskFullError as error:
+                    self.record_full_disk(error)
 
     async def _join(self) -> None:
         request = JoinRequest(
@@ -504,8 +522,13 @@
             answer = await self._request_join(address, request)
             if answer is not None and answer.cluster is not None:
                 state = first_hard_state(request.replica, answer.cluster)
-                await self._storage.format(state, [])
-                return
+                try:
+                    await self._storage.format(state, [])
+                    return
+                except DiskFullError as error:
+                    self.record_full_disk(error)
+                    await sleep_until(deadline_in(_FULL_DISK_RETRY_S))
+                    continue
             reported = answer.leader if answer is not None else Address("")
             search.record_failure(address, reported)
             await sleep_until(deadline_in(_JOIN_RETRY_DELAY_S))
--- a/pollenlb/durable/replica_interface.py
+++ b/pollenlb/durable/replica_interface.py
@@ -8,6 +8,7 @@
 
 from ..connection.rpc import RpcChannel
 from ..events import EventLog
+from ..exceptions import DiskFullError
 from ..ids import Address, LogIndex, Term
 from ..settings.control import ControlSettings
 from .membership import MembershipGoal
@@ -81,6 +82,9 @@
     def fail(self, error: BaseException | None) -> None:
         """Record a fatal error, after which the process must stop."""
 
+    def record_full_disk(self, error: DiskFullError) -> None:
+        """Record as an event that a write found no room."""
+
     def has_leader_contact(self) -> bool:
         """Return whether a leader was in contact within the election timeout."""
 
--- a/pollenlb/durable/rpc_handlers.py
+++ b/pollenlb/durable/rpc_handlers.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..connection.rpc import RpcServer
-from ..exceptions import LogError, StorageError
+from ..exceptions import DiskFullError, LogError, StorageError
 from ..ids import (
     Address,
     ClusterId,
@@ -41,7 +41,8 @@
 class RpcHandlers:
     """Answers calls for votes, log entries, snapshots and membership.
 
-    An error that a handler raises is fatal for the replica.
+    An error that a handler raises is fatal for the replica, unless its disk is full:
+    then the call fails, as if it had been lost, and may succeed later.
 
     Parameters
     ----------
@@ -128,6 +129,9 @@
         async def answer(request: Q) -> A:
             try:
                 return await handler(request)
+            except DiskFullError as error:
+                self._replica.record_full_disk(error)
+                raise
             except Exception as error:
                 self._replica.fail(error)
                 raise
--- a/pollenlb/durable/storage.py
+++ b/pollenlb/durable/storage.py
@@ -13,9 +13,16 @@
 import msgspec
 
 from ..clock import now
-from ..exceptions import StorageDamagedError, StorageError
+from ..exceptions import DiskFullError, StorageDamagedError, StorageError
 from ..ids import ClusterId, LogIndex, ReplicaId, Term
-from .files import encode_frame, read_file, read_frames, replace_file, sync_folder
+from .files import (
+    encode_frame,
+    read_file,
+    read_frames,
+    replace_file,
+    sync_file,
+    sync_folder,
+)
 from .records import EntryKind, HardState, LogEntry, Member, Snapshot, decode_members
 from .uninterrupted import uninterrupted
 
@@ -25,6 +32,8 @@
 _HARD_STATE_FILE = "replica"
 _SNAPSHOT_FILE = "snapshot"
 
+_DISK_FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
+
 _encode = msgspec.msgpack.Encoder().encode
 _decode_entries = msgspec.msgpack.Decoder(list[LogEntry]).decode
 _decode_hard_state = msgspec.msgpack.Decoder(HardState).decode
@@ -34,10 +43,12 @@
 class Storage:
     """Hard state, snapshot and log entries of one replica.
 
-    Every write returns only after a sync, also to a caller that is cancelled. After a
-    failed write or sync the storage refuses all further writes, since the content of
-    the disk is unknown.
-    Methods that write raise ``StorageError`` then.
+    Every write returns only after a sync, also to a caller that is cancelled.
+
+    A write that finds no room raises ``DiskFullError``. It has no effect, in memory or
+    on the disk, and later writes are tried again. After any other failed write or
+    sync the storage refuses all further writes, since the content of the disk is
+    unknown. Methods that write raise ``StorageError`` then.
 
     Parameters
     ----------
@@ -60,6 +71,8 @@
         self._members: list[Member] = []
         self._descriptor = -1
         self._failure: StorageError | None = None
+        self._is_full = False
+        self._has_stale_frames = False
         self._write_started_at: dict[object, float] = {}
 
     @property
@@ -112,6 +125,11 @@
             else 0.0
         )
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the last write found no room on the disk."""
+        return self._is_full
+
     def open(self) -> None:
         """Read the data folder, and create it if it does not exist.
 
@@ -181,7 +199,7 @@
             return
         data = encode_frame(_encode(entries))
         start = self._frame_ends[-1] if self._frame_ends else 0
-        await self._run_write(lambda: self._write_at(start, data))
+        await self._run_write(lambda: self._append_at(start, data))
         self._entries.extend(entries)
         self._frame_ends.extend([start + len(data)] * len(entries))
         if any(entry.kind is EntryKind.MEMBERS for entry in entries):
@@ -193,9 +211,8 @@
         position = index - self.first_index
         if position >= len(self._entries):
             return
-        self._entries = self._entries[:position]
+        await self._rewrite_log(self._entries[:position])
         self._update_members()
-        await self._rewrite_log()
 
     @uninterrupted
     async def save_snapshot(self, snapshot: Snapshot) -> None:
@@ -215,8 +232,14 @@
         await self._run_write(lambda: replace_file(path, payload))
         self._snapshot = snapshot
         self._entries = retained
+        self._frame_ends = self._frame_ends[len(self._frame_ends) - len(retained) :]
         self._update_members()
-        await self._rewrite_log()
+        try:
+            await self._rewrite_log(retained)
+        except DiskFullError:
+            # The snapshot is stored. Older entries may stay in the log file until the
+            # next change of it.
+            self._has_stale_frames = True
 
     def members_at(self, index: LogIndex) -> list[Member]:
         """Return the members by the log entries up to an index."""
@@ -270,25 +293,47 @@
         self._entries.append(entry)
         self._frame_ends.append(end)
 
-    def _write_at(self, start: int, data: bytes) -> None:
-        _write_all(self._descriptor, data, start)
-        self._sync(self._descriptor)
-
-    async def _rewrite_log(self) -> None:
-        data = encode_frame(_encode(self._entries)) if self._entries else b""
-        await self._run_write(lambda: self._replace_log(data))
-        self._frame_ends = [len(data)] * len(self._entries)
+    def _append_at(self, start: int, data: bytes) -> None:
+        if self._has_stale_frames:
+            os.ftruncate(self._descriptor, start)
+            self._has_stale_frames = False
+        try:
+            _write_all(self._descriptor, data, start)
+        except OSError:
+            # A shorter write would otherwise be followed by the rest of this one.
+            os.ftruncate(self._descriptor, start)
+            raise
+        sync_file(self._descriptor, self._sync)
+
+    async def _rewrite_log(self, entries: list[LogEntry]) -> None:
+        data = encode_frame(_encode(entries)) if entries else b""
+        replace_log = self._replace_log if entries else self._clear_log
+        await self._run_write(lambda: replace_log(data))
+        self._entries = entries
+        self._frame_ends = [len(data)] * len(entries)
+
+    def _clear_log(self, _: bytes) -> None:
+        os.ftruncate(self._descriptor, 0)
+        sync_file(self._descriptor, self._sync)
+        self._has_stale_frames = False
 
     def _replace_log(self, data: bytes) -> None:
         path = self._folder / _LOG_FILE
         temporary = path.with_suffix(".new")
         descriptor = os.open(temporary, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
-        _write_all(descriptor, data, 0)
-        self._sync(descriptor)
-        os.replace(temporary, path)
+        try:
+            _write_all(descriptor, data, 0)
+            sync_file(descriptor, self._sync)
+            os.replace(temporary, path)
+        except OSError:
+            os.close(descriptor)
+            # Gives the room that the incomplete file takes back to a full disk.
+            temporary.unlink(missing_ok=True)
+            raise
         sync_folder(self._folder)
         os.close(self._descriptor)
         self._descriptor = descriptor
+        self._has_stale_frames = False
 
     def _update_members(self) -> None:
         self._members = self.members_at(self.last_index)
@@ -304,12 +349,16 @@
             future.add_done_callback(
                 lambda _: self._write_started_at.pop(write_id, None)
             )
-            return await future
-        except OSError as error:
-            self._failure = StorageError(
-                f"write to data folder {self._folder} failed: {error}"
-            )
+            result = await future
+        except (OSError, StorageError) as error:
+            message = f"write to data folder {self._folder} failed: {error}"
+            if isinstance(error, OSError) and error.errno in _DISK_FULL_ERRORS:
+                self._is_full = True
+                raise DiskFullError(message) from error
+            self._failure = StorageError(message)
             raise self._failure from error
+        self._is_full = False
+        return result
 
 
 def _write_all(descriptor: int, data: bytes, offset: int) -> None:
--- a/pollenlb/exceptions.py
+++ b/pollenlb/exceptions.py
@@ -24,6 +24,10 @@
     exit_code = 3
 
 
+class DiskFullError(StorageError):
+    """A write found no room on the disk and had no effect; a later one may succeed."""
+
+
 class StorageDamagedError(StorageError):
     """A record that was synced to disk no longer matches its checksum."""
 
--- a/tests/durable/test_replica.py
+++ b/tests/durable/test_replica.py
@@ -8,6 +8,7 @@
 import random
 import threading
 import time
+from contextlib import ExitStack
 
 import pytest
 
@@ -22,6 +23,7 @@
 )
 
 from ..local_system import wait_until
+from .full_disk import full_disk
 from .gated_disk import cancel_at_write
 from .linearizability import Operation, is_linearizable
 from .replica_set import Node, Registers, ReplicaSet, Write, propose
@@ -361,6 +363,40 @@
         await wait_until(lambda: leader.registers.values.get("z") == 3)
 
 
+async def test_leader_whose_disk_is_full_gives_up_its_term_and_returns(tmp_path):
+    """Guards against a full disk that ends the process or stops the log."""
+    async with ReplicaSet(tmp_path, seed=33) as replicas:
+        leader = await replicas.write("x", 1)
+        with full_disk(leader.replica.storage):
+            with pytest.raises(LogError):
+                await propose(leader, Write("y", 2))
+            others = _others(replicas, leader)
+            assert await replicas.write("z", 3, among=others) is not leader
+            for value in range(5):
+                await replicas.write("z", value, among=others)
+            assert leader.replica.leadership is None
+            assert not leader.replica.fatal_error.done()
+        await wait_until(lambda: leader.registers.values.get("z") == 4)
+        assert not leader.replica.fatal_error.done()
+
+
+async def test_replicas_whose_disks_are_all_full_go_on_when_there_is_room(tmp_path):
+    """Guards against a log that stays without a leader after its disks were full."""
+    async with ReplicaSet(tmp_path, seed=34) as replicas:
+        leader = await replicas.write("x", 1)
+        with ExitStack() as disks:
+            for node in replicas.nodes:
+                disks.enter_context(full_disk(node.replica.storage))
+            with pytest.raises(LogError):
+                await propose(leader, Write("y", 2))
+            await asyncio.sleep(2 * leader.settings.election_timeout_s)
+            assert not any(node.replica.fatal_error.done() for node in replicas.nodes)
+        await replicas.write("z", 3)
+        for node in replicas.nodes:
+            await wait_until(lambda: node.registers.values.get("z") == 3)
+            assert node.registers.values["x"] == 1
+
+
 async def test_log_above_the_size_limit_is_replaced_by_a_snapshot(tmp_path):
     async with ReplicaSet(tmp_path, seed=32, snapshot_bytes=10_000) as replicas:
         for value in range(300):
--- a/tests/durable/test_storage.py
+++ b/tests/durable/test_storage.py
@@ -9,14 +9,16 @@
 from contextlib import suppress
 from pathlib import Path
 
+import msgspec
 import pytest
 from hypothesis import given, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from pollenlb.durable.records import EntryKind, LogEntry, Snapshot
 from pollenlb.durable.storage import Storage, first_hard_state
-from pollenlb.exceptions import StorageDamagedError, StorageError
+from pollenlb.exceptions import DiskFullError, StorageDamagedError, StorageError
 
+from .full_disk import full_disk
 from .gated_disk import cancel_at_write
 
 
@@ -269,3 +271,60 @@
     reopened.open()
     assert reopened.last_index == 1
     reopened.close()
+
+
+async def test_writes_go_on_when_a_full_disk_has_room_again(tmp_path, monkeypatch):
+    """Guards against a storage that stays unusable after its disk was full."""
+    storage = Storage(tmp_path)
+    storage.open()
+    await storage.format(first_hard_state("a", "c"), [_entry(1, 1)])
+    pwrite = os.pwrite
+    monkeypatch.setattr(
+        os, "pwrite", lambda fd, data, offset: pwrite(fd, data[:-1], offset)
+    )
+    with pytest.raises(StorageError, match="No space"):
+        await storage.append([_entry(1, 2), _entry(1, 3)])
+    assert storage.is_full
+    monkeypatch.undo()
+    await storage.append([_entry(2, 2)])
+    assert not storage.is_full
+    storage.close()
+    reopened = Storage(tmp_path)
+    reopened.open()
+    assert reopened.entries_from(1, 10) == [_entry(1, 1), _entry(2, 2)]
+    reopened.close()
+
+
+@pytest.mark.parametrize("write", range(2))
+@pytest.mark.parametrize("change", ["truncate", "hard state", "snapshot", "foreign"])
+async def test_change_that_a_full_disk_refuses_leaves_memory_and_disk_alike(
+    tmp_path, change, write
+):
+    """Guards against memory that is ahead of a disk without room."""
+    storage = Storage(tmp_path)
+    storage.open()
+    state = first_hard_state("a", "c")
+    await storage.format(state, [])
+    for index in range(1, 6):
+        await storage.append([_entry(1, index)])
+    changes = {
+        "truncate": lambda: storage.truncate_from(3),
+        "hard state": lambda: storage.save_hard_state(
+            msgspec.structs.replace(state, term=2)
+        ),
+        "snapshot": lambda: storage.save_snapshot(Snapshot(1, 3, [], b"s")),
+        "foreign": lambda: storage.save_snapshot(Snapshot(2, 3, [], b"s")),
+    }
+    with full_disk(storage, after_writes=write):
+        with suppress(DiskFullError):
+            await changes[change]()
+    next_index = storage.last_index + 1
+    await storage.append([_entry(3, next_index)])
+    expected = storage.entries_from(storage.first_index, 10)
+    known = (storage.hard_state, storage.snapshot, expected)
+    storage.close()
+    reopened = Storage(tmp_path)
+    reopened.open()
+    found = reopened.entries_from(reopened.first_index, 10)
+    assert (reopened.hard_state, reopened.snapshot, found) == known
+    reopened.close()
