--- a/pollenlb/durable/files.py
+++ b/pollenlb/durable/files.py
@@ -64,7 +64,9 @@
     temporary = path.with_suffix(".new")
     try:
         with temporary.open("wb") as file:
-            file.write(encode_frame(payload))
+            # Header and payload apart: a snapshot may be large.
+            file.write(_HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload)))
+            file.write(payload)
             file.flush()
             sync_file(file.fileno(), os.fsync)
         os.replace(temporary, path)
--- a/pollenlb/durable/follower.py
+++ b/pollenlb/durable/follower.py
@@ -13,15 +13,18 @@
 from ..ids import Address, LogIndex, Term
 from .records import (
     APPEND,
-    SNAPSHOT,
+    SNAPSHOT_PART,
     AppendAnswer,
     AppendRequest,
     Member,
-    SnapshotRequest,
+    SnapshotPartRequest,
 )
 from .replica_interface import ReplicaInterface
+from .snapshot_transfer import OutgoingSnapshot
 
 _MAX_ENTRIES_PER_MESSAGE = 256
+_MAX_ENTRY_BYTES_PER_MESSAGE = 4 * 1024 * 1024
+# Installing the last part of a large snapshot takes seconds.
 _SNAPSHOT_TIMEOUT_S = 30.0
 
 
@@ -67,6 +70,7 @@
         self._created_at = now()
         self._last_contact_at = float("-inf")
         self._reported_member = member
+        self._outgoing: OutgoingSnapshot | None = None
         self.member = member
         self.wake = asyncio.Event()
         self.task: asyncio.Task | None = None
@@ -126,8 +130,8 @@
     async def _send_next(self) -> bool:
         sent_at = now()
         if self._next_index <= self._replica.storage.snapshot.index:
-            request: Any = self._snapshot_request()
-            method: Any = SNAPSHOT
+            request: Any = self._snapshot_part_request()
+            method: Any = SNAPSHOT_PART
             timeout_s = _SNAPSHOT_TIMEOUT_S
         else:
             request = self._append_request()
@@ -141,15 +145,17 @@
                 return False
         return False
 
-    def _snapshot_request(self) -> SnapshotRequest:
+    def _snapshot_part_request(self) -> SnapshotPartRequest:
         state = self._replica.storage.hard_state
-        return SnapshotRequest(
+        if self._outgoing is None:
+            self._outgoing = OutgoingSnapshot(self._replica.storage.snapshot)
+        return SnapshotPartRequest(
             cluster=state.cluster,
             sender=state.replica,
             receiver=self.member.replica,
             term=self._term,
             leader_address=Address(self._replica.settings.listen),
-            snapshot=self._replica.storage.snapshot,
+            part=self._outgoing.next_part(),
         )
 
     def _append_request(self) -> AppendRequest:
@@ -166,7 +172,11 @@
             previous_index=previous_index,
             commit_index=self._replica.commit_index,
             leader_address=Address(self._replica.settings.listen),
-            entries=storage.entries_from(self._next_index, _MAX_ENTRIES_PER_MESSAGE),
+            entries=storage.entries_from(
+                self._next_index,
+                _MAX_ENTRIES_PER_MESSAGE,
+                _MAX_ENTRY_BYTES_PER_MESSAGE,
+            ),
         )
 
     async def _process_answer(self, answer: AppendAnswer, sent_at: float) -> bool:
@@ -181,7 +191,10 @@
             instance=answer.instance or self.member.instance,
             failure_domain=answer.failure_domain,
         )
-        if answer.is_matching:
+        if answer.received_bytes is not None and self._outgoing is not None:
+            self._outgoing.record_received(answer.received_bytes)
+        elif answer.is_matching:
+            self._outgoing = None
             match_index = max(self._match_index, answer.last_index)
             self._match_index = LogIndex(match_index)
             self._next_index = LogIndex(match_index + 1)
--- a/pollenlb/durable/records.py
+++ b/pollenlb/durable/records.py
@@ -168,6 +168,8 @@
         after which the leader should try next.
     instance, failure_domain : str
         Where the receiver runs; empty when it is not the one that was addressed.
+    received_bytes : int or None
+        Bytes received of a snapshot that is not complete yet; None otherwise.
     """
 
     term: Term
@@ -176,10 +178,30 @@
     last_index: LogIndex
     instance: InstanceName = InstanceName("")
     failure_domain: FailureDomain = FailureDomain("")
+    received_bytes: int | None = None
+
+
+class SnapshotPart(msgspec.Struct, frozen=True):
+    """A part of a snapshot.
+
+    Attributes
+    ----------
+    snapshot : Snapshot
+        The snapshot with this part of its state only.
+    offset : int
+        Bytes of the state before this part.
+    total_bytes, checksum : int
+        Length and CRC-32 of the complete state.
+    """
+
+    snapshot: Snapshot
+    offset: int
+    total_bytes: int
+    checksum: int
 
 
 class SnapshotRequest(msgspec.Struct, frozen=True):
-    """A complete snapshot for a replica whose next log entries were dropped."""
+    """A complete snapshot, as replicas of earlier releases send it."""
 
     cluster: ClusterId
     sender: ReplicaId
@@ -189,6 +211,17 @@
     snapshot: Snapshot
 
 
+class SnapshotPartRequest(msgspec.Struct, frozen=True):
+    """Part of a snapshot for a replica whose next log entries were dropped."""
+
+    cluster: ClusterId
+    sender: ReplicaId
+    receiver: ReplicaId
+    term: Term
+    leader_address: Address
+    part: SnapshotPart
+
+
 class JoinRequest(msgspec.Struct, frozen=True):
     """Request of a replica with an empty data folder to become a learner."""
 
@@ -219,6 +252,7 @@
 VOTE = Method(_SERVICE, "Vote", VoteRequest, VoteAnswer)
 APPEND = Method(_SERVICE, "Append", AppendRequest, AppendAnswer)
 SNAPSHOT = Method(_SERVICE, "Snapshot", SnapshotRequest, AppendAnswer)
+SNAPSHOT_PART = Method(_SERVICE, "SnapshotPart", SnapshotPartRequest, AppendAnswer)
 JOIN = Method(_SERVICE, "Join", JoinRequest, JoinAnswer)
 
 _encode = msgspec.msgpack.Encoder().encode
--- a/pollenlb/durable/rpc_handlers.py
+++ b/pollenlb/durable/rpc_handlers.py
@@ -22,17 +22,20 @@
     APPEND,
     JOIN,
     SNAPSHOT,
+    SNAPSHOT_PART,
     VOTE,
     AppendAnswer,
     AppendRequest,
     JoinAnswer,
     JoinRequest,
     LogEntry,
+    SnapshotPartRequest,
     SnapshotRequest,
     VoteAnswer,
     VoteRequest,
 )
 from .replica_interface import ReplicaInterface
+from .snapshot_transfer import IncomingSnapshot
 
 Q = TypeVar("Q")
 A = TypeVar("A")
@@ -52,12 +55,16 @@
 
     def __init__(self, replica: ReplicaInterface) -> None:
         self._replica = replica
+        self._incoming = IncomingSnapshot()
 
     def register(self, server: RpcServer) -> None:
         """Register all handlers on a server."""
         server.register(VOTE, self._fail_replica_on_error(self.handle_vote))
         server.register(APPEND, self._fail_replica_on_error(self.handle_append))
         server.register(SNAPSHOT, self._fail_replica_on_error(self.handle_snapshot))
+        server.register(
+            SNAPSHOT_PART, self._fail_replica_on_error(self.handle_snapshot_part)
+        )
         server.register(JOIN, self._fail_replica_on_error(self.handle_join))
 
     async def handle_vote(self, request: VoteRequest) -> VoteAnswer:
@@ -111,6 +118,21 @@
             await replica.install_snapshot(request.snapshot)
             return self._append_answer(True, request.snapshot.index)
 
+    async def handle_snapshot_part(self, request: SnapshotPartRequest) -> AppendAnswer:
+        """Collect the parts of a snapshot, and install it when it is complete."""
+        replica = self._replica
+        async with replica.lock:
+            refusal = await self._refuse_or_accept_leader(request)
+            if refusal is not None:
+                return refusal
+            snapshot = self._incoming.add(request.part)
+            if snapshot is None:
+                answer = self._append_answer(False, replica.storage.last_index)
+                received_bytes = self._incoming.received_bytes
+                return msgspec.structs.replace(answer, received_bytes=received_bytes)
+            await replica.install_snapshot(snapshot)
+            return self._append_answer(True, snapshot.index)
+
     async def handle_join(self, request: JoinRequest) -> JoinAnswer:
         """Add a replica with an empty data folder as a learner, if this one leads."""
         replica = self._replica
@@ -160,7 +182,7 @@
         return True
 
     async def _refuse_or_accept_leader(
-        self, request: AppendRequest | SnapshotRequest
+        self, request: AppendRequest | SnapshotRequest | SnapshotPartRequest
     ) -> AppendAnswer | None:
         replica = self._replica
         if not self._is_addressed(request.cluster, request.receiver):
--- a/pollenlb/durable/storage.py
+++ b/pollenlb/durable/storage.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import math
 import os
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -187,10 +188,28 @@
             return self._entries[position].term
         return None
 
-    def entries_from(self, index: LogIndex, max_count: int) -> list[LogEntry]:
-        """Return at most ``max_count`` log entries from an index on."""
+    def entries_from(
+        self, index: LogIndex, max_count: int, max_bytes: float = math.inf
+    ) -> list[LogEntry]:
+        """Return log entries from an index on.
+
+        Parameters
+        ----------
+        index : LogIndex
+            Index of the first one.
+        max_count : int
+            Greatest number of entries.
+        max_bytes : float
+            Greatest size of their payloads together; the first one may be larger.
+        """
         start = index - self.first_index
-        return self._entries[start : start + max_count]
+        entries = self._entries[start : start + max_count]
+        size = 0
+        for count, entry in enumerate(entries):
+            size += len(entry.payload)
+            if size > max_bytes and count:
+                return entries[:count]
+        return entries
 
     @uninterrupted
     async def append(self, entries: list[LogEntry]) -> None:
