Keep the leader running while a new member has no replication yet

Cause: the member list changes with the append, replication starts after it; the check of the members in between raised an error, which is fatal. Change: such a member counts as just added and not caught up. Measured: the new test fails before and passes now.

--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -422,7 +422,8 @@
             elif follower is not None:
                 members_health.append(self._health_of(follower))
             else:
-                raise AssertionError(f"member {member.replica} has no Follower")
+                # The member list has just changed; replication starts in a moment.
+                members_health.append(MemberHealth(member, 0.0, False, member))
         return members_health
 
     def _health_of(self, follower: Follower) -> MemberHealth:
--- a/tests/durable/test_replica.py
+++ b/tests/durable/test_replica.py
@@ -14,13 +14,14 @@
 
 from fakes.relay import LinkState
 from pollenlb.commands.control import format_data_folder
-from pollenlb.durable.records import Snapshot
+from pollenlb.durable.records import Member, Snapshot
 from pollenlb.exceptions import (
     CommitInDoubtError,
     LogError,
     NotLeaderError,
     StorageError,
 )
+from pollenlb.ids import Address
 
 from ..local_system import wait_until
 from .full_disk import full_disk
@@ -397,6 +398,23 @@
             assert node.registers.values["x"] == 1
 
 
+async def test_member_without_replication_yet_does_not_end_the_leader(
+    tmp_path, monkeypatch
+):
+    """Guards against a failure between a change of members and its first message."""
+    async with ReplicaSet(tmp_path, seed=35) as replicas:
+        leader = await replicas.leader()
+        leadership = leader.replica.leadership
+        monkeypatch.setattr(leadership, "_update_followers", lambda: None)
+        members = leader.replica.storage.members
+        added = Member("new", "new", Address("127.0.0.1:1"), is_voter=False)
+        await leadership.change_members([*members, added])
+        health = leadership.member_health()
+        assert [each.member for each in health] == [*members, added]
+        assert not health[-1].is_caught_up
+        assert not leader.replica.fatal_error.done()
+
+
 async def test_log_above_the_size_limit_is_replaced_by_a_snapshot(tmp_path):
     async with ReplicaSet(tmp_path, seed=32, snapshot_bytes=10_000) as replicas:
         for value in range(300):
