Forward heads as they were sent, and take larger heads of answers

Seen: servers got their own address as Host, one X-A for two, and an Accept that no caller had sent; an answer with a header of 12 KB became a 502 although it ran. Cause: Host was dropped as a header of the connection, repeated headers were joined, the HTTP library adds Accept and limits headers of answers to 8 KB. Change: Host and repeated headers pass; max_answer_header_bytes (32 KB) bounds heads of answers. Not changed: the HTTP library writes headers as UTF-8, so a byte that is no UTF-8 still arrives changed.

--- a/pollenlb/connection/sessions.py
+++ b/pollenlb/connection/sessions.py
@@ -61,7 +61,9 @@
         self._factory = cast(functools.partial[ResponseHandler], factory)
 
 
-def open_session(is_pooled: bool) -> aiohttp.ClientSession:
+def open_session(
+    is_pooled: bool, max_header_bytes: int = 8190
+) -> aiohttp.ClientSession:
     """Return a session that never repeats a request by itself.
 
     A connection that is lost during a request raises ``ConnectionLostError``. One
@@ -74,6 +76,8 @@
         Whether idle connections are reused. Otherwise each request opens its
         own, so that a connection lost while idle cannot leave the outcome of
         a request unknown.
+    max_header_bytes : int
+        Greatest size of the status line and of each header field of an answer.
     """
     if is_pooled:
         connector = _Connector(limit=0, keepalive_timeout=_IDLE_TIMEOUT_S)
@@ -82,6 +86,8 @@
     return aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
+        max_line_size=max_header_bytes,
+        max_field_size=max_header_bytes,
         cookie_jar=aiohttp.DummyCookieJar(),
         trace_configs=[_trace_sending()],
         middlewares=(_prevent_implicit_retry,),
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -201,7 +201,7 @@
         Address(settings.listen),
         FailureDomain(settings.failure_domain),
     )
-    session: aiohttp.ClientSession = open_session(is_pooled=True)
+    session = open_session(True, settings.max_answer_header_bytes)
     configuration = AppliedConfiguration()
     control = ControlConnection(settings.control_addresses, events)
 
@@ -220,7 +220,7 @@
         metrics=Metrics(),
         rng=rng,
         session=session,
-        single_use_session=open_session(is_pooled=False),
+        single_use_session=open_session(False, settings.max_answer_header_bytes),
         control=control,
         stream_origins=StreamOrigins(control, events),
         configuration=configuration,
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import msgspec
+from multidict import CIMultiDict
 from result import Err, Ok, Result
 from yarl import URL
 
@@ -24,6 +25,8 @@
 
 # Visible ASCII characters.
 _ALLOWED_TARGET = re.compile(r"/[!-~]*")
+# Headers that aiohttp would add to those of the caller.
+_AUTOMATIC_HEADERS = ("User-Agent", "Accept-Encoding", "Accept")
 SEND_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
 
 
@@ -129,10 +132,8 @@
     sent_at = now()
     boot = server.boot
     server.record_limited_request(attempt.request_id)
-    headers = {
-        **attempt.headers,
-        **dialect.attempt_headers(attempt, server.announcement),
-    }
+    headers = CIMultiDict(attempt.headers)
+    headers.update(dialect.attempt_headers(attempt, server.announcement))
     head_s = remaining_time_s(head_deadline or attempt.deadline)
     try:
         async with asyncio.timeout(head_s):
@@ -143,7 +144,7 @@
                 data=attempt.body,
                 allow_redirects=False,
                 timeout=_client_timeout(attempt, settings),
-                skip_auto_headers=("User-Agent", "Accept-Encoding"),
+                skip_auto_headers=_AUTOMATIC_HEADERS,
                 trace_request_ctx=tracker,
             )
     except SEND_ERRORS as error:
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 from aiohttp import web
+from multidict import CIMultiDict
 from result import Err, Ok, Result
 
 from ..clock import Deadline, deadline_in, now, remaining_time_s
@@ -38,7 +39,6 @@
         "trailer",
         "transfer-encoding",
         "upgrade",
-        "host",
         "expect",
     )
 )
@@ -284,16 +284,18 @@
     raise TimeoutError("the deadline passed before the end of the body")
 
 
-def request_headers(caller: CallerRequest, dialect: Dialect) -> dict[str, str]:
-    """Return the caller's headers that are forwarded to a backend server."""
+def request_headers(caller: CallerRequest, dialect: Dialect) -> CIMultiDict[str]:
+    """Return the caller's headers that are forwarded to a backend server.
+
+    A header that the caller sent several times stays several headers.
+    """
     dropped = _HOP_BY_HOP | dialect.private_headers
     listed = caller.http_request.headers.get("Connection", "")
     dropped = dropped | {name.strip().lower() for name in listed.split(",")}
-    headers: dict[str, str] = {}
+    headers: CIMultiDict[str] = CIMultiDict()
     for name, value in caller.http_request.headers.items():
-        if name.lower() in dropped or name.lower() == "content-length":
-            continue
-        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+        if name.lower() not in dropped and name.lower() != "content-length":
+            headers.add(name, value)
     if (
         caller.body.buffered_bytes is None
         and caller.http_request.content_length is not None
--- a/pollenlb/settings/entry.py
+++ b/pollenlb/settings/entry.py
@@ -54,6 +54,9 @@
     max_header_bytes = Integer(1024, 1_048_576, 16_384)
     """Greatest size of the request line and of each header field, in bytes."""
 
+    max_answer_header_bytes = Integer(1024, 1_048_576, 32_768)
+    """Greatest size, in bytes, of each header field of a backend server's answer."""
+
     max_body_bytes = Integer(1024, 1_073_741_824, 16_777_216)
     """Greatest size of a request's body, in bytes."""
 
