Add workspaces with keys

Cause: the product knew neither workspaces nor keys. Change: workspaces with digests of keys, priority and weight in the configuration; entries refuse unknown keys with 401 before the body is read, with 503 while their lease has expired; servers get the workspace; batch jobs, idempotency keys and partial output belong to a workspace. Nothing changes without requires_keys.

--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -101,6 +101,7 @@
         self.orders: list[dict] = []
         self.received_runs: list[tuple[str, int]] = []
         self.received_targets: list[str] = []
+        self.received_headers: list[list[tuple[str, str]]] = []
         self.running: set[str] = set()
         self.floods: dict[str, RawAnswer] = {}
         self.request_limit_per_s: float | None = None
@@ -229,6 +230,7 @@
         last_event_id = int(request.headers.get("Last-Event-Id", "-1"))
         self.received_runs.append((request_id, last_event_id))
         self.received_targets.append(request.raw_path)
+        self.received_headers.append(list(request.headers.items()))
         self.running.add(request_id)
         try:
             return await self._stream(request, body, last_event_id)
--- a/pollenlb/connection/backend_api.py
+++ b/pollenlb/connection/backend_api.py
@@ -15,6 +15,8 @@
 BOOT_HEADER = "Pollenlb-Boot"
 OUTCOME_HEADER = "Pollenlb-Outcome"
 TIMEOUT_MS_HEADER = "Pollenlb-Timeout-Ms"
+# Workspace of the caller.
+WORKSPACE_HEADER = "Pollenlb-Workspace"
 IN_FLIGHT_HEADER = "Pollenlb-In-Flight"
 
 
--- a/pollenlb/durable/batch_job_commands.py
+++ b/pollenlb/durable/batch_job_commands.py
@@ -21,6 +21,7 @@
     SoftwareVersion,
     StepNumber,
     WeightVersion,
+    WorkspaceName,
 )
 from .command_base import Command, CommandResult
 
@@ -163,6 +164,8 @@
         For a step of a rollout job: its items are prompts and their results
         samples, which are retained until the trainer has acknowledged them.
         None for any other batch job.
+    workspace : WorkspaceName or None
+        Workspace that submitted it; None where callers need no key.
     """
 
     batch_job: BatchJobId
@@ -178,6 +181,7 @@
     max_attempts: int = 1
     kept_s: float = 120.0
     sample: SampleParameters | None = None
+    workspace: WorkspaceName | None = None
 
 
 class ItemState(Enum):
--- a/pollenlb/platform/configuration.py
+++ b/pollenlb/platform/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import Any
 
 import msgspec
@@ -9,6 +10,7 @@
 
 from ..durable.configuration_commands import ReplaceConfiguration
 from ..ids import DocumentVersion
+from ..settings.cluster import digest_key
 
 _MS_PER_S = 1000.0
 _RETRY_SHARE = 0.2  # retries and hedged requests allowed per request of a route
@@ -80,6 +82,8 @@
     resumable : bool
         Whether an interrupted stream may be resumed at another backend server;
         its request may then run more than once.
+    public : bool
+        Whether requests need no key.
     """
 
     name: str
@@ -96,6 +100,21 @@
     due_ms: float = 0.0
     single_version: bool = False
     resumable: bool = False
+    public: bool = False
+
+
+class _Tenant(msgspec.Struct):
+    """A workspace, with its keys in plain text.
+
+    Attributes
+    ----------
+    priority : int or None
+        Rank of its requests, in place of that of their routes.
+    """
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -107,12 +126,15 @@
         Number that the operator gave it; the highest one wins.
     limits : dict
         Accepted but not used.
+    tenants : list of _Tenant or None
+        Workspaces; None when callers need no key.
     """
 
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: dict[str, Any] = {}
+    tenants: list[_Tenant] | None = None
 
 
 _decode_configuration = msgspec.json.Decoder(_Configuration).decode
@@ -133,7 +155,7 @@
     problem = _find_problem(configuration)
     if problem is not None:
         return Err(problem)
-    document = {
+    document: dict[str, Any] = {
         "services": {
             service.name: _to_service_settings(service)
             for service in configuration.services
@@ -142,11 +164,35 @@
             route.name: _to_route_settings(route) for route in configuration.routes
         },
     }
+    source = body
+    if configuration.tenants is not None:
+        document["requires_keys"] = True
+        document["workspaces"] = {
+            tenant.name: _to_workspace_settings(tenant)
+            for tenant in configuration.tenants
+        }
+        source = zlib.compress(body)
     return Ok(
-        ReplaceConfiguration(DocumentVersion(configuration.version), document, body)
+        ReplaceConfiguration(DocumentVersion(configuration.version), document, source)
     )
 
 
+def unpack_source(source: bytes) -> bytes:
+    """Return the body in which the operator sent a configuration.
+
+    A body that holds keys is stored compressed, so that they do not stand in the log
+    and in snapshots as plain text. It has to be returned in full, so it cannot be
+    stored as digests only.
+
+    Parameters
+    ----------
+    source : bytes
+        Stored form, of ``parse_configuration``.
+    """
+    is_packed = not source.lstrip()[:1] == b"{"
+    return zlib.decompress(source) if is_packed and source else source
+
+
 def _find_problem(configuration: _Configuration) -> str | None:
     """Return the first problem that the converted document would hide, or None.
 
@@ -172,12 +218,23 @@
     for kind, names in (
         ("routes", [route.name for route in configuration.routes]),
         ("services", [service.name for service in configuration.services]),
+        ("tenants", [tenant.name for tenant in configuration.tenants or ()]),
     ):
         if len(set(names)) < len(names):
             return f"two {kind} have the same name"
     return None
 
 
+def _to_workspace_settings(tenant: _Tenant) -> dict[str, Any]:
+    """Return the product's settings of a workspace."""
+    settings: dict[str, Any] = {
+        "key_digests": [digest_key(key) for key in tenant.api_keys]
+    }
+    if tenant.priority is not None:
+        settings["priority"] = tenant.priority
+    return settings
+
+
 def _to_service_settings(service: _Service) -> dict[str, Any]:
     """Return the product's settings of a service."""
     settings: dict[str, Any] = {
@@ -218,4 +275,5 @@
         "due_s": route.due_ms / _MS_PER_S,
         "give_up_s": route.max_queue_s,
         "single_version": route.single_version,
+        "public": route.public,
     }
--- a/pollenlb/platform/control.py
+++ b/pollenlb/platform/control.py
@@ -20,7 +20,7 @@
 from ..ids import CommandId, InstanceName, ModelName, WeightVersion, new_id
 from ..process.control_context import ControlContext
 from .announcements import parse_deregistration, parse_heartbeat
-from .configuration import parse_configuration
+from .configuration import parse_configuration, unpack_source
 from .names import (
     DEREGISTER_PATH,
     HEARTBEAT_PATH,
@@ -125,7 +125,9 @@
             return web.Response(
                 status=503, text="no configuration has been received yet"
             )
-        return web.Response(body=latest.source, content_type="application/json")
+        return web.Response(
+            body=unpack_source(latest.source), content_type="application/json"
+        )
 
     async def release_version(self, request: web.Request) -> web.Response:
         """Release a weight version of a model, which its engines are to load."""
--- a/pollenlb/platform/dialect.py
+++ b/pollenlb/platform/dialect.py
@@ -16,7 +16,7 @@
 from ..durable.configuration_commands import Announcement
 from ..ids import BackendServerName, RequestId, WeightVersion
 from ..request.attempt import Attempt
-from ..request.caller_request import RequestClass
+from ..request.caller_request import RequestClass, read_authorization
 from ..request.dialect import (
     AnswerHead,
     CallerParameters,
@@ -28,8 +28,10 @@
 from ..settings.entry import EntrySettings
 from .batch_jobs import parse_batch_job, unknown_fields
 from .names import (
+    AUTHORIZATION_HEADER,
     DEADLINE_MS_HEADER,
     EXPECTED_SERVER_HEADER,
+    KEY_SCHEME,
     LAST_EVENT_ID_HEADER,
     LOAD_REPORT_HEADER,
     MISDIRECTED_STATUS,
@@ -42,6 +44,7 @@
     SERVER_LEAVING_HEADER,
     SERVER_PROOF_HEADER,
     WEIGHT_VERSION_HEADER,
+    WORKSPACE_HEADER,
     parse_in_flight,
     parse_probe_answer,
     parse_request_limit,
@@ -86,10 +89,18 @@
         )
     )
 
+    workspace_headers = frozenset(
+        (AUTHORIZATION_HEADER.lower(), WORKSPACE_HEADER.lower())
+    )
+
     def request_id_of(self, request: web.Request) -> RequestId:
         """Return the caller's request id; empty when the header is missing."""
         return RequestId(request.headers.get(REQUEST_ID_HEADER, ""))
 
+    def read_key(self, request: web.Request) -> str | None:
+        """Return the key of a workspace that a request carries; None without one."""
+        return read_authorization(request, KEY_SCHEME)
+
     def read_parameters(
         self, request: web.Request, route: RouteSettings, settings: EntrySettings
     ) -> CallerParameters:
@@ -146,11 +157,14 @@
     def attempt_headers(self, attempt: Attempt, server: Announcement) -> dict[str, str]:
         """Return the headers that the entry adds to a request to a backend server."""
         remaining_ms = max(1, int(remaining_time_s(attempt.deadline) * _MS_PER_S))
-        return {
+        headers = {
             REQUEST_ID_HEADER: attempt.request_id,
             DEADLINE_MS_HEADER: str(remaining_ms),
             EXPECTED_SERVER_HEADER: server.server,
         }
+        if attempt.workspace is not None:
+            headers[WORKSPACE_HEADER] = attempt.workspace
+        return headers
 
     def read_head(
         self, request_id: RequestId, status: int, headers: Mapping[str, str]
@@ -247,9 +261,9 @@
         except msgspec.MsgspecError as error:
             raise bad_request(f"batch job {name} is invalid: {error}") from error
 
-    def batch_job_accepted(self, spec: BatchJobSpec) -> web.Response:
+    def batch_job_accepted(self, request_id: RequestId) -> web.Response:
         """Return the response for a batch job that is committed."""
-        return web.Response(status=202, headers={REQUEST_ID_HEADER: spec.batch_job})
+        return web.Response(status=202, headers={REQUEST_ID_HEADER: request_id})
 
     def item_headers(self, item: BatchItem, spec: BatchJobSpec) -> dict[str, str]:
         """Return the headers of the request to an engine that runs an item."""
--- a/pollenlb/platform/entry_protocol.py
+++ b/pollenlb/platform/entry_protocol.py
@@ -15,7 +15,8 @@
 from ..process.entry import EntryProtocol
 from ..request.batch_job import end_batch_job, read_batch_job, read_item
 from ..request.item import RequestItemRunner
-from ..request.outcome import RefusedError, bad_request
+from ..request.outcome import RefusedError, bad_request, unavailable
+from ..request.workspace_access import identify_workspace, scope_batch_job
 from .batch_jobs import encode_results_page
 from .dialect import PlatformDialect
 from .names import BATCH_JOB_PATH, ITEM_PATH, REQUEST_ID_HEADER, WAIT_MS_HEADER
@@ -64,7 +65,7 @@
         after = int(text)
         wait_ms = request.headers.get(WAIT_MS_HEADER, "0")
         wait_s = int(wait_ms) / _MS_PER_S if wait_ms.isdigit() else 0.0
-        name = BatchJobId(request.match_info["batch_job"])
+        name = self._batch_job_of(request)
         wait_s = min(wait_s, _MAX_WAIT_S)
         results = await read_batch_job(name, after, wait_s, self._context)
         body = encode_results_page(results, after)
@@ -79,7 +80,7 @@
             When there is no such item, or when the leader of the control
             instances cannot be reached.
         """
-        name = BatchJobId(request.match_info["batch_job"])
+        name = self._batch_job_of(request)
         item = ItemId(request.query.get("id", ""))
         body = await read_item(name, item, self._context)
         return web.Response(body=body, content_type="application/octet-stream")
@@ -93,10 +94,27 @@
             When there is no such batch job, or when the control instances did not
             confirm the end in time.
         """
-        name = BatchJobId(request.match_info["batch_job"])
+        name = self._batch_job_of(request)
         await end_batch_job(name, self._context)
         return web.Response()
 
+    def _batch_job_of(self, request: web.Request) -> BatchJobId:
+        """Return the batch job that a request names, of the workspace of its key.
+
+        Raises
+        ------
+        RefusedError
+            When the key is unknown, or missing and no batch job needs none.
+        """
+        context = self._context
+        if not context.configuration.is_received:
+            raise unavailable("no configuration from the control instances yet")
+        routes = context.configuration.settings.routes.values()
+        is_public = any(route.batch_jobs and route.public for route in routes)
+        workspace = identify_workspace(request, is_public, context)
+        name = BatchJobId(request.match_info["batch_job"])
+        return scope_batch_job(name, workspace, context)
+
     def _respond_to_refusals(self, handler: Handler) -> Handler:
         """Return a handler that turns a ``RefusedError`` into its response."""
 
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -243,6 +243,8 @@
         partial, _ = self._partials.pop(item.item, (None, None))
         if partial is None or not partial.output.events:
             return fresh
+        if partial.spec.workspace != spec.workspace:
+            return fresh
         if partial.item.body != item.body or not partial.satisfies(spec):
             return fresh
         fresh.output = partial.output
--- a/pollenlb/process/metrics.py
+++ b/pollenlb/process/metrics.py
@@ -41,6 +41,9 @@
         self.unknown_fields = self._counter(
             "unknown_fields", "Batch jobs with a field that has no effect", "field"
         )
+        self.refused_keys = self._counter(
+            "refused_keys", "Requests without a known key of a workspace", "reason"
+        )
         self.in_flight = Gauge(
             "pollenlb_in_flight", "Requests in flight", registry=self._registry
         )
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -17,7 +17,7 @@
 from ..connection.backend import BackendServer
 from ..connection.bodies import read_body
 from ..connection.sessions import ConnectionLostError, SendTracker
-from ..ids import BootId, RequestId
+from ..ids import BootId, RequestId, WorkspaceName
 from ..settings.entry import EntrySettings
 from .dialect import AnswerHead, Dialect
 from .event_blocks import MAX_OUTPUT_BYTES
@@ -72,6 +72,8 @@
         Complete body, or its chunks as they arrive from the caller.
     deadline : Deadline
         Deadline of the caller's request.
+    workspace : WorkspaceName or None
+        Workspace for which it runs; None without one.
     """
 
     request_id: RequestId
@@ -80,6 +82,7 @@
     headers: Mapping[str, str]
     body: bytes | AsyncIterator[bytes] | None
     deadline: Deadline
+    workspace: WorkspaceName | None = None
 
 
 @dataclass
--- a/pollenlb/request/batch_job.py
+++ b/pollenlb/request/batch_job.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 from aiohttp import web
 
 from ..clock import Deadline, deadline_in, remaining_time_s, sleep_until
@@ -15,6 +16,7 @@
 from ..settings.cluster import RouteSettings
 from .caller_request import CallerRequest, path_of
 from .outcome import Outcome, Refusal, RefusedError, bad_request, unavailable
+from .workspace_access import scope_batch_job
 
 # Kept short, since a trainer that gets no answer submits its batch job again at
 # another entry process.
@@ -48,7 +50,7 @@
         items=len(spec.items),
         least_version=spec.least_version,
     )
-    return context.dialect.batch_job_accepted(spec)
+    return context.dialect.batch_job_accepted(caller.request_id)
 
 
 async def _submit_under_newest_configuration(
@@ -66,6 +68,7 @@
         spec = context.dialect.read_batch_job(
             caller.http_request, body, _current_route(caller, context), context.settings
         )
+        spec = _assign_to_workspace(spec, caller, context)
         if not is_reported:
             is_reported = True
             _report_unknown_fields(spec, body, context)
@@ -88,6 +91,32 @@
         await _wait_for_revision(result.revision, deadline, context)
 
 
+def _assign_to_workspace(
+    spec: BatchJobSpec, caller: CallerRequest, context: EntryContext
+) -> BatchJobSpec:
+    """Return a batch job of the caller's workspace, without headers that name one."""
+    if not caller.hides_credentials:
+        return spec
+    hidden = context.dialect.workspace_headers
+    items = [
+        msgspec.structs.replace(
+            item,
+            headers={
+                name: value
+                for name, value in item.headers.items()
+                if name.strip().lower() not in hidden
+            },
+        )
+        for item in spec.items
+    ]
+    return msgspec.structs.replace(
+        spec,
+        batch_job=scope_batch_job(spec.batch_job, caller.workspace, context),
+        items=items,
+        workspace=caller.workspace,
+    )
+
+
 def _current_route(caller: CallerRequest, context: EntryContext) -> RouteSettings:
     request = caller.http_request
     path = path_of(request)
@@ -159,7 +188,7 @@
     except ControlError as error:
         raise unavailable(str(error), _RETRY_AFTER_S) from error
     if read.total is None:
-        raise bad_request(f"batch job {name} does not exist", None, 404)
+        raise bad_request("the batch job does not exist", None, 404)
     return read
 
 
@@ -178,7 +207,7 @@
     except ControlError as error:
         raise unavailable(str(error), _RETRY_AFTER_S) from error
     if read.body is None:
-        raise bad_request(f"item {item} does not exist in batch job {name}", None, 404)
+        raise bad_request(f"item {item} does not exist", None, 404)
     return read.body
 
 
--- a/pollenlb/request/caller_request.py
+++ b/pollenlb/request/caller_request.py
@@ -11,7 +11,14 @@
 
 from ..clock import Deadline, deadline_in
 from ..connection.backend_api import REQUEST_ID_HEADER
-from ..ids import Fingerprint, RequestId, RequestKey, ServiceName, new_id
+from ..ids import (
+    Fingerprint,
+    RequestId,
+    RequestKey,
+    ServiceName,
+    WorkspaceName,
+    new_id,
+)
 from ..settings.cluster import REQUEST_CLASSES, RouteSettings, ServiceSettings
 from ..settings.entry import EntrySettings
 from .outcome import bad_request
@@ -152,6 +159,12 @@
         Key of a request that must run at most once, unique over all services.
     received_at : float
         When the request arrived, in seconds of the monotonic clock.
+    workspace : WorkspaceName or None
+        Workspace of the caller's key; None without one.
+    priority : int
+        Priority of the workspace, or else of the route; lower numbers go first.
+    hides_credentials : bool
+        Whether headers that name a key or a workspace are not forwarded.
     """
 
     request_id: RequestId
@@ -165,6 +178,9 @@
     http_request: web.Request
     body: RequestBody
     received_at: float
+    workspace: WorkspaceName | None = None
+    priority: int = 0
+    hides_credentials: bool = False
 
     @property
     def target(self) -> str:
@@ -177,7 +193,9 @@
 
         A body that is not buffered is left out of it.
         """
-        text = f"{self.service_name}\n{self.http_request.method}\n" f"{self.target}\n"
+        text = f"{self.service_name}\n{self.http_request.method}\n{self.target}\n"
+        if self.workspace is not None:
+            text += f"{self.workspace}\n"
         digest = hashlib.sha256(text.encode())
         digest.update(self.body.buffered_bytes or b"")
         return Fingerprint(digest.hexdigest()[:32])
@@ -203,6 +221,29 @@
     return RequestId(new_id("request"))
 
 
+def read_authorization(request: web.Request, scheme: str) -> str | None:
+    """Return the key in the ``Authorization`` header of a request.
+
+    Parameters
+    ----------
+    request : web.Request
+        The caller's request.
+    scheme : str
+        Word before the key; upper and lower case are alike.
+
+    Returns
+    -------
+    str or None
+        None when there is no such header, several, or one of another scheme.
+    """
+    values = request.headers.getall("Authorization", [])
+    if len(values) != 1:
+        return None
+    found, _, key = values[0].partition(" ")
+    is_scheme = found.lower() == scheme.lower()
+    return key.strip() or None if is_scheme else None
+
+
 def read_deadline(
     request: web.Request, settings: EntrySettings, default_s: float
 ) -> Deadline:
--- a/pollenlb/request/completion.py
+++ b/pollenlb/request/completion.py
@@ -38,6 +38,7 @@
         deadline=caller.deadline,
         is_repeatable=caller.is_repeatable,
         is_delivered=bool(body.get("stream")),
+        workspace=caller.workspace,
     )
     if body.get("stream"):
         return await _answer_stream(caller, generation, context)
--- a/pollenlb/request/dialect.py
+++ b/pollenlb/request/dialect.py
@@ -129,11 +129,15 @@
     ----------
     private_headers : frozenset of str
         Protocol headers in lower case, which are not forwarded in either direction.
+    workspace_headers : frozenset of str
+        Headers in lower case that name a key or a workspace. Those of callers are not
+        forwarded where keys are required.
     ready_path : str
         Path at which a load balancer reads whether the entry process is ready.
     """
 
     private_headers: frozenset[str]
+    workspace_headers: frozenset[str]
     ready_path: str
 
     def request_id_of(self, request: web.Request) -> RequestId:
@@ -142,6 +146,9 @@
         Without one, a protocol returns a new or an empty id.
         """
 
+    def read_key(self, request: web.Request) -> str | None:
+        """Return the key of a workspace that a request carries; None without one."""
+
     def read_parameters(
         self, request: web.Request, route: RouteSettings, settings: EntrySettings
     ) -> CallerParameters:
@@ -223,7 +230,7 @@
             When the body is invalid or the protocol has no batch jobs.
         """
 
-    def batch_job_accepted(self, spec: BatchJobSpec) -> web.Response:
+    def batch_job_accepted(self, request_id: RequestId) -> web.Response:
         """Return the response for a batch job that was accepted and stored."""
 
     def item_headers(self, item: BatchItem, spec: BatchJobSpec) -> dict[str, str]:
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -31,6 +31,7 @@
     ServiceName,
     SoftwareVersion,
     WeightVersion,
+    WorkspaceName,
 )
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailure, send_attempt
@@ -89,6 +90,8 @@
         Software version that generated the tokens so far; None without tokens.
     is_delivered : bool
         Whether the events are sent to the caller as they arrive.
+    workspace : WorkspaceName or None
+        Workspace for which it runs; None without one.
     """
 
     request_id: RequestId
@@ -106,6 +109,7 @@
     server: BackendServer | None = None
     software: SoftwareVersion | None = None
     is_delivered: bool = False
+    workspace: WorkspaceName | None = None
 
     @property
     def fingerprint(self) -> Fingerprint:
@@ -272,6 +276,7 @@
             generation.resume,
         ),
         deadline=generation.deadline,
+        workspace=generation.workspace,
     )
     if generation.tokens:
         context.events.record(
--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -8,7 +8,7 @@
 
 from ..clock import Deadline, deadline_in, now
 from ..connection.engine_api import COMPLETIONS_PATH
-from ..ids import ServiceName
+from ..ids import RequestKey, ServiceName, WorkspaceName
 from ..process.context import EntryContext
 from ..settings.cluster import RouteSettings
 from .at_most_once import run_at_most_once
@@ -24,6 +24,7 @@
 )
 from .passthrough import pass_through
 from .stream import EventStream
+from .workspace_access import identify_workspace
 
 # A leader election among the control instances takes about this long; the caller
 # may retry after it.
@@ -128,6 +129,7 @@
         route = cluster.route_for(request.host, path, request.method)
         if route is None:
             raise bad_request(f"no route matches {request.method} {path}", "path", 404)
+        workspace = identify_workspace(request, route.public, context)
         limits = context.settings
         body = RequestBody(request, limits.replay_body_bytes, limits.max_body_bytes)
         self._check_content_length(request)
@@ -142,10 +144,13 @@
             request_class=terms.request_class,
             deadline=Deadline(min(terms.deadline, self._last_end)),
             is_repeatable=terms.is_repeatable,
-            key=terms.key,
+            key=_scope_key(terms.key, workspace),
             http_request=request,
             body=body,
             received_at=received_at,
+            workspace=workspace,
+            priority=cluster.priority_of(route, workspace),
+            hides_credentials=cluster.requires_keys,
         )
         await body.read_replayable_start()
         return caller
@@ -188,3 +193,12 @@
             # Shielded so that the key is settled even if the caller disconnects.
             return await asyncio.shield(run_at_most_once(caller, self._context))
         return await pass_through(caller, self._context)
+
+
+def _scope_key(
+    key: RequestKey | None, workspace: WorkspaceName | None
+) -> RequestKey | None:
+    """Return an idempotency key that no other workspace can use."""
+    if key is None or workspace is None:
+        return key
+    return RequestKey(f"{workspace}/{key}")
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -157,6 +157,7 @@
             headers=headers,
             body=item.body,
             deadline=progress.expires_at,
+            workspace=progress.spec.workspace,
         )
         if output.events:
             context.events.record(
--- a/pollenlb/request/native_dialect.py
+++ b/pollenlb/request/native_dialect.py
@@ -15,6 +15,7 @@
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
     TIMEOUT_MS_HEADER,
+    WORKSPACE_HEADER,
     ProbeAnswer,
     ProcessCheck,
 )
@@ -29,6 +30,7 @@
     REPEATABLE_HEADER,
     TIMEOUT_HEADER,
     RequestClass,
+    read_authorization,
     read_class,
     read_deadline,
     read_key,
@@ -49,6 +51,7 @@
     from .attempt import Attempt
 
 _MILLISECONDS_PER_SECOND = 1000
+_KEY_SCHEME = "Bearer"
 
 
 class NativeDialect:
@@ -68,10 +71,16 @@
         )
     )
 
+    workspace_headers = frozenset(("authorization", WORKSPACE_HEADER.lower()))
+
     def request_id_of(self, request: web.Request) -> RequestId:
         """Return the caller's request id, or a new one."""
         return request_id_of(request)
 
+    def read_key(self, request: web.Request) -> str | None:
+        """Return the key of a workspace that a request carries; None without one."""
+        return read_authorization(request, _KEY_SCHEME)
+
     def read_parameters(
         self, request: web.Request, route: RouteSettings, settings: EntrySettings
     ) -> CallerParameters:
@@ -107,10 +116,13 @@
     def attempt_headers(self, attempt: Attempt, server: Announcement) -> dict[str, str]:
         """Return the headers that the entry adds to the request of an attempt."""
         timeout_ms = int(remaining_time_s(attempt.deadline) * _MILLISECONDS_PER_SECOND)
-        return {
+        headers = {
             REQUEST_ID_HEADER: attempt.request_id,
             TIMEOUT_MS_HEADER: str(timeout_ms),
         }
+        if attempt.workspace is not None:
+            headers[WORKSPACE_HEADER] = attempt.workspace
+        return headers
 
     def read_head(
         self, request_id: RequestId, status: int, headers: Mapping[str, str]
@@ -167,9 +179,9 @@
             "this route does not accept batch jobs; use the trainer API", None
         )
 
-    def batch_job_accepted(self, spec: BatchJobSpec) -> web.Response:
+    def batch_job_accepted(self, request_id: RequestId) -> web.Response:
         """Return the response for a batch job that was accepted and stored."""
-        return web.json_response({"batch_job": spec.batch_job}, status=202)
+        return web.json_response({"batch_job": request_id}, status=202)
 
     def item_headers(self, item: BatchItem, spec: BatchJobSpec) -> dict[str, str]:
         """Return the headers of the request that runs an item of a batch job."""
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -168,6 +168,7 @@
         headers=request_headers(caller, context.dialect),
         body=caller.body.stream() or None,
         deadline=caller.deadline,
+        workspace=caller.workspace,
     )
     started_at = now()
     is_long = caller.request_class is RequestClass.LONG
@@ -290,6 +291,8 @@
     A header that the caller sent several times stays several headers.
     """
     dropped = _HOP_BY_HOP | dialect.private_headers
+    if caller.hides_credentials:
+        dropped = dropped | dialect.workspace_headers
     listed = caller.http_request.headers.get("Connection", "")
     dropped = dropped | {name.strip().lower() for name in listed.split(",")}
     headers: CIMultiDict[str] = CIMultiDict()
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -130,6 +130,7 @@
             headers=headers,
             body=caller.body.stream() or None,
             deadline=caller.deadline,
+            workspace=caller.workspace,
         )
         started_at = now()
         with server.load.track_request(is_long=True):
--- a/pollenlb/settings/cluster.py
+++ b/pollenlb/settings/cluster.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import fnmatch
+import hashlib
+import hmac
 from functools import cached_property
 
+from ..ids import WorkspaceName
 from .options import (
     Choice,
     Flag,
@@ -113,6 +116,9 @@
     single_version = Flag(False)
     """Whether a single weight version must generate an item completely."""
 
+    public = Flag(False)
+    """Whether requests need no key of a workspace."""
+
     @property
     def service_weights(self) -> dict[str, float]:
         """Weights above 0 by service name; ``service`` alone if there are none."""
@@ -131,9 +137,28 @@
         return path == self.path_prefix or path.startswith(self.path_prefix + "/")
 
 
+class WorkspaceSettings(Settings):
+    """Callers that share keys, a priority and a share of the backend servers."""
+
+    key_digests: Option[list] = ListOf(Text(), default=[])
+    """SHA-256 digests of its keys, in hexadecimal form."""
+
+    priority: int | None = Integer(0, 1000, None)  # type: ignore[assignment]
+    """Priority of its requests, in place of that of their routes."""
+
+    weight = Number(0.001, 1_000_000, 1.0)
+    """Its share of servers that cannot serve all, relative to other workspaces."""
+
+
 class ClusterSettings(Settings):
     """The configuration that all entries apply."""
 
+    workspaces = TableOf(WorkspaceSettings, default={})
+    """Workspaces by name."""
+
+    requires_keys = Flag(False)
+    """Whether callers need a key of a workspace, except on public routes."""
+
     services = TableOf(ServiceSettings, default={})
     """Services by name."""
 
@@ -141,9 +166,9 @@
     """Routes by name; the longest path prefix wins."""
 
     def cross_option_problems(self) -> list[Problem]:
-        """Check that every route names only configured services."""
+        """Check the services of routes, and that no two workspaces share a key."""
         known = ", ".join(self.services) or "none"
-        return [
+        return self._shared_key_problems() + [
             Problem(
                 f"routes.{name}.service",
                 f"{service!r} is not a configured service; known services: {known}",
@@ -153,6 +178,49 @@
             if service not in self.services
         ]
 
+    def workspace_for(self, key: str) -> WorkspaceName | None:
+        """Return the workspace of a key, or None if no workspace has it.
+
+        Keys are compared by their digests, in constant time, so that the time of an
+        answer tells nothing about other keys.
+        """
+        digest = digest_key(key)
+        owner = self._workspaces_by_digest.get(digest)
+        if owner is None:
+            return None
+        workspace, known = owner
+        return workspace if hmac.compare_digest(known, digest) else None
+
+    def priority_of(self, route: RouteSettings, workspace: WorkspaceName | None) -> int:
+        """Return the priority of a workspace's requests on a route."""
+        priority = None
+        if workspace is not None:
+            priority = self.workspaces[workspace].priority
+        return route.priority if priority is None else priority
+
+    def _shared_key_problems(self) -> list[Problem]:
+        owners: dict[str, str] = {}
+        problems = []
+        for name, workspace in self.workspaces.items():
+            for digest in workspace.key_digests:
+                owner = owners.setdefault(digest, name)
+                if owner != name:
+                    problems.append(
+                        Problem(
+                            f"workspaces.{name}.key_digests",
+                            f"workspaces {owner!r} and {name!r} share a key",
+                        )
+                    )
+        return problems
+
+    @cached_property
+    def _workspaces_by_digest(self) -> dict[str, tuple[WorkspaceName, str]]:
+        return {
+            digest: (WorkspaceName(name), digest)
+            for name, workspace in self.workspaces.items()
+            for digest in workspace.key_digests
+        }
+
     def route_for(self, host: str, path: str, method: str) -> RouteSettings | None:
         """Return the route of a request, or None if no route matches.
 
@@ -188,3 +256,8 @@
             if pattern != host and fnmatch.fnmatch(host, pattern):
                 routes.extend(self._routes_by_host[pattern])
         return routes
+
+
+def digest_key(key: str) -> str:
+    """Return the digest by which a key of a workspace is stored and looked up."""
+    return hashlib.sha256(key.encode(errors="surrogateescape")).hexdigest()
--- a/pollenlb/settings/reference.py
+++ b/pollenlb/settings/reference.py
@@ -8,7 +8,12 @@
 import textwrap
 from typing import Any
 
-from .cluster import ClusterSettings, RouteSettings, ServiceSettings
+from .cluster import (
+    ClusterSettings,
+    RouteSettings,
+    ServiceSettings,
+    WorkspaceSettings,
+)
 from .control import ControlSettings, MemberSettings
 from .ctl import CtlSettings
 from .entry import EntrySettings
@@ -22,6 +27,7 @@
     ClusterSettings,
     ServiceSettings,
     RouteSettings,
+    WorkspaceSettings,
 )
 
 
@@ -31,7 +37,7 @@
         "# Settings",
         "Generated from the settings classes by `make docs`. Unknown keys are errors. "
         "The cluster's settings are changed with `pollenctl set`, as "
-        "`services.NAME.KEY` and `routes.NAME.KEY`; all others are read from a TOML "
+        "`services.NAME.KEY`, `routes.NAME.KEY` and `workspaces.NAME.KEY`; all others are read from a TOML "
         "file.",
     ]
     parts += [_section(settings) for settings in _SETTINGS_CLASSES]
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -205,6 +205,7 @@
     _Model,
     _Route,
     _Service,
+    _Tenant,
     _TrafficShare,
 )
 from pollenlb.platform.control import ControlApi, _ReleaseBody
@@ -231,7 +232,12 @@
 from pollenlb.request.reward_call import RewardCallEnd, RewardCallFailure
 from pollenlb.request.sample import _ScoreAnswer
 from pollenlb.scheduling.swap_plan import SwapMode
-from pollenlb.settings.cluster import ClusterSettings, RouteSettings, ServiceSettings
+from pollenlb.settings.cluster import (
+    ClusterSettings,
+    RouteSettings,
+    ServiceSettings,
+    WorkspaceSettings,
+)
 from pollenlb.settings.control import ControlSettings, MemberSettings
 from pollenlb.settings.ctl import CtlSettings
 from pollenlb.settings.entry import EntrySettings
@@ -406,6 +412,7 @@
     ("platform_model", _Model, JSON),
     ("platform_route", _Route, JSON),
     ("platform_service", _Service, JSON),
+    ("platform_tenant", _Tenant, JSON),
     ("platform_share", _TrafficShare, JSON),
     ("platform_named_version", _ReleaseBody, JSON),
     ("platform_order", _Order, JSON),
@@ -560,6 +567,7 @@
             "batch_results_kept_s",
             "data_folder",
             "max_header_bytes",
+            "max_answer_header_bytes",
             "max_body_bytes",
             "replay_body_bytes",
             "max_timeout_s",
@@ -609,10 +617,12 @@
             "due_s",
             "give_up_s",
             "single_version",
+            "public",
         ],
         {"request_class": ("interactive", "short", "long")},
     ),
-    (ClusterSettings, ["services", "routes"], {}),
+    (WorkspaceSettings, ["key_digests", "priority", "weight"], {}),
+    (ClusterSettings, ["workspaces", "requires_keys", "services", "routes"], {}),
 ]
 
 _NAMES = [
@@ -625,6 +635,7 @@
     (backend_api.BOOT_HEADER, "Pollenlb-Boot"),
     (backend_api.OUTCOME_HEADER, "Pollenlb-Outcome"),
     (backend_api.TIMEOUT_MS_HEADER, "Pollenlb-Timeout-Ms"),
+    (backend_api.WORKSPACE_HEADER, "Pollenlb-Workspace"),
     (backend_api.IN_FLIGHT_HEADER, "Pollenlb-In-Flight"),
     (caller_request.TIMEOUT_HEADER, "Pollenlb-Timeout"),
     (caller_request.CLASS_HEADER, "Pollenlb-Class"),
@@ -711,6 +722,10 @@
 pollenlb_unknown_fields_total{field="a"} 1.0
 # TYPE pollenlb_unknown_fields_created
 pollenlb_unknown_fields_created{field="a"}
+# TYPE pollenlb_refused_keys_total counter
+pollenlb_refused_keys_total{reason="a"} 1.0
+# TYPE pollenlb_refused_keys_created
+pollenlb_refused_keys_created{reason="a"}
 # TYPE pollenlb_in_flight gauge
 pollenlb_in_flight 2.0
 """
@@ -998,6 +1013,7 @@
     metrics.items.labels("a", "b").inc()
     metrics.reward_calls.labels("a", "b").inc()
     metrics.unknown_fields.labels("a").inc()
+    metrics.refused_keys.labels("a").inc()
     metrics.in_flight.set(2)
     lines = metrics.exposition().decode().splitlines()
     stable_lines = [
