--- a/pollenlb/settings/reference.py
+++ b/pollenlb/settings/reference.py
@@ -37,8 +37,8 @@
         "# Settings",
         "Generated from the settings classes by `make docs`. Unknown keys are errors. "
         "The cluster's settings are changed with `pollenctl set`, as "
-        "`services.NAME.KEY`, `routes.NAME.KEY` and `workspaces.NAME.KEY`; all others are read from a TOML "
-        "file.",
+        "`services.NAME.KEY`, `routes.NAME.KEY` and `workspaces.NAME.KEY`; all others "
+        "are read from a TOML file.",
     ]
     parts += [_section(settings) for settings in _SETTINGS_CLASSES]
     return "\n\n".join(parts) + "\n"
