Send keys of workspaces to entries only when workspaces change

Every change of a route sent the digests of all keys to every entry: 384 KB compressed with 1,000 workspaces of 10 keys, 33 KB with 84. The view now leaves the workspaces out for entries that have them; the same change takes 0.6 KB.

--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -81,10 +81,18 @@
 
 
 class ConfigurationView(msgspec.Struct, frozen=True):
-    """The configuration that entry processes are to apply."""
+    """The configuration that entry processes are to apply.
+
+    Attributes
+    ----------
+    keeps_workspaces : bool
+        Whether the document leaves out the workspaces, since they are those of the
+        revision that the entry has applied.
+    """
 
     revision: Revision
     document: dict[str, Any]
+    keeps_workspaces: bool = False
 
 
 class DirectoryView(msgspec.Struct, frozen=True):
--- a/pollenlb/connection/packed_views.py
+++ b/pollenlb/connection/packed_views.py
@@ -39,10 +39,14 @@
     """
 
     def __init__(self) -> None:
-        self._packed: dict[str, tuple[int, bytes]] = {}
+        self._packed: dict[tuple[str, bool], tuple[int, bytes]] = {}
 
     def pack(
-        self, name: str, version: int, build: Callable[[], msgspec.Struct]
+        self,
+        name: str,
+        version: int,
+        build: Callable[[], msgspec.Struct],
+        is_partial: bool = False,
     ) -> bytes:
         """Return a view in compressed form.
 
@@ -54,11 +58,14 @@
             Version of the view; the same version has the same content.
         build : callable
             Returns the view; called once for a version.
+        is_partial : bool
+            Whether the view leaves out what its receivers have. It is kept beside the
+            complete one, for which entries ask that have just started.
         """
-        known_version, packed = self._packed.get(name, (None, b""))
+        known_version, packed = self._packed.get((name, is_partial), (None, b""))
         if known_version != version:
             packed = zlib.compress(_encode(build()), _COMPRESSION_LEVEL)
-            self._packed[name] = (version, packed)
+            self._packed[name, is_partial] = (version, packed)
         return packed
 
 
--- a/pollenlb/durable/configuration.py
+++ b/pollenlb/durable/configuration.py
@@ -40,6 +40,8 @@
         before the first.
     source : bytes
         Body in which the operator sent that complete configuration.
+    workspaces_revision : Revision
+        Revision at which the workspaces changed last; 0 if they never did.
     """
 
     revision: Revision = Revision(0)
@@ -47,6 +49,7 @@
     history: list[Change] = []
     version: DocumentVersion = DocumentVersion(0)
     source: bytes = b""
+    workspaces_revision: Revision = Revision(0)
 
     def replace(self, command: ReplaceConfiguration) -> AnyResult:
         """Accept a complete configuration whose version is higher than the last.
@@ -61,9 +64,8 @@
                 )
         if command.version > self.version:
             self.version = command.version
-            self.document = command.document
             self.source = command.source
-            self.revision = Revision(self.revision + 1)
+            self._accept(command.document)
         return ConfigurationReplaced(self.revision, self.version)
 
     def change(self, command: ChangeConfiguration, at_ms: int) -> AnyResult:
@@ -90,14 +92,19 @@
             case Err(problems):
                 return ConfigurationInvalid(problems)
             case Ok(document):
-                self.document = document
-        self.revision = Revision(self.revision + 1)
+                self._accept(document)
         self.history.append(
             Change(self.revision, command.changes, command.operator, at_ms)
         )
         del self.history[:-MAX_HISTORY_COUNT]
         return ConfigurationChanged(self.revision)
 
+    def _accept(self, document: dict[str, Any]) -> None:
+        self.revision = Revision(self.revision + 1)
+        if document.get("workspaces") != self.document.get("workspaces"):
+            self.workspaces_revision = self.revision
+        self.document = document
+
     def _find_conflicting_change(self, revision: Revision) -> Change | None:
         """Return the change that followed a revision, or else the latest change."""
         for change in self.history:
--- a/pollenlb/durable/views.py
+++ b/pollenlb/durable/views.py
@@ -14,10 +14,26 @@
 from .state_machine import ControlStateMachine
 
 
-def build_configuration_view(machine: ControlStateMachine) -> ConfigurationView:
-    """Return the configuration with its revision."""
+def build_configuration_view(
+    machine: ControlStateMachine, keeps_workspaces: bool = False
+) -> ConfigurationView:
+    """Return the configuration with its revision.
+
+    Parameters
+    ----------
+    machine : ControlStateMachine
+        Source of the configuration.
+    keeps_workspaces : bool
+        Whether to leave out the workspaces, whose keys are most of a large
+        configuration.
+    """
     table = machine.state.configuration
-    return ConfigurationView(table.revision, table.document)
+    if not keeps_workspaces:
+        return ConfigurationView(table.revision, table.document)
+    document = {
+        name: value for name, value in table.document.items() if name != "workspaces"
+    }
+    return ConfigurationView(table.revision, document, keeps_workspaces=True)
 
 
 def build_directory_view(machine: ControlStateMachine) -> DirectoryView:
--- a/pollenlb/process/lease_service.py
+++ b/pollenlb/process/lease_service.py
@@ -158,7 +158,12 @@
             views: dict[str, Any] = {name: build() for name, _, build in changed}
             return msgspec.structs.replace(answer, **views)
         packed = {
-            name: self._packed_views.pack(name, version, build)
+            name: self._packed_views.pack(
+                name,
+                version,
+                build,
+                name == "configuration" and self._has_workspaces(request),
+            )
             for name, version, build in changed
         }
         return msgspec.structs.replace(answer, packed=packed)
@@ -168,13 +173,16 @@
     ) -> list[tuple[str, int, Callable[[], msgspec.Struct]]]:
         """Return name, version and builder of each view that the entry lacks."""
         machine = self._context.machine
-        revision = machine.state.configuration.revision
+        configuration = machine.state.configuration
+        revision = configuration.revision
         views: list[tuple[str, int, int, Callable[[], msgspec.Struct]]] = [
             (
                 "configuration",
                 request.revision,
                 revision,
-                partial(build_configuration_view, machine),
+                partial(
+                    build_configuration_view, machine, self._has_workspaces(request)
+                ),
             ),
             (
                 "directory",
@@ -207,6 +215,11 @@
             if known < version
         ]
 
+    def _has_workspaces(self, request: RenewRequest) -> bool:
+        """Return whether an entry has the workspaces of the newest configuration."""
+        changed_at = self._context.machine.state.configuration.workspaces_revision
+        return 0 < changed_at <= request.revision
+
     def _entries_view(self, leader_state: LeaderState) -> EntriesView:
         entries = [lease.entry for lease in leader_state.leases.live_leases()]
         return EntriesView(self._entries_version, entries)
--- a/pollenlb/version/configuration.py
+++ b/pollenlb/version/configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from result import Err, Ok
 
 from ..clock import Deadline, now
@@ -17,6 +19,7 @@
         self._revision = Revision(-1)
         self._settings = ClusterSettings({"services": {}, "routes": {}})
         self._lease_expires_at = Deadline(0.0)
+        self._workspaces: dict[str, Any] = {}
 
     @property
     def revision(self) -> Revision:
@@ -59,12 +62,16 @@
         """
         if view.revision <= self._revision:
             return False
-        match ClusterSettings.check(view.document):
+        document = view.document
+        if view.keeps_workspaces:
+            document = {**document, "workspaces": self._workspaces}
+        match ClusterSettings.check(document):
             case Ok(settings):
                 self._settings = settings
             case Err(problems):
                 raise ValueError(
                     f"configuration revision {view.revision} is invalid: {problems[0]}"
                 )
+        self._workspaces = document.get("workspaces", {})
         self._revision = view.revision
         return True
