Report the usage of workspaces from one control instance

Deployments that require usage reports got none, since nothing counted requests by workspace and no instance called the infrastructure's API.

Entries count the requests of callers with a workspace by the time at which the attempt that ran was sent, and send cumulative counts with their renewals. The leader writes them to the log about once a second, seals a window once every entry has reported past its end (at 0.6 of the time until the report is due at the latest), and sends the report from the sealed counts until it is accepted. The holder of the duties and its fencing number are recorded in the log; the quorum is confirmed before each call, and a new holder waits for the lease and half a second. Without duty_address and duties in the settings nothing is counted, stored or sent.

--- a/pollenlb/commands/control.py
+++ b/pollenlb/commands/control.py
@@ -14,6 +14,7 @@
 from ..exceptions import PollenError
 from ..ids import Address, ClusterId, InstanceName, ReplicaId
 from ..process.control import ApplicationFactory, ControlProcess
+from ..process.duty_channel import DutyChannel
 from ..settings.control import ControlSettings
 from ..version.order_channel import OrderChannel
 
@@ -59,6 +60,7 @@
     settings: ControlSettings,
     application_factory: ApplicationFactory | None = None,
     order_channel: OrderChannel | None = None,
+    duty_channel: DutyChannel | None = None,
 ) -> None:
     """Run a control process until a signal or a fatal error stops it.
 
@@ -71,6 +73,9 @@
     order_channel : OrderChannel, optional
         How orders are sent to backend servers; by default in the native
         protocol.
+    duty_channel : DutyChannel, optional
+        How calls to the infrastructure's API are made; without it the duties of
+        the settings are not carried out.
 
     Raises
     ------
@@ -79,7 +84,7 @@
     """
     if settings.bootstrap and settings.listen in settings.seed_addresses:
         await format_bootstrap_folder(settings)
-    process = ControlProcess(settings, application_factory, order_channel)
+    process = ControlProcess(settings, application_factory, order_channel, duty_channel)
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -32,7 +32,9 @@
     SoftwareVersion,
     StepNumber,
     Term,
+    UsageWindow,
     WeightVersion,
+    WorkspaceName,
 )
 from .rpc import Method
 
@@ -263,6 +265,14 @@
         Version of the limits that the entry has.
     accepts_packed : bool
         Whether the answer may contain its views in compressed form.
+    usage : dict
+        Requests that the entry counted, by workspace, by window of the usage
+        reports that is not sealed.
+    usage_number : int
+        Number of this report of usage, higher than those of earlier ones; 0
+        without one.
+    usage_at_s : float
+        Wall time at which the requests were counted, in seconds since the epoch.
     """
 
     entry: EntryInfo
@@ -278,6 +288,9 @@
     limits: dict[BackendServerName, LimitReport] = {}
     limits_version: int = 0
     accepts_packed: bool = False
+    usage: dict[UsageWindow, dict[WorkspaceName, int]] = {}
+    usage_number: int = 0
+    usage_at_s: float = 0.0
 
 
 class RenewAnswer(msgspec.Struct, frozen=True):
@@ -297,6 +310,11 @@
     packed : dict
         Views in compressed form by the name of their field, for an entry process
         that accepts this form.
+    usage_window_s : float
+        Duration of the windows in which requests are counted, in seconds; 0 if
+        they are not to be counted.
+    usage_sealed : UsageWindow
+        First window whose counts may still change.
     """
 
     status: CallStatus
@@ -312,6 +330,8 @@
     limits: dict[BackendServerName, LimitGrant] = {}
     limits_version: int = 0
     packed: dict[str, bytes] = {}
+    usage_window_s: float = 0.0
+    usage_sealed: UsageWindow = UsageWindow(0)
 
 
 class ReadBatchJob(msgspec.Struct, frozen=True):
--- a/pollenlb/connection/sessions.py
+++ b/pollenlb/connection/sessions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+from collections.abc import Callable
 from typing import cast
 
 import aiohttp
@@ -20,11 +21,24 @@
 
     Passed as ``trace_request_ctx`` to a request of a session that
     ``open_session`` returned.
+
+    Parameters
+    ----------
+    on_sent : callable or None
+        Called once, when the first byte may have been sent.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_sent: Callable[[], None] | None = None) -> None:
+        self._on_sent = on_sent
         self.may_have_been_sent = False
 
+    def record_sent(self) -> None:
+        """Record that a byte may have been sent."""
+        is_first = not self.may_have_been_sent
+        self.may_have_been_sent = True
+        if is_first and self._on_sent is not None:
+            self._on_sent()
+
 
 class _AnswerProtocol(ResponseHandler):
     """Connection that tells a reset from an orderly close.
@@ -111,7 +125,7 @@
     async def mark_sent(session, context, params) -> None:
         tracker = context.trace_request_ctx
         if isinstance(tracker, SendTracker):
-            tracker.may_have_been_sent = True
+            tracker.record_sent()
 
     trace = aiohttp.TraceConfig()
     trace.on_request_headers_sent.append(mark_sent)
--- a/pollenlb/durable/commands.py
+++ b/pollenlb/durable/commands.py
@@ -39,6 +39,14 @@
     StartTrial,
     TrialStarted,
 )
+from .duty_commands import (
+    CloseUsage,
+    OpenUsage,
+    RecordUsage,
+    SealUsage,
+    SkipUsage,
+    TakeDuties,
+)
 from .job_commands import (
     BatchNotReady,
     BatchSealed,
@@ -75,6 +83,12 @@
     | StartTrial
     | EndTrial
     | Pardon
+    | TakeDuties
+    | OpenUsage
+    | RecordUsage
+    | SealUsage
+    | SkipUsage
+    | CloseUsage
 )
 
 AnyResult = (
--- a/pollenlb/durable/state_machine.py
+++ b/pollenlb/durable/state_machine.py
@@ -35,6 +35,15 @@
 from .crash_commands import EndTrial, Pardon, ReportCrash, StartTrial
 from .deduplication import CommandResultTable
 from .directory import Directory
+from .duties import DutyTable
+from .duty_commands import (
+    CloseUsage,
+    OpenUsage,
+    RecordUsage,
+    SealUsage,
+    SkipUsage,
+    TakeDuties,
+)
 from .job_commands import CreateJob, PullBatch, SetTrainerVersion, SubmitStep
 from .key_commands import ClaimKey, LoseClaimants, SettleKey
 from .keys import KeyTable
@@ -63,6 +72,8 @@
         Control instances that an operator has retired.
     commands : CommandResultTable
         Results of recent commands, for deduplication.
+    duties : DutyTable
+        Calls to the infrastructure that one control instance makes.
     """
 
     configuration: ConfigurationTable = msgspec.field(
@@ -75,6 +86,7 @@
     batch_jobs: BatchJobTable = msgspec.field(default_factory=BatchJobTable)
     retiring: set[InstanceName] = set()
     commands: CommandResultTable = msgspec.field(default_factory=CommandResultTable)
+    duties: DutyTable = msgspec.field(default_factory=DutyTable)
 
 
 class LogPosition(msgspec.Struct, frozen=True):
@@ -345,6 +357,36 @@
     return state.quarantine.pardon(command)
 
 
+@apply_command.register
+def _(command: TakeDuties, state: State, position: LogPosition) -> AnyResult:
+    return state.duties.take(command)
+
+
+@apply_command.register
+def _(command: OpenUsage, state: State, position: LogPosition) -> AnyResult:
+    return state.duties.open(command)
+
+
+@apply_command.register
+def _(command: RecordUsage, state: State, position: LogPosition) -> AnyResult:
+    return state.duties.record(command)
+
+
+@apply_command.register
+def _(command: SealUsage, state: State, position: LogPosition) -> AnyResult:
+    return state.duties.seal(command)
+
+
+@apply_command.register
+def _(command: SkipUsage, state: State, position: LogPosition) -> AnyResult:
+    return state.duties.skip(command)
+
+
+@apply_command.register
+def _(command: CloseUsage, state: State, position: LogPosition) -> AnyResult:
+    return state.duties.close(command)
+
+
 # Tables that each type of command may change, of those that entry processes hold a
 # view of. ``CommitItems`` is missing, since it depends on the batch job.
 _CHANGED_TABLES: dict[type, tuple[str, ...]] = {
--- a/pollenlb/ids.py
+++ b/pollenlb/ids.py
@@ -32,6 +32,7 @@
 StepNumber = NewType("StepNumber", int)
 GroupIndex = NewType("GroupIndex", int)
 BatchNumber = NewType("BatchNumber", int)
+UsageWindow = NewType("UsageWindow", int)
 
 _ID_BYTES = 8
 
--- a/pollenlb/platform/__main__.py
+++ b/pollenlb/platform/__main__.py
@@ -47,11 +47,17 @@
         from ..commands.control import run_control
         from ..settings.control import ControlSettings
         from .control import make_control_application
+        from .duties import PlatformDutyChannel
         from .orders import PlatformOrderChannel
 
         control = ControlSettings.load(settings_file)
         asyncio.run(
-            run_control(control, make_control_application, PlatformOrderChannel())
+            run_control(
+                control,
+                make_control_application,
+                PlatformOrderChannel(),
+                PlatformDutyChannel(),
+            )
         )
     else:
         raise PollenError(f"unknown role {role!r}; expected entry or control")
--- a/pollenlb/platform/names.py
+++ b/pollenlb/platform/names.py
@@ -35,6 +35,9 @@
 
 READY_PATH = "/-/ready"
 REPORT_PATH = "/-/report"
+HOLDER_HEADER = "X-Lease-Holder"
+FENCING_HEADER = "X-Fencing-Token"
+USAGE_PATH = "/usage"
 ORDER_PATH = "/-/order"
 BATCH_JOB_PATH = "/-/lots/{batch_job}"
 ITEM_PATH = "/-/items/{batch_job}"
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -31,6 +31,7 @@
 from ..version.configuration import AppliedConfiguration
 from .latencies import RecentLatencies
 from .metrics import Metrics
+from .usage_meter import UsageMeter
 
 # Quantile of a service's recent latencies after which a request is hedged.
 HEDGE_QUANTILE = 0.95
@@ -95,6 +96,8 @@
         When requests of callers must have ended; infinite before a shutdown.
     durations : dict
         Recent durations of requests that ran, by service and class.
+    usage : UsageMeter
+        Counts of the requests of workspaces.
     """
 
     settings: EntrySettings
@@ -116,6 +119,7 @@
     retry_budgets: dict[ServiceName, RetryBudget]
     latencies: dict[ServiceName, RecentLatencies]
     announced_servers: set[BackendServerName]
+    usage: UsageMeter
     reported_fields: set[str] = field(default_factory=set)
     limit_waiting: Counter[ServiceName] = field(default_factory=Counter)
     choose: ChoicePolicy = choose_server
--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -59,6 +59,8 @@
 from ..version.orders import OrderIssuer
 from .batch_job_service import BatchJobService
 from .control_context import ControlContext, LeaderState
+from .duties import DutyIssuer
+from .duty_channel import DutyChannel
 from .http_server import HttpServer
 from .lease_service import LeaseService
 from .retirement import RetirementService
@@ -82,6 +84,8 @@
         default none is served.
     order_channel : OrderChannel, optional
         Protocol of the orders to backend servers; by default the native one.
+    duty_channel : DutyChannel, optional
+        Protocol of the calls to the infrastructure's API; by default none are made.
     """
 
     def __init__(
@@ -89,6 +93,7 @@
         settings: ControlSettings,
         application_factory: ApplicationFactory | None = None,
         order_channel: OrderChannel | None = None,
+        duty_channel: DutyChannel | None = None,
     ) -> None:
         self._settings = settings
         self._events = EventLog(settings.name, settings.event_folder)
@@ -109,6 +114,9 @@
         self._batch_jobs = BatchJobService(self._context)
         self._retirement = RetirementService(self._context)
         self._orders = OrderIssuer(self._context, order_channel or NativeOrderChannel())
+        self._duties: DutyIssuer | None = None
+        if duty_channel is not None and settings.duty_address and settings.duties:
+            self._duties = DutyIssuer(self._context, duty_channel)
         self._http: HttpServer | None = None
         if application_factory is not None:
             addresses = [Address(settings.listen), *settings.seed_addresses]
@@ -143,6 +151,8 @@
         self._replica.start()
         self._replica.spawn(self._run_maintenance())
         self._replica.spawn(self._orders.run())
+        if self._duties is not None:
+            self._replica.spawn(self._duties.run())
         if self._http is not None:
             await self._http.start()
 
@@ -159,6 +169,8 @@
         await self._server.stop()
         await self._replica.stop()
         await self._orders.close()
+        if self._duties is not None:
+            await self._duties.close()
         self._events.record("control.stopped")
         self._events.close()
 
--- a/pollenlb/process/control_context.py
+++ b/pollenlb/process/control_context.py
@@ -24,6 +24,7 @@
 from ..ids import BackendServerName, BatchJobId, CommandId, Term
 from ..settings.control import ControlSettings
 from .limit_table import LimitTable
+from .usage_collector import UsageCollector
 
 # Versions of what a leader keeps in memory start at a multiple of the term, so that
 # those of a new leader are higher than those of earlier ones.
@@ -53,6 +54,8 @@
         Monotonic time of the last announcement in seconds, by backend server.
     limits : LimitTable
         Limits of backend servers, and the shares of the entries.
+    usage : UsageCollector
+        Counts of requests that entry processes reported.
     """
 
     def __init__(self, settings: ControlSettings, leadership: Leadership) -> None:
@@ -61,6 +64,7 @@
             settings.lease_s, settings.clock_drift, leadership.election_started_at
         )
         self.announced_at: dict[BackendServerName, float] = {}
+        self.usage = UsageCollector()
         self.limits = LimitTable(
             self.leases.earlier_leases_expire_at, self.term * VERSIONS_PER_TERM
         )
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -34,6 +34,7 @@
 from .leaving_reports import LeavingReports
 from .metrics import Metrics
 from .renewals import LeaseRenewer
+from .usage_meter import UsageMeter
 
 AddRoutes = Callable[[web.UrlDispatcher, EntryContext], None]
 
@@ -204,6 +205,7 @@
     session = open_session(True, settings.max_answer_header_bytes)
     configuration = AppliedConfiguration()
     control = ControlConnection(settings.control_addresses, events)
+    metrics = Metrics()
 
     async def probe(
         session: aiohttp.ClientSession, server: Announcement, timeout_s: float
@@ -217,7 +219,7 @@
         dialect=protocol.dialect,
         identity=identity,
         events=events,
-        metrics=Metrics(),
+        metrics=metrics,
         rng=rng,
         session=session,
         single_use_session=open_session(False, settings.max_answer_header_bytes),
@@ -232,4 +234,5 @@
         retry_budgets={},
         latencies={},
         announced_servers=set(),
+        usage=UsageMeter(events, metrics),
     )
--- a/pollenlb/process/lease_service.py
+++ b/pollenlb/process/lease_service.py
@@ -27,7 +27,7 @@
     build_quarantine_view,
 )
 from ..exceptions import NotLeaderError
-from ..ids import Address
+from ..ids import Address, UsageWindow
 from .batch_job_service import build_batch_work
 from .control_context import VERSIONS_PER_TERM, ControlContext, LeaderState
 
@@ -80,11 +80,14 @@
     async def _register_entry(
         self, leader_state: LeaderState, request: RenewRequest
     ) -> None:
+        context = self._context
         known_entries = {lease.entry for lease in leader_state.leases.live_leases()}
         contact_at = leader_state.leadership.last_quorum_contact_at
         await leader_state.leases.renew(
             request.entry, applied_versions_of(request), contact_at, request.health
         )
+        if context.settings.reports_usage:
+            leader_state.usage.record(request, context.events)
         for server in request.announced:
             leader_state.announced_at[server] = now()
         if request.entry not in known_entries:
@@ -152,6 +155,14 @@
                 else {}
             ),
             limits_version=leader_state.limits.version if lease_s else 0,
+            usage_window_s=(
+                self._context.settings.usage_window_s
+                if self._context.settings.reports_usage
+                else 0.0
+            ),
+            usage_sealed=(
+                self._context.machine.state.duties.next_window or UsageWindow(0)
+            ),
         )
         changed = self._changed_views(leader_state, request)
         if not request.accepts_packed:
--- a/pollenlb/process/metrics.py
+++ b/pollenlb/process/metrics.py
@@ -44,6 +44,11 @@
         self.refused_keys = self._counter(
             "refused_keys", "Requests without a known key of a workspace", "reason"
         )
+        self.usage = self._counter(
+            "usage",
+            "Requests of workspaces counted for usage reports, by what was done",
+            "action",
+        )
         self.in_flight = Gauge(
             "pollenlb_in_flight", "Requests in flight", registry=self._registry
         )
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import time
+
+import msgspec
 
 from ..clock import Deadline, deadline_in, now, sleep_until
 from ..connection.control_api import RenewAnswer, RenewRequest
@@ -15,6 +18,9 @@
 _LONG_POLL_S = 0.6
 _RENEWAL_TIMEOUT_S = 1.2
 _RETRY_DELAY_S = 0.05
+# A stopping process reports its last counts once; the rest of its grace is needed to
+# close connections.
+_LAST_REPORT_TIMEOUT_S = 0.3
 
 
 class LeaseRenewer:
@@ -54,11 +60,18 @@
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     async def stop(self) -> None:
-        """Cancel the renewal task and wait for its end."""
+        """Cancel the renewal task, wait for its end and report the last counts."""
         self._lag.stop()
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+        if self._context.usage.is_enabled:
+            last = msgspec.structs.replace(self._request(), wait_s=0.0)
+            answer = await self._context.control.renew_lease(
+                last, _LAST_REPORT_TIMEOUT_S
+            )
+            if answer is None:
+                self._context.events.record("usage.unreported")
 
     async def _run(self) -> None:
         while True:
@@ -98,6 +111,7 @@
     def _request(self) -> RenewRequest:
         context = self._context
         is_leased = context.configuration.is_leased
+        usage_number, usage = context.usage.next_report()
         return RenewRequest(
             entry=context.identity,
             revision=context.configuration.revision,
@@ -117,6 +131,9 @@
             ),
             limits=context.directory.report_limits(),
             limits_version=self._limits_version,
+            usage=usage,
+            usage_number=usage_number if context.usage.is_enabled else 0,
+            usage_at_s=time.time() if context.usage.is_enabled else 0.0,
         )
 
     def _apply(self, answer: RenewAnswer, sent_at: float) -> None:
@@ -144,6 +161,7 @@
             answer.limits, len(context.live_entries.all), leased_until
         )
         self._limits_version = answer.limits_version
+        context.usage.configure(answer.usage_window_s, answer.usage_sealed)
 
     def _record_lease_change(self) -> None:
         is_leased = self._context.configuration.is_leased
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -18,6 +18,7 @@
 from ..connection.bodies import read_body
 from ..connection.sessions import ConnectionLostError, SendTracker
 from ..ids import BootId, RequestId, WorkspaceName
+from ..process.usage_meter import RequestUsage
 from ..settings.entry import EntrySettings
 from .dialect import AnswerHead, Dialect
 from .event_blocks import MAX_OUTPUT_BYTES
@@ -74,6 +75,8 @@
         Deadline of the caller's request.
     workspace : WorkspaceName or None
         Workspace for which it runs; None without one.
+    usage : RequestUsage or None
+        Count of the request in usage reports; None if it does not count.
     """
 
     request_id: RequestId
@@ -83,6 +86,7 @@
     body: bytes | AsyncIterator[bytes] | None
     deadline: Deadline
     workspace: WorkspaceName | None = None
+    usage: RequestUsage | None = None
 
 
 @dataclass
@@ -131,7 +135,8 @@
     Result
         The answer with its body unread, or why the attempt failed.
     """
-    tracker = SendTracker()
+    usage = attempt.usage.start_attempt() if attempt.usage is not None else None
+    tracker = SendTracker(usage.record_sent if usage is not None else None)
     sent_at = now()
     boot = server.boot
     server.record_limited_request(attempt.request_id)
@@ -158,6 +163,8 @@
         server.record_leaving(head.boot or boot)
     if head.is_for_request and not head.is_other_server:
         server.record_request_limit(head.request_limit_per_s, sent_at)
+    if head.is_not_run and usage is not None:
+        usage.record_not_run()
     return _check_head(server, response, head)
 
 
--- a/pollenlb/request/completion.py
+++ b/pollenlb/request/completion.py
@@ -39,6 +39,7 @@
         is_repeatable=caller.is_repeatable,
         is_delivered=bool(body.get("stream")),
         workspace=caller.workspace,
+        usage=context.usage.start_request(caller.workspace),
     )
     if body.get("stream"):
         return await _answer_stream(caller, generation, context)
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -34,6 +34,7 @@
     WorkspaceName,
 )
 from ..process.context import EntryContext
+from ..process.usage_meter import RequestUsage
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailure, send_attempt
 from .caller_request import RequestClass
 from .event_blocks import (
@@ -92,6 +93,8 @@
         Whether the events are sent to the caller as they arrive.
     workspace : WorkspaceName or None
         Workspace for which it runs; None without one.
+    usage : RequestUsage or None
+        Count of the request in usage reports; None if it does not count.
     """
 
     request_id: RequestId
@@ -110,6 +113,7 @@
     software: SoftwareVersion | None = None
     is_delivered: bool = False
     workspace: WorkspaceName | None = None
+    usage: RequestUsage | None = None
 
     @property
     def fingerprint(self) -> Fingerprint:
@@ -277,6 +281,7 @@
         ),
         deadline=generation.deadline,
         workspace=generation.workspace,
+        usage=generation.usage,
     )
     if generation.tokens:
         context.events.record(
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -14,6 +14,7 @@
 from ..connection.backend import BackendServer
 from ..ids import BackendServerName
 from ..process.context import EntryContext
+from ..process.usage_meter import RequestUsage
 from .attempt import (
     SEND_ERRORS,
     Answer,
@@ -106,12 +107,15 @@
     retries = Retries(
         context, caller.service_name, caller.request_id, caller.fingerprint, policy
     )
+    usage = context.usage.start_request(caller.workspace)
     while True:
         server = await retries.next_server()
 
         def send_to(target: BackendServer):
             head_deadline = _head_deadline(caller, retries, context)
-            return _run_attempt(caller, target, retries.session, context, head_deadline)
+            return _run_attempt(
+                caller, target, retries.session, context, head_deadline, usage
+            )
 
         try:
             server, result = await send_hedged(
@@ -160,6 +164,7 @@
     session: aiohttp.ClientSession,
     context: EntryContext,
     head_deadline: Deadline,
+    usage: RequestUsage | None,
 ) -> Result[CompleteAnswer | Answer, AttemptFailure]:
     attempt = Attempt(
         request_id=caller.request_id,
@@ -169,6 +174,7 @@
         body=caller.body.stream() or None,
         deadline=caller.deadline,
         workspace=caller.workspace,
+        usage=usage,
     )
     started_at = now()
     is_long = caller.request_class is RequestClass.LONG
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -42,6 +42,7 @@
         self._response: web.StreamResponse | None = None
         self._last_event_number: int | None = None
         self._software: SoftwareVersion | None = None
+        self._usage = context.usage.start_request(caller.workspace)
         self._retries = Retries(
             context,
             caller.service_name,
@@ -131,6 +132,7 @@
             body=caller.body.stream() or None,
             deadline=caller.deadline,
             workspace=caller.workspace,
+            usage=self._usage,
         )
         started_at = now()
         with server.load.track_request(is_long=True):
--- a/pollenlb/settings/control.py
+++ b/pollenlb/settings/control.py
@@ -12,8 +12,10 @@
     Integer,
     ListOf,
     Name,
+    NameSet,
     Number,
     Option,
+    OptionalAddress,
     Problem,
     Settings,
     SocketAddress,
@@ -21,6 +23,9 @@
     with_port,
 )
 
+USAGE_DUTY = "usage"
+SCALE_DUTY = "autoscale"
+
 
 class MemberSettings(Settings):
     """One of the control instances that form a new cluster."""
@@ -98,6 +103,34 @@
     forget_after_s = Number(5, 86_400, 60.0)
     """Seconds without an announcement after which a backend server is removed."""
 
+    duty_address: Option[str] = OptionalAddress("")
+    """Address of the infrastructure's API, which duties call; empty for none."""
+
+    duties: Option[list] = NameSet([])
+    """Duties to carry out, separated by commas: ``usage``, ``autoscale``."""
+
+    duty_per_s = Number(0.01, 1_000_000, 10.0)
+    """Calls a second that the API accepts from all instances together."""
+
+    duty_lease_ms = Number(0, 600_000, 3000.0)
+    """Milliseconds without a call before a new instance may make its first call."""
+
+    usage_window_s = Number(0.1, 86_400, 5.0)
+    """Duration, in seconds, of the windows in which requests are counted."""
+
+    usage_late_s = Number(0.2, 86_400, 10.0)
+    """Seconds after the end of a window by which its usage report is due."""
+
+    @property
+    def reports_usage(self) -> bool:
+        """Whether requests are counted and reported."""
+        return bool(self.duty_address) and USAGE_DUTY in self.duties
+
+    @property
+    def scales_services(self) -> bool:
+        """Whether the numbers of backend servers are ordered."""
+        return bool(self.duty_address) and SCALE_DUTY in self.duties
+
     @property
     def voter_count(self) -> int:
         """Number of voters with which a majority survives the tolerated failures."""
@@ -130,6 +163,11 @@
             problems.append(Problem("members", "must hold 1, 3 or 5 control instances"))
         if not self.members and not self.seeds:
             problems.append(Problem("members", "is required unless seeds are given"))
+        for duty in self.duties:
+            if duty not in (USAGE_DUTY, SCALE_DUTY):
+                problems.append(
+                    Problem("duties", f"{duty!r} is not a known duty", is_error=False)
+                )
         if self.election_timeout_s < 3 * self.heartbeat_s:
             problems.append(
                 Problem("election_timeout_s", "must be at least 3 times heartbeat_s")
--- a/pollenlb/settings/options.py
+++ b/pollenlb/settings/options.py
@@ -151,6 +151,28 @@
         return str(value)
 
 
+class OptionalAddress(SocketAddress):
+    """An IP address and a port, or an empty string for none."""
+
+    allowed = "IP:PORT or an empty string"
+
+    def check(self, value: Any) -> str:
+        """Return the address."""
+        return "" if value == "" else super().check(value)
+
+
+class NameSet(Option[list]):
+    """Names in one string, separated by commas; an empty string for none."""
+
+    allowed = "names separated by commas"
+
+    def check(self, value: Any) -> list[str]:
+        """Return the names in the order in which they are given."""
+        if not isinstance(value, str):
+            raise ValueError(f"{value!r} must be {self.allowed}")
+        return [name.strip() for name in value.split(",") if name.strip()]
+
+
 class Integer(Option[int]):
     """An integer from ``minimum`` to ``maximum``, both included."""
 
--- a/tests/platform/platform_system.py
+++ b/tests/platform/platform_system.py
@@ -12,10 +12,13 @@
 from fakes.ports import free_ports
 from pollenlb.commands.control import format_bootstrap_folder
 from pollenlb.platform.control import make_control_application
+from pollenlb.platform.duties import PlatformDutyChannel
 from pollenlb.platform.entry_protocol import platform_protocol
 from pollenlb.platform.orders import PlatformOrderChannel
 from pollenlb.process.control import ControlProcess
 from pollenlb.process.entry import EntryProcess
+from pollenlb.process.metrics import Metrics
+from pollenlb.process.usage_meter import UsageMeter
 from pollenlb.settings.control import ControlSettings
 from pollenlb.settings.entry import EntrySettings
 
@@ -120,11 +123,19 @@
         Parent of the data folders of all instances.
     controls, entries, engines : int
         Number of control instances, entry processes and engines to start.
+    control_options : dict, optional
+        Control settings that are changed.
     """
 
     def __init__(
-        self, folder: Path, controls: int = 1, entries: int = 2, engines: int = 2
+        self,
+        folder: Path,
+        controls: int = 1,
+        entries: int = 2,
+        engines: int = 2,
+        control_options: dict | None = None,
     ) -> None:
+        self.control_options = control_options or {}
         self.folder = folder
         self.counts = (controls, entries, engines)
         self.controls: list[ControlProcess] = []
@@ -181,13 +192,17 @@
                 "replace_after_s": 0.6,
                 "lease_s": 0.8,
                 "order_lifetime_s": 0.5,
+                **self.control_options,
                 **options,
             }
         ).unwrap()
         if settings.bootstrap:
             await format_bootstrap_folder(settings)
         process = ControlProcess(
-            settings, make_control_application, PlatformOrderChannel()
+            settings,
+            make_control_application,
+            PlatformOrderChannel(),
+            PlatformDutyChannel(),
         )
         await process.start()
         self.controls.append(process)
@@ -242,6 +257,8 @@
     async def crash_entry(self, number: int) -> None:
         """Stop an entry as a crash would and remove it from ``entries``."""
         entry = self.entries.pop(number)
+        # A crashed process does not report what it has counted.
+        entry.context.usage = UsageMeter(entry.context.events, Metrics())
         await entry._lease_renewer.stop()
         for connection in list(entry._http._runner.server.connections):
             if connection.transport is not None:
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -138,6 +138,17 @@
 )
 from pollenlb.durable.deduplication import CommandResultTable
 from pollenlb.durable.directory import Directory, OrderRecord
+from pollenlb.durable.duties import DutyTable
+from pollenlb.durable.duty_commands import (
+    CloseUsage,
+    DutyCall,
+    EntryUsage,
+    OpenUsage,
+    RecordUsage,
+    SealUsage,
+    SkipUsage,
+    TakeDuties,
+)
 from pollenlb.durable.job import Job, Step
 from pollenlb.durable.job_commands import (
     Batch,
@@ -210,6 +221,7 @@
 )
 from pollenlb.platform.control import ControlApi, _ReleaseBody
 from pollenlb.platform.dialect import _Start
+from pollenlb.platform.duties import _UsageReport
 from pollenlb.platform.entry_protocol import platform_protocol
 from pollenlb.platform.orders import _Order, _Report
 from pollenlb.process.metrics import Metrics
@@ -232,6 +244,7 @@
 from pollenlb.request.reward_call import RewardCallEnd, RewardCallFailure
 from pollenlb.request.sample import _ScoreAnswer
 from pollenlb.scheduling.swap_plan import SwapMode
+from pollenlb.scheduling.usage_seal import SealAction
 from pollenlb.settings.cluster import (
     ClusterSettings,
     RouteSettings,
@@ -427,6 +440,16 @@
     ("score_answer", _ScoreAnswer, JSON),
     ("fencing_number", FencingNumber, JSON),
     ("order", Order, JSON),
+    ("entry_usage", EntryUsage, MSGPACK),
+    ("duty_call", DutyCall, MSGPACK),
+    ("duty_table", DutyTable, MSGPACK),
+    ("take_duties", TakeDuties, MSGPACK),
+    ("open_usage", OpenUsage, MSGPACK),
+    ("record_usage", RecordUsage, MSGPACK),
+    ("seal_usage", SealUsage, MSGPACK),
+    ("skip_usage", SkipUsage, MSGPACK),
+    ("close_usage", CloseUsage, MSGPACK),
+    ("platform_usage_report", _UsageReport, JSON),
 ]
 
 _NOT_STORED_OR_SENT = {
@@ -487,6 +510,7 @@
             "whole",
         },
     ),
+    (SealAction, {"seal", "skip", "wait"}),
     (ServerState, {"leaving", "serving"}),
     (SwapMode, {"retain", "wait"}),
     (TrialEnd, {"cleared", "open"}),
@@ -551,6 +575,12 @@
             "snapshot_bytes",
             "order_lifetime_s",
             "forget_after_s",
+            "duty_address",
+            "duties",
+            "duty_per_s",
+            "duty_lease_ms",
+            "usage_window_s",
+            "usage_late_s",
         ],
         {"event_output": ("file", "stdout")},
     ),
@@ -658,6 +688,9 @@
     (names.WAIT_MS_HEADER, "X-Wait-Ms"),
     (names.READY_PATH, "/-/ready"),
     (names.REPORT_PATH, "/-/report"),
+    (names.HOLDER_HEADER, "X-Lease-Holder"),
+    (names.FENCING_HEADER, "X-Fencing-Token"),
+    (names.USAGE_PATH, "/usage"),
     (names.ORDER_PATH, "/-/order"),
 ]
 
@@ -726,6 +759,10 @@
 pollenlb_refused_keys_total{reason="a"} 1.0
 # TYPE pollenlb_refused_keys_created
 pollenlb_refused_keys_created{reason="a"}
+# TYPE pollenlb_usage_total counter
+pollenlb_usage_total{action="a"} 1.0
+# TYPE pollenlb_usage_created
+pollenlb_usage_created{action="a"}
 # TYPE pollenlb_in_flight gauge
 pollenlb_in_flight 2.0
 """
@@ -1014,6 +1051,7 @@
     metrics.reward_calls.labels("a", "b").inc()
     metrics.unknown_fields.labels("a").inc()
     metrics.refused_keys.labels("a").inc()
+    metrics.usage.labels("a").inc()
     metrics.in_flight.set(2)
     lines = metrics.exposition().decode().splitlines()
     stable_lines = [
