Tell owners of batch jobs of a load before its order is sent

An engine that is ordered to load a weight version refuses new items for 0.9 s or more.

NoteOrder now names process, model and version. Entries that were given batch jobs receive the planned loads with their renewals. The leader waits until the owners have applied them, at most 0.15 s, and then sends the order with the same safety as before. The orders of one round are recorded together and sent at the same time, so that the wait occurs once a round. An idle engine that got items meanwhile is not ordered. A load that does not take place is abandoned by the leader (AbandonLoad), and by owners after 4 s. Refusals and usable slots moved from BatchRunner to scheduling/engine_availability.py.

Refused runs are counted by whether a load was known (pollenlb_refused_items_total, item.refused).

--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -59,6 +59,12 @@
         HTTP status to answer, without events, by request id.
     orders : list of dict
         Accepted swap orders, oldest first.
+    refuses_orders : bool
+        Whether every order is refused.
+    refused_order_count : int
+        Number of refused orders.
+    refused_count : int
+        Number of requests that were refused during a swap.
     received_runs : list of tuple
         Id and last event id (-1 without one) of each request that was run.
     received_targets : list of str
@@ -99,6 +105,9 @@
         self._last_answers: dict[asyncio.BaseTransport, bytes] = {}
         self.forced_statuses: dict[str, int] = {}
         self.orders: list[dict] = []
+        self.refuses_orders = False
+        self.refused_order_count = 0
+        self.refused_count = 0
         self.received_runs: list[tuple[str, int]] = []
         self.received_targets: list[str] = []
         self.received_headers: list[list[tuple[str, str]]] = []
@@ -206,7 +215,9 @@
 
     async def _handle_order(self, request: web.Request) -> web.Response:
         order = await request.json()
-        if self.is_busy or order.get("expected") not in (None, len(self.orders)):
+        is_expected = order.get("expected") in (None, len(self.orders))
+        if self.is_busy or self.refuses_orders or not is_expected:
+            self.refused_order_count += 1
             return web.Response(status=409)
         self.orders.append(order)
         self.is_busy = True
@@ -222,6 +233,7 @@
         if request.headers.get("X-Expect-Instance", self.name) != self.name:
             return web.Response(status=421)
         if self.is_busy:
+            self.refused_count += 1
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
         status = self.forced_statuses.get(request_id)
         if status is not None:
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -101,6 +101,36 @@
     releases: dict[ModelName, WeightVersion]
 
 
+class PlannedLoad(msgspec.Struct, frozen=True):
+    """A weight version that an engine is about to load or is loading.
+
+    Attributes
+    ----------
+    boot : BootId
+        Process of the engine that loads it.
+    fencing : int
+        Fencing number of the order, which identifies the load.
+    """
+
+    boot: BootId
+    model: ModelName
+    version: WeightVersion
+    fencing: int
+
+
+class LoadsView(msgspec.Struct, frozen=True):
+    """The planned loads of weight versions, for owners of batch jobs.
+
+    Attributes
+    ----------
+    loads : dict
+        Planned load by engine.
+    """
+
+    version: int
+    loads: dict[BackendServerName, PlannedLoad]
+
+
 class JobView(msgspec.Struct, frozen=True):
     """The part of a job's state that entry processes need.
 
@@ -263,6 +293,9 @@
         Version of the limits that the entry has.
     accepts_packed : bool
         Whether the answer may contain its views in compressed form.
+    loads : int
+        Version of the planned loads that the entry has; -1 if it does not use
+        them.
     """
 
     entry: EntryInfo
@@ -278,6 +311,7 @@
     limits: dict[BackendServerName, LimitReport] = {}
     limits_version: int = 0
     accepts_packed: bool = False
+    loads: int = -1
 
 
 class RenewAnswer(msgspec.Struct, frozen=True):
@@ -312,6 +346,7 @@
     limits: dict[BackendServerName, LimitGrant] = {}
     limits_version: int = 0
     packed: dict[str, bytes] = {}
+    loads: LoadsView | None = None
 
 
 class ReadBatchJob(msgspec.Struct, frozen=True):
--- a/pollenlb/connection/packed_views.py
+++ b/pollenlb/connection/packed_views.py
@@ -13,6 +13,7 @@
     DirectoryView,
     EntriesView,
     LedgerView,
+    LoadsView,
     QuarantineView,
     RenewAnswer,
 )
@@ -25,6 +26,7 @@
     "ledger": LedgerView,
     "quarantine": QuarantineView,
     "entries": EntriesView,
+    "loads": LoadsView,
 }
 
 _encode = msgspec.msgpack.Encoder().encode
--- a/pollenlb/durable/commands.py
+++ b/pollenlb/durable/commands.py
@@ -16,6 +16,7 @@
 )
 from .command_base import Done, Refused
 from .configuration_commands import (
+    AbandonLoad,
     AnnounceServer,
     ChangeConfiguration,
     ConfigurationChanged,
@@ -57,6 +58,7 @@
     | ForgetServer
     | NoteModelVersion
     | NoteOrder
+    | AbandonLoad
     | ReleaseVersion
     | SubmitBatchJob
     | CommitItems
--- a/pollenlb/durable/configuration_commands.py
+++ b/pollenlb/durable/configuration_commands.py
@@ -259,6 +259,31 @@
         Backend server that gets the order.
     fencing : int
         Fencing number of the order, higher than that of any earlier order.
+    boot : BootId
+        Process that is to load the version.
+    model : ModelName
+        Model whose version it is to load; empty if owners of batch jobs need not
+        know of the load.
+    version : WeightVersion
+        Version that it is to load.
+    """
+
+    server: BackendServerName
+    fencing: int
+    boot: BootId = BootId("")
+    model: ModelName = ModelName("")
+    version: WeightVersion = WeightVersion(0)
+
+
+class AbandonLoad(Command, frozen=True):
+    """Records that a backend server does not load the version it was to load.
+
+    Attributes
+    ----------
+    server : BackendServerName
+        The backend server.
+    fencing : int
+        Fencing number of the order to load the version; a later order stays.
     """
 
     server: BackendServerName
--- a/pollenlb/durable/directory.py
+++ b/pollenlb/durable/directory.py
@@ -4,10 +4,11 @@
 
 import msgspec
 
-from ..ids import BackendServerName, ModelName, WeightVersion
+from ..ids import BackendServerName, BootId, ModelName, WeightVersion
 from .command_base import Done, Refused
 from .commands import AnyResult
 from .configuration_commands import (
+    AbandonLoad,
     Announcement,
     AnnounceServer,
     ForgetServer,
@@ -34,10 +35,20 @@
         Fencing number of the order.
     at_ms : int
         Wall time of the leader, milliseconds since the epoch.
+    boot : BootId
+        Process that is to load the version.
+    model : ModelName
+        Model whose version it is to load; empty once the load was abandoned, or if
+        owners of batch jobs need not know of it.
+    version : WeightVersion
+        Version that it is to load.
     """
 
     fencing: int
     at_ms: int
+    boot: BootId = BootId("")
+    model: ModelName = ModelName("")
+    version: WeightVersion = WeightVersion(0)
 
 
 class Directory(msgspec.Struct):
@@ -152,9 +163,32 @@
                 f"order {self.fencing} was recorded before"
             )
         self.fencing = command.fencing
-        self.orders[command.server] = OrderRecord(command.fencing, at_ms)
+        self.orders[command.server] = OrderRecord(
+            command.fencing, at_ms, command.boot, command.model, command.version
+        )
+        return Done()
+
+    def abandon_load(self, command: AbandonLoad) -> AnyResult:
+        """Record that the load of an order does not take place."""
+        record = self.orders.get(command.server)
+        if record is not None and record.fencing == command.fencing:
+            self.orders[command.server] = OrderRecord(record.fencing, record.at_ms)
         return Done()
 
+    def planned_loads(self) -> dict[BackendServerName, OrderRecord]:
+        """Return the orders whose version their backend server does not serve yet.
+
+        An order to an earlier process of the backend server does not count.
+        """
+        planned = {}
+        for server, record in self.orders.items():
+            known = self.servers.get(server)
+            if known is None or not record.model or known.boot != record.boot:
+                continue
+            if known.models.get(record.model, WeightVersion(0)) < record.version:
+                planned[server] = record
+        return planned
+
     def _is_withdrawn(self, announcement: Announcement) -> bool:
         """Return whether the announcing process, or a later one, has left already."""
         withdrawn_start_ms = self.withdrawn.get(announcement.server)
--- a/pollenlb/durable/leases.py
+++ b/pollenlb/durable/leases.py
@@ -58,11 +58,18 @@
         Version of the quarantine.
     directory : int
         Version of the directory of backend servers.
+    loads : int
+        Version of the planned loads; -1 if the process does not use them.
     """
 
     revision: Revision = Revision(0)
     quarantine: int = 0
     directory: int = 0
+    loads: int = -1
+
+    def knows_loads(self, version: int) -> bool:
+        """Return whether a version of the planned loads is applied or not used."""
+        return self.loads < 0 or self.loads >= version
 
     def covers(self, other: AppliedVersions) -> bool:
         """Return whether no version is older than the other's."""
@@ -263,6 +270,38 @@
             except TimeoutError:
                 continue
 
+    async def wait_until_loads_known(
+        self, boots: set[BootId], version: int, deadline: Deadline
+    ) -> set[BootId]:
+        """Wait until entry processes with a lease have applied the planned loads.
+
+        Parameters
+        ----------
+        boots : set of BootId
+            Entry processes to wait for.
+        version : int
+            Version of the planned loads.
+        deadline : Deadline
+            Monotonic time in seconds at which the wait ends.
+
+        Returns
+        -------
+        set of BootId
+            Those that have not applied it by the deadline.
+        """
+        while uninformed := {
+            lease.entry.boot
+            for lease in self.live_leases()
+            if lease.entry.boot in boots and not lease.in_force.knows_loads(version)
+        }:
+            try:
+                async with asyncio.timeout(remaining_time_s(deadline)):
+                    async with self._changed:
+                        await self._changed.wait()
+            except TimeoutError:
+                break
+        return uninformed
+
     def _longest_wait_s(self, change: AppliedVersions) -> float:
         checked_at = now()
         waits_s = [self._earlier_leases_expire_at - checked_at]
--- a/pollenlb/durable/state_machine.py
+++ b/pollenlb/durable/state_machine.py
@@ -21,6 +21,7 @@
 from .commands import AnyResult, Proposal
 from .configuration import ConfigurationTable
 from .configuration_commands import (
+    AbandonLoad,
     AnnounceServer,
     ChangeConfiguration,
     ConfigurationConflict,
@@ -118,9 +119,9 @@
         Parameters
         ----------
         table : str
-            "configuration", "directory", "ledger" or "quarantine"; only the
-            tables that entry processes hold a view of have a version. 0 before
-            the first such command.
+            "configuration", "directory", "ledger", "quarantine" or "loads"; only
+            the tables that entry processes hold a view of have a version. 0
+            before the first such command.
         """
         return self._table_versions.get(table, 0)
 
@@ -176,6 +177,8 @@
             batch_job = self._state.batch_jobs.batch_jobs.get(command.batch_job)
             is_step = batch_job is not None and batch_job.spec.sample is not None
             return ("ledger",) if is_step else ()
+        if isinstance(command, NoteOrder):
+            return ("loads",) if command.model else ()
         return _CHANGED_TABLES.get(type(command), ())
 
 
@@ -230,6 +233,11 @@
     return state.directory.record_order(command, position.at_ms)
 
 
+@apply_command.register
+def _(command: AbandonLoad, state: State, position: LogPosition) -> AnyResult:
+    return state.directory.abandon_load(command)
+
+
 @apply_command.register
 def _(command: RetireInstance, state: State, position: LogPosition) -> AnyResult:
     state.retiring.add(command.instance)
@@ -346,7 +354,8 @@
 
 
 # Tables that each type of command may change, of those that entry processes hold a
-# view of. ``CommitItems`` is missing, since it depends on the batch job.
+# view of. ``CommitItems`` and ``NoteOrder`` are missing, since theirs depend on more
+# than the type.
 _CHANGED_TABLES: dict[type, tuple[str, ...]] = {
     ChangeConfiguration: ("configuration",),
     ReplaceConfiguration: ("configuration",),
@@ -354,6 +363,7 @@
     WithdrawServer: ("directory",),
     NoteModelVersion: ("directory",),
     ForgetServer: ("directory",),
+    AbandonLoad: ("loads",),
     ReleaseVersion: ("directory",),
     CreateJob: ("ledger",),
     SetTrainerVersion: ("ledger",),
--- a/pollenlb/durable/views.py
+++ b/pollenlb/durable/views.py
@@ -7,6 +7,8 @@
     DirectoryView,
     JobView,
     LedgerView,
+    LoadsView,
+    PlannedLoad,
     QuarantineView,
 )
 from .batch_jobs import BatchJobTable
@@ -52,6 +54,20 @@
     )
 
 
+def build_loads_view(machine: ControlStateMachine) -> LoadsView:
+    """Return the weight versions that engines are about to load or are loading."""
+    planned = machine.state.directory.planned_loads()
+    return LoadsView(
+        machine.table_version("loads"),
+        {
+            server: PlannedLoad(
+                record.boot, record.model, record.version, record.fencing
+            )
+            for server, record in planned.items()
+        },
+    )
+
+
 def _job_view(job: Job, batch_jobs: BatchJobTable) -> JobView:
     step_jobs = [batch_jobs.batch_jobs[step.batch_job] for step in job.steps.values()]
     return JobView(
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -13,7 +13,7 @@
 
 from ..clock import Deadline, deadline_in, now, remaining_time_s, sleep_until
 from ..connection.backend import BackendServer
-from ..connection.control_api import BatchWork, WorkView
+from ..connection.control_api import BatchWork, LoadsView, WorkView
 from ..durable.batch_job_commands import (
     BatchItem,
     BatchJobSpec,
@@ -33,6 +33,7 @@
     new_id,
 )
 from ..request.item_progress import ItemProgress, RunEnd
+from ..scheduling.engine_availability import EngineAvailability, ItemRun
 from ..scheduling.item_moves import (
     EngineSpeed,
     RunningItem,
@@ -54,9 +55,6 @@
 # that can continue them, before another one starts it over.
 _MIN_KEPT_EVENT_COUNT = 5
 _CONTINUATION_WAIT_S = 1.0
-# A change of weights takes 0.9 s; an engine that refused an item is tried again
-# after this delay, so that the end of the change is found soon.
-_REFUSAL_RETRY_DELAY_S = 0.2
 # Weight of one item in the smoothed number of events per token.
 _LENGTH_SMOOTHING_RATIO = 0.05
 # Partial output of a released batch job is retained in case the job returns.
@@ -95,7 +93,8 @@
         self._reward_calls = RewardCalls(context)
         self._saver = OutputSaver(context, self._jobs)
         self._events_per_token = 0.0
-        self._refused_at: dict[BackendServerName, float] = {}
+        self._availability = EngineAvailability()
+        self._loads_version = 0
         self.engine_became_idle = asyncio.Event()
 
     @property
@@ -108,6 +107,11 @@
         """Batch jobs that this process runs."""
         return list(self._jobs)
 
+    @property
+    def loads_version(self) -> int:
+        """Version of the planned loads of weights that were applied last."""
+        return self._loads_version
+
     def running_items_by_server(self) -> dict[BackendServerName, int]:
         """Return the number of running items by engine."""
         return Counter(
@@ -154,6 +158,12 @@
                 self._update_job(job, added)
         self._changed.set()
 
+    def apply_loads(self, view: LoadsView) -> None:
+        """Place no items on engines that are about to load a weight version."""
+        self._loads_version = view.version
+        self._availability.apply_loads(view.loads, now())
+        self._changed.set()
+
     async def drain(self, timeout_s: float) -> None:
         """Wait until the batch jobs are finished, then release what is left and stop.
 
@@ -269,7 +279,7 @@
                 pass
             self._changed.clear()
             self._discard_expired_partials()
-            self._discard_stale_refusals()
+            self._availability.forget_unlisted(self._context.directory.servers)
             self._start_reward_calls()
             for service, model in {
                 (job.spec.service, job.spec.model) for job in self._jobs.values()
@@ -286,10 +296,6 @@
             if not remaining_time_s(retained_until):
                 del self._partials[item]
 
-    def _discard_stale_refusals(self) -> None:
-        for server in self._refused_at.keys() - self._context.directory.servers.keys():
-            del self._refused_at[server]
-
     def _start_reward_calls(self) -> None:
         """Start to score the items whose output is complete."""
         for job in self._jobs.values():
@@ -422,28 +428,14 @@
         ]
 
     def _usable_slots(self, server: BackendServer) -> int:
-        """Return the number of an engine's slots to use.
-
-        An engine that refused an item, as it does during a change of weights,
-        gets one item at a time until one of them has generated an event.
-        """
-        refused_at = self._refused_at.get(server.name)
-        if refused_at is None:
-            return server.load.slots
-        retries = [
-            progress
+        runs = [
+            ItemRun(progress.run_started_at, progress.last_event_at)
             for job in self._jobs.values()
             for progress in job.items.values()
-            if progress.server == server.name and progress.run_started_at > refused_at
+            if progress.server == server.name
         ]
-        if any(
-            progress.last_event_at > progress.run_started_at for progress in retries
-        ):
-            del self._refused_at[server.name]
-            return server.load.slots
-        if retries or now() < refused_at + _REFUSAL_RETRY_DELAY_S:
-            return 0
-        return min(server.load.slots, self._unavailable_slots(server) + 1)
+        unavailable_slots = self._unavailable_slots(server)
+        return self._availability.usable_slots(server, unavailable_slots, runs, now())
 
     def _unavailable_slots(self, server: BackendServer) -> int:
         """Return the number of slots that items cannot use.
@@ -590,7 +582,7 @@
     ) -> None:
         progress.avoided[server.name] = deadline_in(_AVOID_SERVER_S)
         if end is RunEnd.NOT_RUN:
-            self._refused_at[server.name] = now()
+            self._record_refusal(progress, server)
         if end is RunEnd.FAILED:
             progress.failed_runs += 1
             self._saver.wake()
@@ -605,6 +597,15 @@
         ):
             self._add_result(job, progress, ItemState.EXPIRED)
 
+    def _record_refusal(self, progress: ItemProgress, server: BackendServer) -> None:
+        is_loading = self._availability.record_refusal(server, now())
+        load = "known" if is_loading else "unknown"
+        service = progress.spec.service
+        self._context.metrics.refused_items.labels(service, load).inc()
+        self._context.events.record(
+            "item.refused", item=progress.item.item, server=server.name, load=load
+        )
+
     def _record_length(self, progress: ItemProgress) -> None:
         if progress.item.length_hint and progress.output.events:
             ratio = progress.output.events / progress.item.length_hint
--- a/pollenlb/process/lease_service.py
+++ b/pollenlb/process/lease_service.py
@@ -24,6 +24,7 @@
     build_configuration_view,
     build_directory_view,
     build_ledger_view,
+    build_loads_view,
     build_quarantine_view,
 )
 from ..exceptions import NotLeaderError
@@ -116,6 +117,7 @@
             or request.ledger < machine.table_version("ledger")
             or request.quarantine < machine.table_version("quarantine")
             or request.entries < self._entries_version
+            or self._lacks_loads(request)
             or request.work < self._work_version(request)
             or request.limits_version != limits.version
             or bool(request.limits)
@@ -124,6 +126,11 @@
             )
         )
 
+    def _lacks_loads(self, request: RenewRequest) -> bool:
+        """Return whether an entry that has been given batch jobs lacks a load."""
+        is_older = 0 <= request.loads < self._context.machine.table_version("loads")
+        return is_older and self._work_version(request) > 0
+
     def _work_version(self, request: RenewRequest) -> int:
         changed_at = self._context.machine.state.batch_jobs.changed_at
         return changed_at.get(request.entry.boot, 0)
@@ -201,6 +208,10 @@
                 partial(self._entries_view, leader_state),
             ),
         ]
+        if self._lacks_loads(request):
+            version = machine.table_version("loads")
+            build = partial(build_loads_view, machine)
+            views.append(("loads", request.loads, version, build))
         return [
             (name, version, build)
             for name, known, version, build in views
@@ -232,4 +243,6 @@
 
 def applied_versions_of(request: RenewRequest) -> AppliedVersions:
     """Return the versions that an entry has applied, as its renewal reports."""
-    return AppliedVersions(request.revision, request.quarantine, request.directory)
+    return AppliedVersions(
+        request.revision, request.quarantine, request.directory, request.loads
+    )
--- a/pollenlb/process/metrics.py
+++ b/pollenlb/process/metrics.py
@@ -35,6 +35,11 @@
         self.items = self._counter(
             "items", "Runs of items of batch jobs by end", "service end"
         )
+        self.refused_items = self._counter(
+            "refused_items",
+            "Runs of items that an engine refused, by whether a load was known",
+            "service load",
+        )
         self.reward_calls = self._counter(
             "reward_calls", "Attempts of reward calls by service and end", "service end"
         )
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -117,6 +117,7 @@
             ),
             limits=context.directory.report_limits(),
             limits_version=self._limits_version,
+            loads=self._batch_runner.loads_version,
         )
 
     def _apply(self, answer: RenewAnswer, sent_at: float) -> None:
@@ -136,6 +137,8 @@
             context.live_entries.apply(answer.entries)
         if answer.ledger is not None:
             context.ledger = answer.ledger
+        if answer.loads is not None:
+            self._batch_runner.apply_loads(answer.loads)
         if answer.work is not None:
             self._batch_runner.apply(answer.work)
         leased_until = Deadline(sent_at + answer.lease_s)
--- a/pollenlb/version/orders.py
+++ b/pollenlb/version/orders.py
@@ -12,6 +12,7 @@
 from ..durable.batch_jobs import BatchJob
 from ..durable.command_base import Refused
 from ..durable.configuration_commands import (
+    AbandonLoad,
     Announcement,
     NoteModelVersion,
     NoteOrder,
@@ -21,6 +22,7 @@
 from ..exceptions import LogError
 from ..ids import (
     BackendServerName,
+    BootId,
     InstanceName,
     ModelName,
     Revision,
@@ -46,6 +48,16 @@
 # An order is sent within this time after its log entry was proposed, or not at
 # all.
 _SEND_WINDOW_S = 0.5
+# Owners of batch jobs get this long to learn of a load before its order is sent. A
+# renewal takes a few milliseconds; an owner that does not answer delays orders only
+# by this much, within the send window.
+_OWNER_NOTICE_S = 0.15
+# A load that this leader does not track, as after a change of leader, is abandoned
+# after this time. Owners stop waiting for it by their own clocks.
+_UNTRACKED_LOAD_S = 4.0
+# An engine that refused an order, or got items before its owner knew of the load,
+# gets the next order after this pause, so that owners may use it meanwhile.
+_REFUSED_ORDER_PAUSE_S = 0.5
 _NO_VERSION = WeightVersion(0)
 # An engine whose last announcement is older gets no order. Engines that do not
 # report the start of their process are exempt.
@@ -66,10 +78,30 @@
 
     server: Announcement
     swap: Swap
+    fencing: int
     check_at: Deadline
     abandon_at: Deadline
 
 
+@dataclass(frozen=True)
+class _RecordedOrder:
+    """An order that is recorded in the log and not sent yet.
+
+    Attributes
+    ----------
+    report : EngineReport
+        Report of the engine before the order was recorded.
+    proposed_at : float
+        Monotonic time in seconds just before the record was proposed.
+    """
+
+    server: Announcement
+    swap: Swap
+    fencing: int
+    report: EngineReport
+    proposed_at: float
+
+
 class OrderIssuer:
     """Issues orders while its instance leads, and checks their effect.
 
@@ -90,6 +122,7 @@
         self._observed_fencing: dict[BackendServerName, int] = {}
         self._observed_at: dict[BackendServerName, float] = {}
         self._own_fencing: set[int] = set()
+        self._paused_until: dict[BackendServerName, Deadline] = {}
         self._services_revision = Revision(-1)
         self._services: dict[ServiceName, ServiceSettings] = {}
         self._observed_releases: dict[ModelName, tuple[WeightVersion | None, float]] = (
@@ -111,6 +144,7 @@
                 self._own_fencing.clear()
             try:
                 await self._check_pending()
+                await self._abandon_untracked_loads()
                 await self._issue_orders(leadership)
             except LogError as error:
                 self._context.events.record("orders.interrupted", reason=str(error))
@@ -154,6 +188,34 @@
             pending.check_at = deadline_in(_CHECK_INTERVAL_S)
         else:
             del self._pending[name]
+            if report is None or not report.is_busy:
+                await self._abandon_load(name, pending.fencing, "no effect")
+
+    async def _abandon_untracked_loads(self) -> None:
+        """Abandon loads that failed after a change of leader or without a response."""
+        planned = self._context.machine.state.directory.planned_loads()
+        for server, record in planned.items():
+            observed_at = self._observed_at.get(server, now())
+            is_old = now() > observed_at + _UNTRACKED_LOAD_S
+            if server not in self._pending and is_old:
+                await self._abandon_load(server, record.fencing, "not tracked")
+
+    async def _abandon_load(
+        self, server: BackendServerName, fencing: int, reason: str
+    ) -> None:
+        """Tell owners of batch jobs that an engine does not load a version."""
+        record = self._context.machine.state.directory.orders.get(server)
+        if record is None or record.fencing != fencing or not record.model:
+            return
+        self._context.events.record(
+            "load.abandoned",
+            server=server,
+            model=record.model,
+            version=record.version,
+            fencing=fencing,
+            reason=reason,
+        )
+        await self._context.execute(AbandonLoad(server, fencing))
 
     async def _record_swap(
         self, server: Announcement, model: ModelName, version: WeightVersion
@@ -259,10 +321,22 @@
             servers = [server for server in servers if not server.models]
         views = [view for view in await self._engine_views(servers) if view is not None]
         max_swaps = max(service.max_swaps, int(service.swap_share * len(views)))
-        for swap in next_swaps(views, goals, max_swaps):
-            server = self._announcements.get(swap.server)
-            if server is not None and self._may_order(server, service):
-                await self._issue_order(server, swap, leadership)
+        swaps = [
+            (server, swap)
+            for swap in next_swaps(views, goals, max_swaps)
+            if (server := self._announcements.get(swap.server)) is not None
+            and self._may_order(server, service)
+            and not self._is_paused(server)
+        ]
+        if swaps:
+            recorded = await self._record_orders(swaps)
+            uninformed = await self._inform_owners(recorded)
+            goals = self._goals(name, service)
+            due = [order for order in recorded if self._is_still_due(order, goals)]
+            for order in recorded:
+                if order not in due:
+                    await self._give_up_order(order, "in use")
+            await self._send_orders(due, len(uninformed), leadership)
 
     def _is_announcing(self, server: Announcement) -> bool:
         leader_state = self._context.leader_state
@@ -311,18 +385,99 @@
         observed_at = self._observed_at.get(server.server, float("-inf"))
         return now() > observed_at + lifetime_s + _SEND_WINDOW_S
 
-    async def _issue_order(
-        self, server: Announcement, swap: Swap, leadership: Leadership
+    async def _record_orders(
+        self, swaps: list[tuple[Announcement, Swap]]
+    ) -> list[_RecordedOrder]:
+        """Record the orders to engines that report that they are not busy."""
+        reports = await asyncio.gather(
+            *(self._fetch_report(server) for server, _ in swaps)
+        )
+        recorded = []
+        for (server, swap), report in zip(swaps, reports, strict=True):
+            if report is None or report.is_busy:
+                continue
+            fencing = self._context.machine.state.directory.fencing + 1
+            command = NoteOrder(server.server, fencing)
+            if server.models:
+                command = NoteOrder(
+                    server.server, fencing, server.boot, swap.model, swap.version
+                )
+            proposed_at = now()
+            result = await self._context.execute(command)
+            if isinstance(result, Refused):
+                continue
+            self._own_fencing.add(fencing)
+            recorded.append(_RecordedOrder(server, swap, fencing, report, proposed_at))
+        return recorded
+
+    async def _inform_owners(self, recorded: list[_RecordedOrder]) -> set[BootId]:
+        """Wait until the owners of batch jobs know of the loads.
+
+        Returns
+        -------
+        set of BootId
+            Owners that have a lease and do not know of them in time.
+        """
+        owners = self._context.machine.state.batch_jobs.open_job_owners()
+        if not owners or not any(order.server.models for order in recorded):
+            return set()
+        return await self._context.leader_state.leases.wait_until_loads_known(
+            owners,
+            self._context.machine.table_version("loads"),
+            deadline_in(_OWNER_NOTICE_S),
+        )
+
+    def _is_still_due(self, order: _RecordedOrder, goals: list[ModelGoal]) -> bool:
+        """Return whether an engine is to load a version once owners are informed.
+
+        An owner may have placed items on an idle engine before it was informed. The
+        engine would refuse others until these end.
+        """
+        if not order.server.models or self._is_too_old(order, goals):
+            return True
+        return not self._running_item_count(order.server.server)
+
+    def _is_too_old(self, order: _RecordedOrder, goals: list[ModelGoal]) -> bool:
+        version = order.server.models.get(order.swap.model, WeightVersion(0))
+        return any(
+            goal.model == order.swap.model
+            and goal.open_items
+            and version < goal.least_version
+            for goal in goals
+        )
+
+    def _is_paused(self, server: Announcement) -> bool:
+        paused_until = self._paused_until.get(server.server, Deadline(0.0))
+        return remaining_time_s(paused_until) > 0
+
+    async def _give_up_order(self, order: _RecordedOrder, reason: str) -> None:
+        name = order.server.server
+        if order.server.models:
+            self._paused_until[name] = deadline_in(_REFUSED_ORDER_PAUSE_S)
+        await self._abandon_load(name, order.fencing, reason)
+
+    async def _send_orders(
+        self,
+        recorded: list[_RecordedOrder],
+        uninformed_count: int,
+        leadership: Leadership,
     ) -> None:
-        report = await self._fetch_report(server)
-        if report is None or report.is_busy:
-            return
-        fencing = self._context.machine.state.directory.fencing + 1
-        proposed_at = now()
-        result = await self._context.execute(NoteOrder(server.server, fencing))
-        if isinstance(result, Refused):
-            return
-        self._own_fencing.add(fencing)
+        results = await asyncio.gather(
+            *(
+                self._send_order(order, uninformed_count, leadership)
+                for order in recorded
+            ),
+            return_exceptions=True,
+        )
+        for result in results:
+            if isinstance(result, BaseException):
+                raise result
+
+    async def _send_order(
+        self, recorded: _RecordedOrder, uninformed_count: int, leadership: Leadership
+    ) -> None:
+        server = recorded.server
+        swap = recorded.swap
         order = SwapOrder(
             server=server,
             model=swap.model,
@@ -330,17 +485,20 @@
             mode=swap.mode,
             holder=InstanceName(self._context.settings.name),
             term=leadership.term,
-            fencing=fencing,
-            expected_orders=report.orders,
+            fencing=recorded.fencing,
+            expected_orders=recorded.report.orders,
             lifetime_s=self._context.settings.order_lifetime_s,
         )
         await self._context.replica.confirm_leadership()
-        is_led = self._context.replica.leadership is leadership
-        if not is_led or now() > proposed_at + _SEND_WINDOW_S:
+        if self._context.replica.leadership is not leadership:
             return
-        self._pending[server.server] = _PendingOrder(
+        if now() > recorded.proposed_at + _SEND_WINDOW_S:
+            await self._abandon_load(server.server, recorded.fencing, "not sent")
+            return
+        pending = self._pending[server.server] = _PendingOrder(
             server,
             swap,
+            recorded.fencing,
             deadline_in(_FIRST_CHECK_DELAY_S),
             deadline_in(_ORDER_RETRY_S),
         )
@@ -353,11 +511,13 @@
             model=swap.model,
             version=swap.version,
             mode=swap.mode.value,
-            fencing=fencing,
-            expected_orders=report.orders,
+            fencing=recorded.fencing,
+            expected_orders=recorded.report.orders,
+            uninformed_owners=uninformed_count,
             outcome=outcome.value,
         )
         if outcome is OrderOutcome.REFUSED:
             del self._pending[server.server]
+            await self._give_up_order(recorded, "refused")
         elif outcome is OrderOutcome.UNKNOWN:
-            self._pending[server.server].abandon_at = deadline_in(_UNANSWERED_RETRY_S)
+            pending.abandon_at = deadline_in(_UNANSWERED_RETRY_S)
--- a/tests/durable/test_directory.py
+++ b/tests/durable/test_directory.py
@@ -6,6 +6,7 @@
 
 from pollenlb.durable.command_base import Done, Refused
 from pollenlb.durable.configuration_commands import (
+    AbandonLoad,
     Announcement,
     AnnounceServer,
     NoteModelVersion,
@@ -114,3 +115,49 @@
     assert directory.record_order(NoteOrder("a", 1), 0) == Done()
     assert isinstance(directory.record_order(NoteOrder("b", 1), 0), Refused)
     assert directory.record_order(NoteOrder("b", 2), 0) == Done()
+
+
+def _order(fencing=1, version=2, boot="a/100") -> NoteOrder:
+    return NoteOrder("a", fencing, boot, "m", version)
+
+
+def test_a_load_is_planned_until_the_server_serves_the_version():
+    directory = Directory()
+    _announce(directory, models={"m": 1})
+    directory.record_order(_order(), 0)
+    assert directory.planned_loads()["a"].version == 2
+    directory.record_version(NoteModelVersion("a", "a/100", "m", 2))
+    assert directory.planned_loads() == {}
+
+
+def test_a_load_ends_with_the_process_that_was_ordered_to_load():
+    directory = Directory()
+    _announce(directory, models={"m": 1})
+    directory.record_order(_order(), 0)
+    _announce(directory, started_at_ms=200, models={"m": 1})
+    assert directory.planned_loads() == {}
+
+
+def test_an_abandoned_load_is_no_longer_planned_and_its_fencing_number_stays_used():
+    directory = Directory()
+    _announce(directory, models={"m": 1})
+    directory.record_order(_order(fencing=1), 0)
+    assert directory.abandon_load(AbandonLoad("a", 1)) == Done()
+    assert directory.planned_loads() == {}
+    assert isinstance(directory.record_order(_order(fencing=1), 0), Refused)
+
+
+def test_a_late_end_of_an_earlier_load_does_not_end_a_later_one():
+    directory = Directory()
+    _announce(directory, models={"m": 1})
+    directory.record_order(_order(fencing=1), 0)
+    directory.record_order(_order(fencing=2, version=3), 0)
+    directory.abandon_load(AbandonLoad("a", 1))
+    assert directory.planned_loads()["a"].fencing == 2
+
+
+def test_an_order_without_a_model_plans_no_load():
+    directory = Directory()
+    _announce(directory, models={"m": 1})
+    directory.record_order(NoteOrder("a", 1), 0)
+    assert directory.planned_loads() == {}
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -51,6 +51,8 @@
     LedgerView,
     LimitGrant,
     LimitReport,
+    LoadsView,
+    PlannedLoad,
     ProposeAnswer,
     ProposeRequest,
     QuarantineView,
@@ -109,6 +111,7 @@
 from pollenlb.durable.commands import AnyCommand, AnyResult, Proposal
 from pollenlb.durable.configuration import ConfigurationTable
 from pollenlb.durable.configuration_commands import (
+    AbandonLoad,
     Announcement,
     AnnounceServer,
     Change,
@@ -271,6 +274,8 @@
     ("configuration_read", ConfigurationRead, MSGPACK),
     ("configuration_view", ConfigurationView, MSGPACK),
     ("directory_view", DirectoryView, MSGPACK),
+    ("loads_view", LoadsView, MSGPACK),
+    ("planned_load", PlannedLoad, MSGPACK),
     ("entries_view", EntriesView, MSGPACK),
     ("item_read", ItemRead, MSGPACK),
     ("job_view", JobView, MSGPACK),
@@ -345,6 +350,7 @@
     ("forget_server", ForgetServer, MSGPACK),
     ("note_model_version", NoteModelVersion, MSGPACK),
     ("note_order", NoteOrder, MSGPACK),
+    ("abandon_load", AbandonLoad, MSGPACK),
     ("release_version", ReleaseVersion, MSGPACK),
     ("replace_configuration", ReplaceConfiguration, MSGPACK),
     ("retire_instance", RetireInstance, MSGPACK),
@@ -714,6 +720,10 @@
 pollenlb_items_total{end="b",service="a"} 1.0
 # TYPE pollenlb_items_created
 pollenlb_items_created{end="b",service="a"}
+# TYPE pollenlb_refused_items_total counter
+pollenlb_refused_items_total{load="b",service="a"} 1.0
+# TYPE pollenlb_refused_items_created
+pollenlb_refused_items_created{load="b",service="a"}
 # TYPE pollenlb_reward_calls_total counter
 pollenlb_reward_calls_total{end="b",service="a"} 1.0
 # TYPE pollenlb_reward_calls_created
@@ -887,6 +897,16 @@
         assert msgspec.msgpack.decode(stored, type=Announcement).software == ""
 
 
+def test_an_order_stored_before_planned_loads_is_read() -> None:
+    sample, *_ = _encoded("order_record", MSGPACK)
+    fields = msgspec.msgpack.decode(sample)
+    stored = msgspec.msgpack.encode(
+        {name: fields[name] for name in ("fencing", "at_ms")}
+    )
+    record = msgspec.msgpack.decode(stored, type=OrderRecord)
+    assert (record.boot, record.model, record.version) == ("", "", 0)
+
+
 def test_the_log_holds_every_command() -> None:
     proposals = _decoded("proposal", Proposal, MSGPACK)
     assert [encode_proposal(proposal) for proposal in proposals] == _encoded(
@@ -924,7 +944,8 @@
         fresh = msgspec.structs.replace(proposal, command_id=None)
         machine.apply(index, encode_proposal(fresh))
     versions, _ = msgspec.msgpack.decode(machine.snapshot())
-    assert set(versions) == {"configuration", "directory", "ledger", "quarantine"}
+    tables = {"configuration", "directory", "ledger", "quarantine", "loads"}
+    assert set(versions) == tables
 
 
 async def _write_folder(folder: Path) -> None:
@@ -1011,6 +1032,7 @@
     metrics.hedges.labels("a").inc()
     metrics.samples.labels("a", "b").inc()
     metrics.items.labels("a", "b").inc()
+    metrics.refused_items.labels("a", "b").inc()
     metrics.reward_calls.labels("a", "b").inc()
     metrics.unknown_fields.labels("a").inc()
     metrics.refused_keys.labels("a").inc()
