--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -111,6 +111,36 @@
     releases: dict[ModelName, WeightVersion]
 
 
+class PlannedLoad(msgspec.Struct, frozen=True):
+    """A weight version that an engine is about to load or is loading.
+
+    Attributes
+    ----------
+    boot : BootId
+        Process of the engine that loads it.
+    fencing : int
+        Fencing number of the order, which identifies the load.
+    """
+
+    boot: BootId
+    model: ModelName
+    version: WeightVersion
+    fencing: int
+
+
+class LoadsView(msgspec.Struct, frozen=True):
+    """The planned loads of weight versions, for owners of batch jobs.
+
+    Attributes
+    ----------
+    loads : dict
+        Planned load by engine.
+    """
+
+    version: int
+    loads: dict[BackendServerName, PlannedLoad]
+
+
 class JobView(msgspec.Struct, frozen=True):
     """The part of a job's state that entry processes need.
 
@@ -281,6 +311,9 @@
         without one.
     usage_at_s : float
         Wall time at which the requests were counted, in seconds since the epoch.
+    loads : int
+        Version of the planned loads that the entry has; -1 if it does not use
+        them.
     """
 
     entry: EntryInfo
@@ -299,6 +332,7 @@
     usage: dict[UsageWindow, dict[WorkspaceName, int]] = {}
     usage_number: int = 0
     usage_at_s: float = 0.0
+    loads: int = -1
 
 
 class RenewAnswer(msgspec.Struct, frozen=True):
@@ -340,6 +374,7 @@
     packed: dict[str, bytes] = {}
     usage_window_s: float = 0.0
     usage_sealed: UsageWindow = UsageWindow(0)
+    loads: LoadsView | None = None
 
 
 class ReadBatchJob(msgspec.Struct, frozen=True):
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -134,6 +134,7 @@
             usage=usage,
             usage_number=usage_number if context.usage.is_enabled else 0,
             usage_at_s=time.time() if context.usage.is_enabled else 0.0,
+            loads=self._batch_runner.loads_version,
         )
 
     def _apply(self, answer: RenewAnswer, sent_at: float) -> None:
@@ -153,6 +154,8 @@
             context.live_entries.apply(answer.entries)
         if answer.ledger is not None:
             context.ledger = answer.ledger
+        if answer.loads is not None:
+            self._batch_runner.apply_loads(answer.loads)
         if answer.work is not None:
             self._batch_runner.apply(answer.work)
         leased_until = Deadline(sent_at + answer.lease_s)
