Weigh the path to other failure domains when servers are chosen

Cause: servers of all failure domains were alike to an entry, so that most traffic crossed the border between domains, which is slower and costs money. A domain whose own servers are too few must still be able to use the others.

It applies to callers' requests, retries and hedges; items, moves and reward calls weigh the cost in their placement.

Not measured on several machines.

--- a/benchmarks/entries.py
+++ b/benchmarks/entries.py
@@ -23,6 +23,7 @@
 from pollenlb.durable.leases import EntryInfo
 from pollenlb.events import EventLog
 from pollenlb.process.context import EntryContext
+from pollenlb.process.failure_domains import FailureDomains
 from pollenlb.process.metrics import Metrics
 from pollenlb.request.native_dialect import NativeDialect
 from pollenlb.request.sample import SampleItemRunner
@@ -92,6 +93,7 @@
     events = DiscardingEventLog(settings.name, None)
     rng = random.Random(seed * 1000 + number)
     session = FakeSession({f"{server.name}:1": server for server in servers})
+    metrics = Metrics()
     configuration = AppliedConfiguration()
     configuration.apply(ConfigurationView(1, {"services": services}))
     configuration.extend_lease(1e12)
@@ -109,7 +111,7 @@
         dialect=dialect,
         identity=infos[number],
         events=events,
-        metrics=Metrics(),
+        metrics=metrics,
         rng=rng,
         session=session,
         single_use_session=session,
@@ -118,6 +120,7 @@
         stream_origins=StreamOrigins(control, events),
         configuration=configuration,
         directory=directory,
+        failure_domains=FailureDomains(infos[number].failure_domain, metrics, rng),
         live_entries=entries,
         item_runner=SampleItemRunner(),
         ledger=LedgerView(-1, {}),
--- a/benchmarks/fake_servers.py
+++ b/benchmarks/fake_servers.py
@@ -159,6 +159,7 @@
         self.method = "POST"
         self.headers = headers
         self.content_length = len(body)
+        self.total_bytes = len(body)
         self.content = self
         self._body = body
         self._chunks = chunks
@@ -176,6 +177,9 @@
         async for chunk in self._chunks:
             yield chunk
 
+    def on_eof(self, callback: Callable[[], None]) -> None:
+        """Ignore the callback, since nothing depends on it here."""
+
     async def readany(self) -> bytes:
         """Return the next chunk of a stream, or no bytes at its end."""
         assert self._chunks is not None
--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -6,6 +6,7 @@
 import hashlib
 import random
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import aiohttp
 
@@ -39,6 +40,21 @@
 _CONFIRMED_S = 1.0
 
 
+class ServerObserver(Protocol):
+    """Receives what an entry observes of its backend servers."""
+
+    def record_latency(self, server: BackendServer, seconds: float) -> None:
+        """Record the latency of a complete answer to a caller's request."""
+
+    def record_failure(self, server: BackendServer) -> None:
+        """Record a failed request."""
+
+    def record_traffic(
+        self, server: BackendServer, attempts: int, body_bytes: int
+    ) -> None:
+        """Record attempts, or bytes of the bodies of requests and answers."""
+
+
 class BackendServer:
     """Availability, weight version and load of one backend server.
 
@@ -63,6 +79,8 @@
     report_leaving : callable
         Called once with the announcement of a process that says in an answer that it
         leaves.
+    observer : ServerObserver or None
+        Receives observations; None to record none.
     """
 
     def __init__(
@@ -74,7 +92,9 @@
         send_probe: SendProbe,
         limit_shares: LimitShares,
         report_leaving: Callable[[Announcement], None],
+        observer: ServerObserver | None = None,
     ) -> None:
+        self._observer = observer
         self._report_leaving = report_leaving
         self._send_probe = send_probe
         self._announcement = announcement
@@ -192,6 +212,11 @@
         """Load and speed of the backend server, as estimated by this entry."""
         return self._load
 
+    @property
+    def is_far(self) -> bool:
+        """Whether it runs in another failure domain than this entry."""
+        return self._announcement.failure_domain != self._settings.failure_domain
+
     @property
     def affinity(self) -> int:
         """Rank of the backend server for this entry; the highest is preferred.
@@ -257,6 +282,13 @@
         self._backoff_until = Deadline(0.0)
         if latency_s is not None:
             self._load.record_latency(latency_s)
+        if latency_s and self._observer is not None:
+            self._observer.record_latency(self, latency_s)
+
+    def record_traffic(self, attempts: int, body_bytes: int) -> None:
+        """Record attempts here, or bytes of the bodies of requests and answers."""
+        if self._observer is not None:
+            self._observer.record_traffic(self, attempts, body_bytes)
 
     def record_version(self, model: ModelName, version: WeightVersion) -> None:
         """Record the weight version that an answer named.
@@ -289,6 +321,8 @@
         probes, until its backoff ends.
         """
         self._failed_at = now()
+        if self._observer is not None:
+            self._observer.record_failure(self)
         self._usable_until = Deadline(0.0)
         backoff_s = min(_MAX_BACKOFF_S, _MIN_BACKOFF_S * 2**self._consecutive_failures)
         self._consecutive_failures += 1
--- a/pollenlb/connection/directory.py
+++ b/pollenlb/connection/directory.py
@@ -18,7 +18,7 @@
     WeightVersion,
 )
 from ..settings.entry import EntrySettings
-from .backend import BackendServer, SendProbe
+from .backend import BackendServer, SendProbe, ServerObserver
 from .control_api import DirectoryView, LimitGrant, LimitReport
 from .request_limit import LimitShares
 
@@ -41,6 +41,8 @@
         Receives an event for each change of a backend server's state.
     send_probe : callable
         Sends a probe to a backend server.
+    observer : ServerObserver or None
+        Receives what is observed of backend servers.
     """
 
     def __init__(
@@ -49,7 +51,9 @@
         session: aiohttp.ClientSession,
         events: EventLog,
         send_probe: SendProbe,
+        observer: ServerObserver | None = None,
     ) -> None:
+        self._observer = observer
         self._send_probe = send_probe
         self._settings = settings
         self._session = session
@@ -110,6 +114,7 @@
                 self._send_probe,
                 self._limit_shares,
                 self._found_leaving.put_nowait,
+                self._observer,
             )
             if announcement.boot in self._left_boots:
                 server.record_leaving(announcement.boot)
--- a/pollenlb/connection/sessions.py
+++ b/pollenlb/connection/sessions.py
@@ -18,7 +18,7 @@
 
 
 class SendTracker:
-    """Tracks whether any byte of a request may have been sent.
+    """Tracks whether any byte of a request may have been sent, and how many were.
 
     Passed as ``trace_request_ctx`` to a request of a session that
     ``open_session`` returned.
@@ -31,6 +31,7 @@
 
     def __init__(self, service: str = "") -> None:
         self.service = service
+        self.sent_bytes = 0
         self.may_have_been_sent = False
 
 
@@ -124,9 +125,15 @@
         if isinstance(tracker, SendTracker):
             tracker.may_have_been_sent = True
 
+    async def count_bytes(session, context, params) -> None:
+        tracker = context.trace_request_ctx
+        if isinstance(tracker, SendTracker):
+            tracker.sent_bytes += len(params.chunk)
+
     trace = aiohttp.TraceConfig()
     trace.on_request_headers_sent.append(mark_sent)
     trace.on_request_chunk_sent.append(mark_sent)
+    trace.on_request_chunk_sent.append(count_bytes)
     return trace
 
 
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -59,6 +59,9 @@
 _REFUSAL_RETRY_DELAY_S = 0.2
 # Weight of one item in the smoothed number of events per token.
 _LENGTH_SMOOTHING_RATIO = 0.05
+# Weight of one item in the smoothed duration of runs, and its first value.
+_RUN_SMOOTHING_RATIO = 0.05
+_DEFAULT_RUN_S = 1.0
 # Partial output of a released batch job is retained in case the job returns.
 _PARTIAL_RETENTION_S = 30.0
 _COMMIT_TIMEOUT_S = 2.0
@@ -95,6 +98,7 @@
         self._reward_calls = RewardCalls(context)
         self._saver = OutputSaver(context, self._jobs)
         self._events_per_token = 0.0
+        self._run_s = _DEFAULT_RUN_S
         self._refused_at: dict[BackendServerName, float] = {}
         self.engine_became_idle = asyncio.Event()
 
@@ -382,8 +386,15 @@
             free_slots,
             server.load.reported_slowness,
             server.software,
+            far_cost_s=self._far_cost_s(server),
         )
 
+    def _far_cost_s(self, server: BackendServer) -> float:
+        """Return what the path to a server costs, in seconds of waiting."""
+        if not server.is_far:
+            return 0.0
+        return self._context.far_cost_s(server.announcement.service)
+
     def _silence_s(self, server: BackendServerName) -> float:
         """Return the seconds since the last event of any stream at an engine.
 
@@ -418,6 +429,7 @@
                 server.request_limit.allowed_requests,
                 server.software,
                 server.idle_connections,
+                self._far_cost_s(server) / self._run_s,
             )
             for server in servers
         ]
@@ -516,6 +528,7 @@
         self._context.metrics.items.labels(job.spec.service, end.value).inc()
         if end is RunEnd.COMPLETE:
             self._record_length(progress)
+            self._run_s += _RUN_SMOOTHING_RATIO * (now() - started_at - self._run_s)
             self._handle_generated(job, progress, server, started_at)
         elif end is RunEnd.IMPOSSIBLE:
             self._add_result(job, progress, ItemState.EXPIRED)
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -29,6 +29,7 @@
 from ..scheduling.long_slots import allocate_long_slots
 from ..settings.entry import EntrySettings
 from ..version.configuration import AppliedConfiguration
+from .failure_domains import FailureDomains
 from .latencies import RecentLatencies
 from .metrics import Metrics
 
@@ -65,6 +66,8 @@
         Software versions that began the streams of callers.
     directory : BackendDirectory
         Known backend servers and their state.
+    failure_domains : FailureDomains
+        Decides when requests leave the failure domain.
     live_entries : LiveEntries
         Entry processes whose leases have not expired.
     item_runner : ItemRunner
@@ -113,6 +116,7 @@
     configuration: AppliedConfiguration
     stream_origins: StreamOrigins
     directory: BackendDirectory
+    failure_domains: FailureDomains
     live_entries: LiveEntries
     item_runner: ItemRunner
     ledger: LedgerView
@@ -187,6 +191,30 @@
         servers = self.directory.usable_servers(service, software)
         return [server for server in servers if server.name not in drained]
 
+    def far_cost_s(self, service: ServiceName) -> float:
+        """Return what a request to another failure domain costs, in seconds.
+
+        0 stands for a service whose failure domains are ignored.
+        """
+        settings = self.configuration.settings.services.get(service)
+        return settings.far_cost_s if settings is not None else 0.0
+
+    def choose_server(
+        self, service: ServiceName, servers: list[BackendServer]
+    ) -> BackendServer:
+        """Return the backend server for a request of a caller.
+
+        Parameters
+        ----------
+        service : ServiceName
+            Service of the request.
+        servers : list of BackendServer
+            Those that may get it; at least one.
+        """
+        far_cost_s = self.far_cost_s(service)
+        selected = self.failure_domains.select(service, servers, far_cost_s)
+        return self.choose(selected, self.rng)
+
     def retry_budget(self, service: ServiceName) -> RetryBudget:
         """Return the retry budget of a service, created at its first use."""
         if service not in self.retry_budgets:
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -31,6 +31,7 @@
 from .batch_runner import BatchRunner
 from .context import EntryContext
 from .drain import Drain
+from .failure_domains import FailureDomains
 from .http_server import HttpServer
 from .leaving_reports import LeavingReports
 from .metrics import Metrics
@@ -207,6 +208,7 @@
     table = ConnectionTable(metrics.record_connection)
     max_header_bytes = settings.max_answer_header_bytes
     session = open_session(True, max_header_bytes, table)
+    failure_domains = FailureDomains(identity.failure_domain, metrics, rng)
     configuration = AppliedConfiguration()
     control = ControlConnection(settings.control_addresses, events)
 
@@ -234,7 +236,8 @@
         control=control,
         stream_origins=StreamOrigins(control, events),
         configuration=configuration,
-        directory=BackendDirectory(settings, session, events, probe),
+        directory=BackendDirectory(settings, session, events, probe, failure_domains),
+        failure_domains=failure_domains,
         live_entries=LiveEntries(),
         item_runner=protocol.item_runner,
         ledger=LedgerView(-1, {}),
--- a/pollenlb/process/metrics.py
+++ b/pollenlb/process/metrics.py
@@ -57,6 +57,17 @@
             "Requests to backend servers on an idle connection by service",
             "service",
         )
+        self.domain_attempts = self._counter(
+            "domain_attempts",
+            "Attempts by service and whether they left the failure domain",
+            "service path",
+        )
+        self.domain_bytes = self._counter(
+            "domain_bytes",
+            "Bytes of the bodies of requests and complete answers by service and "
+            "whether they crossed the border of the failure domain",
+            "service path",
+        )
         self.in_flight = Gauge(
             "pollenlb_in_flight", "Requests in flight", registry=self._registry
         )
--- a/pollenlb/process/reward_calls.py
+++ b/pollenlb/process/reward_calls.py
@@ -32,6 +32,11 @@
 # A call avoids a server for this long after an attempt there that failed.
 _AVOID_SERVER_S = 0.5
 _DEFAULT_TIMEOUT_S = 30.0
+# Duration of a call that is taken before the first, the least one, and the weight of
+# one call in its moving average.
+_DEFAULT_CALL_S = 0.1
+_MIN_CALL_S = 0.001
+_CALL_SMOOTHING_RATIO = 0.1
 _MIN_RETRY_DELAY_S = 0.05
 _MAX_RETRY_DELAY_S = 1.0
 # A call without a route waits for so long, in case a change of the configuration
@@ -107,6 +112,7 @@
         self._context = context
         self._waiting: list[_Call] = []
         self._chosen: Counter[BackendServerName] = Counter()
+        self._call_s: dict[ServiceName, float] = {}
         self._timer: asyncio.TimerHandle | None = None
 
     async def run(
@@ -190,6 +196,7 @@
         service = server.announcement.service
         if isinstance(result, Ok):
             metrics.reward_calls.labels(service, "scored").inc()
+            self._record_duration(service, now() - started_at)
             metrics.record_latency(f"{service}/reward", now() - started_at)
             self._context.events.record(
                 "item.scored",
@@ -338,6 +345,19 @@
             self._chosen[server.name] += 1
         call.turn.set_result(server)
 
+    def _far_cost(self, server: BackendServer) -> float:
+        """Return what the path to a server costs, in durations of a call."""
+        if not server.is_far:
+            return 0.0
+        service = server.announcement.service
+        call_s = self._call_s.get(service, _DEFAULT_CALL_S)
+        return self._context.far_cost_s(service) / max(_MIN_CALL_S, call_s)
+
+    def _record_duration(self, service: ServiceName, seconds: float) -> None:
+        known_s = self._call_s.get(service, seconds)
+        change_s = _CALL_SMOOTHING_RATIO * (seconds - known_s)
+        self._call_s[service] = known_s + change_s
+
     def _capacity_of(self, server: BackendServer) -> ScorerCapacity:
         load = server.load
         reserved = load.slots - self._context.max_long_requests(server)
@@ -349,6 +369,7 @@
             max(1.0, load.reported_slowness),
             server.request_limit.allowed_requests - self._chosen[server.name],
             server.idle_connections - self._chosen[server.name],
+            self._far_cost(server),
         )
 
 
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -156,6 +156,10 @@
     except SEND_ERRORS as error:
         operation = f"request to {server.name} (timeout {head_s:.3f} s)"
         return Err(classify_send_error(error, tracker, operation))
+    finally:
+        server.record_traffic(1, tracker.sent_bytes)
+    content = response.content
+    content.on_eof(lambda: server.record_traffic(0, content.total_bytes))
     head = dialect.read_head(attempt.request_id, response.status, response.headers)
     if head.is_leaving:
         server.record_leaving(head.boot or boot)
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -262,6 +262,8 @@
         servers = [server for server in sound if server not in running]
         if is_silent and not servers:
             servers = sound
+        if not is_silent and not self._is_worth_the_path(servers, running):
+            return None
         entries = len(self._context.live_entries.all)
         servers = self._context.admit(servers, entries, self._policy.deadline)
         if not servers or self.is_last_attempt:
@@ -270,10 +272,24 @@
             return None
         self._attempts += 1
         self._context.metrics.hedges.labels(self._service).inc()
-        server = self._context.choose(servers, self._context.rng)
+        server = self._context.choose_server(self._service, servers)
         server.request_limit.spend()
         return server
 
+    def _is_worth_the_path(
+        self, servers: list[BackendServer], running: list[BackendServer]
+    ) -> bool:
+        """Return whether a hedge at some of the servers saves more than it costs.
+
+        A hedge that has to leave the failure domain is worth it once the attempts
+        that it hedges have taken as long as the path costs.
+        """
+        far_cost_s = self._context.far_cost_s(self._service)
+        if not far_cost_s or not all(server.is_far for server in servers):
+            return True
+        waited_s = max(server.load.oldest_request_age_s for server in running)
+        return waited_s >= far_cost_s
+
     def _choose_server(self) -> BackendServer | None:
         self._exhausted_limits = []
         servers = self._candidates()
@@ -312,7 +328,7 @@
         if not within:
             self._exhausted_limits = [server.request_limit for server in eligible]
             return None
-        return self._context.choose(within, self._context.rng)
+        return self._context.choose_server(self._service, within)
 
     async def _wait_for_limits(self, limits: list[RequestLimit]) -> None:
         """Return once one of the limits allows a request.
--- a/pollenlb/scheduling/item_moves.py
+++ b/pollenlb/scheduling/item_moves.py
@@ -85,6 +85,9 @@
         Version of the engine's software.
     version : WeightVersion or None
         Version of the items' model that the engine serves.
+    far_cost_s : float
+        Seconds that the engine must save in addition, as it is in another failure
+        domain; 0 in the entry's own.
     """
 
     server: BackendServerName
@@ -94,6 +97,7 @@
     reported_slowness: float = 0.0
     software: SoftwareVersion = SoftwareVersion("")
     version: WeightVersion | None = None
+    far_cost_s: float = 0.0
 
 
 def typical_event_interval_s(speeds: Sequence[EngineSpeed]) -> float:
@@ -116,6 +120,9 @@
     a resumed stream again within a few milliseconds, so the items with the most
     remaining events move as long as engines that are not slow have free slots.
 
+    Engines of the entry's own failure domain come first, and others only if the move
+    saves more than the path costs.
+
     Items that will finish long before the last item of their batch job stay, as
     each move costs a connection. Items whose run has just started stay, too:
     without this rule, an item moved between engines that were all busy, 13
@@ -140,6 +147,7 @@
     }
     software = {speed.server: speed.software for speed in speeds}
     targets = [speed for speed in speeds if slowness[speed.server] < SLOW_RATIO]
+    targets.sort(key=lambda target: target.far_cost_s)
     free_slots = Counter({target.server: target.free_slots for target in targets})
     longest: dict[BatchJobId, float] = {}
     for item in running:
@@ -166,6 +174,8 @@
                 if free_slots[target.server] > 0
                 and target.software == software[item.server]
                 and item.version in (None, target.version)
+                and _saved_time_s(item, slowness[item.server], typical_s)
+                > _MOVE_COST_S + target.far_cost_s
             ),
             None,
         )
--- a/pollenlb/scheduling/item_placement.py
+++ b/pollenlb/scheduling/item_placement.py
@@ -106,6 +106,9 @@
         Version of the engine's software.
     idle_connections : int
         Connections to the engine that can be reused; falls as items are placed.
+    far_cost : float
+        Cost of using an engine of another failure domain, as a multiple of the usual
+        duration of an item; 0 in the entry's own.
     """
 
     server: BackendServerName
@@ -118,6 +121,7 @@
     allowed_starts: float = math.inf
     software: SoftwareVersion = SoftwareVersion("")
     idle_connections: int = 0
+    far_cost: float = 0.0
 
     @property
     def free_slots(self) -> int:
@@ -145,6 +149,10 @@
     slot. Otherwise it waits for one or starts over at another engine. This covers a
     server that is lost after all others have loaded the next version.
 
+    An engine of another failure domain gets an item if all engines at home are as
+    much fuller as the path costs, or if the item would wait longer for them than the
+    path costs. So the items that leave are those at the end of the queue.
+
     When all slots are taken, items wait here and not in an engine's queue, from
     which they could not be moved to another engine.
 
@@ -158,6 +166,7 @@
         Number of running items by batch job.
     """
     placed: list[tuple[K, BackendServerName]] = []
+    held_count = 0
     for item in _sort_by_priority(waiting, running):
         eligible = [
             engine
@@ -177,6 +186,9 @@
         chosen = min(
             continuing or eligible, key=lambda engine: _placement_cost(engine, item)
         )
+        if chosen.far_cost and chosen.far_cost > _near_wait(engines, item, held_count):
+            held_count += 1
+            continue
         chosen.used_slots += 1
         chosen.allowed_starts -= 1
         chosen.idle_connections -= 1
@@ -185,6 +197,36 @@
     return placed
 
 
+def _near_wait(
+    engines: Sequence[EngineCapacity], item: WaitingItem, held_count: int
+) -> float:
+    """Return how long an item waits for the entry's own failure domain.
+
+    It is a multiple of the usual duration of an item; infinite while a slot is free
+    there, so that the costs decide, and if no engine there can run the item.
+
+    Parameters
+    ----------
+    engines : sequence of EngineCapacity
+        All engines.
+    item : WaitingItem
+        The item.
+    held_count : int
+        Items that wait for a slot in the own failure domain already.
+    """
+    near = [
+        engine
+        for engine in engines
+        if not engine.far_cost
+        and engine.version >= item.least_version
+        and engine.server not in item.avoided
+    ]
+    if any(engine.free_slots for engine in near):
+        return math.inf
+    slots = sum(engine.slots / engine.slowness for engine in near)
+    return (held_count + 1) / slots if slots else math.inf
+
+
 def _can_continue(engine: EngineCapacity, item: WaitingItem) -> bool:
     """Return whether an engine can go on with the output of an item."""
     has_same_weights = item.version in (None, engine.version)
@@ -227,6 +269,7 @@
         cost -= _SHARED_PROMPT_DISCOUNT
     if engine.idle_connections > 0:
         cost -= _IDLE_CONNECTION_DISCOUNT
+    cost += engine.far_cost
     return cost
 
 
--- a/pollenlb/scheduling/reward_placement.py
+++ b/pollenlb/scheduling/reward_placement.py
@@ -58,6 +58,9 @@
         placed, and is infinite without a limit.
     idle_connections : int
         Connections to the server that can be reused; falls as calls are placed.
+    far_cost : float
+        Cost of using a server of another failure domain, as a multiple of the usual
+        duration of a call; 0 in the entry's own.
     """
 
     server: BackendServerName
@@ -66,6 +69,7 @@
     slowness: float = 1.0
     allowed_starts: float = math.inf
     idle_connections: int = 0
+    far_cost: float = 0.0
 
     @property
     def is_free(self) -> bool:
@@ -78,7 +82,7 @@
 
         A full server of usual speed costs 2. An idle connection saves a little.
         """
-        cost = self.slowness * (1 + self.used_slots / self.slots)
+        cost = self.slowness * (1 + self.used_slots / self.slots) + self.far_cost
         return cost - (_IDLE_CONNECTION_DISCOUNT if self.idle_connections > 0 else 0)
 
 
@@ -91,6 +95,9 @@
     long as the callers' requests at the same servers. So calls wait here and not in
     a server's queue, and leave the slots alone that are reserved for callers.
 
+    A server of another failure domain gets a call if those at home are as much fuller
+    as the path costs, or if the call would wait longer for them than the path costs.
+
     A trainer uses complete groups, so the batch job with the earlier due time comes
     first, and within it the group that lacks the fewest results.
 
@@ -102,6 +109,7 @@
         Servers of that service; changed in place.
     """
     placed: list[tuple[K, BackendServerName]] = []
+    held_count = 0
     for call in sorted(waiting, key=lambda call: (call.due_at, call.missing_items)):
         free = [server for server in servers if server.is_free]
         if not free:
@@ -110,8 +118,30 @@
         if not eligible:
             continue
         chosen = min(eligible, key=lambda server: server.cost)
+        if chosen.far_cost and chosen.far_cost > _near_wait(servers, call, held_count):
+            held_count += 1
+            continue
         chosen.used_slots += 1
         chosen.allowed_starts -= 1
         chosen.idle_connections -= 1
         placed.append((call.key, chosen.server))
     return placed
+
+
+def _near_wait(
+    servers: Sequence[ScorerCapacity], call: WaitingCall, held_count: int
+) -> float:
+    """Return how long a call waits for the entry's own failure domain.
+
+    It is a multiple of the usual duration of a call; infinite while a server is free
+    there, so that the costs decide, and if none there can take the call.
+    """
+    near = [
+        server
+        for server in servers
+        if not server.far_cost and server.server not in call.avoided
+    ]
+    if any(server.is_free for server in near):
+        return math.inf
+    slots = sum(server.slots / server.slowness for server in near)
+    return (held_count + 1) / slots if slots else math.inf
--- a/pollenlb/settings/cluster.py
+++ b/pollenlb/settings/cluster.py
@@ -55,6 +55,10 @@
     models: Option[list] = ListOf(Text(), default=[])
     """Models that its engines can load; if empty, one model with the service's name."""
 
+    far_cost_s = Number(0, 60, 0.0)
+    """Seconds of waiting that a request to another failure domain is worth; 0 ignores
+    failure domains."""
+
     max_connections = Integer(1, 1_000_000, 100_000)
     """Connections that a backend server accepts from all instances in total."""
 
--- a/tests/local_system.py
+++ b/tests/local_system.py
@@ -302,12 +302,12 @@
         return engine
 
     async def add_plain_service(
-        self, name: str, is_relayed: bool = False
+        self, name: str, is_relayed: bool = False, domain: str = "north"
     ) -> FakePlainService:
         """Start a fake plain service, which announces a relay's port if relayed."""
         (port,) = free_ports(1)
         plain_service = FakePlainService(
-            name, "shop", "north", port, self._entry_urls(), slots=8
+            name, "shop", domain, port, self._entry_urls(), slots=8
         )
         if is_relayed:
             plain_service.announced_port = (await self.add_relay(port)).port
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -605,6 +605,7 @@
             "drained",
             "health_path",
             "models",
+            "far_cost_s",
             "max_connections",
         ],
         {"kind": ("engine", "plain")},
@@ -747,6 +748,14 @@
 pollenlb_reused_connections_total{service="a"} 1.0
 # TYPE pollenlb_reused_connections_created
 pollenlb_reused_connections_created{service="a"}
+# TYPE pollenlb_domain_attempts_total counter
+pollenlb_domain_attempts_total{path="b",service="a"} 1.0
+# TYPE pollenlb_domain_attempts_created
+pollenlb_domain_attempts_created{path="b",service="a"}
+# TYPE pollenlb_domain_bytes_total counter
+pollenlb_domain_bytes_total{path="b",service="a"} 1.0
+# TYPE pollenlb_domain_bytes_created
+pollenlb_domain_bytes_created{path="b",service="a"}
 # TYPE pollenlb_in_flight gauge
 pollenlb_in_flight 2.0
 """
@@ -1037,6 +1046,8 @@
     metrics.refused_keys.labels("a").inc()
     metrics.opened_connections.labels("a", "b").inc()
     metrics.reused_connections.labels("a").inc()
+    metrics.domain_attempts.labels("a", "b").inc()
+    metrics.domain_bytes.labels("a", "b").inc()
     metrics.in_flight.set(2)
     lines = metrics.exposition().decode().splitlines()
     stable_lines = [
