--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import random
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import aiohttp
 
@@ -23,6 +25,7 @@
 from .backend_api import ProbeAnswer
 from .load import ServerLoad
 from .request_limit import LimitShares, RequestLimit
+from .sessions import idle_connections
 
 SendProbe = Callable[
     [aiohttp.ClientSession, Announcement, float], Awaitable[ProbeAnswer | None]
@@ -37,6 +40,21 @@
 _CONFIRMED_S = 1.0
 
 
+class ServerObserver(Protocol):
+    """Receives what an entry observes of its backend servers."""
+
+    def record_latency(self, server: BackendServer, seconds: float) -> None:
+        """Record the latency of a complete answer to a caller's request."""
+
+    def record_failure(self, server: BackendServer) -> None:
+        """Record a failed request."""
+
+    def record_traffic(
+        self, server: BackendServer, attempts: int, body_bytes: int
+    ) -> None:
+        """Record attempts, or bytes of the bodies of requests and answers."""
+
+
 class BackendServer:
     """Availability, weight version and load of one backend server.
 
@@ -61,6 +79,8 @@
     report_leaving : callable
         Called once with the announcement of a process that says in an answer that it
         leaves.
+    observer : ServerObserver or None
+        Receives observations; None to record none.
     """
 
     def __init__(
@@ -72,7 +92,9 @@
         send_probe: SendProbe,
         limit_shares: LimitShares,
         report_leaving: Callable[[Announcement], None],
+        observer: ServerObserver | None = None,
     ) -> None:
+        self._observer = observer
         self._report_leaving = report_leaving
         self._send_probe = send_probe
         self._announcement = announcement
@@ -85,6 +107,7 @@
         self._version: WeightVersion | None = None
         self._answered_versions: dict[ModelName, WeightVersion] = {}
         self._load = ServerLoad(announcement.slots)
+        self._affinity = _rendezvous_weight(settings.name, announcement.server)
         self._request_limit = RequestLimit(
             announcement.server, limit_shares, random.Random()
         )
@@ -189,6 +212,24 @@
         """Load and speed of the backend server, as estimated by this entry."""
         return self._load
 
+    @property
+    def is_far(self) -> bool:
+        """Whether it runs in another failure domain than this entry."""
+        return self._announcement.failure_domain != self._settings.failure_domain
+
+    @property
+    def affinity(self) -> int:
+        """Rank of the backend server for this entry; the highest is preferred.
+
+        It is fixed for the pair of names, and entries rank servers independently.
+        """
+        return self._affinity
+
+    @property
+    def idle_connections(self) -> int:
+        """Number of this entry's idle connections to the backend server."""
+        return idle_connections(self._session, self._announcement.address)
+
     @property
     def request_limit(self) -> RequestLimit:
         """Limit on the requests a second that it takes from all entries."""
@@ -241,6 +282,13 @@
         self._backoff_until = Deadline(0.0)
         if latency_s is not None:
             self._load.record_latency(latency_s)
+        if latency_s and self._observer is not None:
+            self._observer.record_latency(self, latency_s)
+
+    def record_traffic(self, attempts: int, body_bytes: int) -> None:
+        """Record attempts here, or bytes of the bodies of requests and answers."""
+        if self._observer is not None:
+            self._observer.record_traffic(self, attempts, body_bytes)
 
     def record_version(self, model: ModelName, version: WeightVersion) -> None:
         """Record the weight version that an answer named.
@@ -273,6 +321,8 @@
         probes, until its backoff ends.
         """
         self._failed_at = now()
+        if self._observer is not None:
+            self._observer.record_failure(self)
         self._usable_until = Deadline(0.0)
         backoff_s = min(_MAX_BACKOFF_S, _MIN_BACKOFF_S * 2**self._consecutive_failures)
         self._consecutive_failures += 1
@@ -393,3 +443,8 @@
             self._was_usable = self.is_usable
             kind = "server.usable" if self._was_usable else "server.unusable"
             self._events.record(kind, server=self.name)
+
+
+def _rendezvous_weight(entry: str, server: BackendServerName) -> int:
+    digest = hashlib.blake2b(f"{entry}\n{server}".encode(), digest_size=8)
+    return int.from_bytes(digest.digest(), "big")
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -57,6 +57,9 @@
 _CONTINUATION_WAIT_S = 1.0
 # Weight of one item in the smoothed number of events per token.
 _LENGTH_SMOOTHING_RATIO = 0.05
+# Weight of one item in the smoothed duration of runs, and its first value.
+_RUN_SMOOTHING_RATIO = 0.05
+_DEFAULT_RUN_S = 1.0
 # Partial output of a released batch job is retained in case the job returns.
 _PARTIAL_RETENTION_S = 30.0
 _COMMIT_TIMEOUT_S = 2.0
@@ -95,6 +98,7 @@
         self._events_per_token = 0.0
         self._availability = EngineAvailability()
         self._loads_version = 0
+        self._run_s = _DEFAULT_RUN_S
         self.engine_became_idle = asyncio.Event()
 
     @property
@@ -388,8 +392,15 @@
             free_slots,
             server.load.reported_slowness,
             server.software,
+            far_cost_s=self._far_cost_s(server),
         )
 
+    def _far_cost_s(self, server: BackendServer) -> float:
+        """Return what the path to a server costs, in seconds of waiting."""
+        if not server.is_far:
+            return 0.0
+        return self._context.far_cost_s(server.announcement.service)
+
     def _silence_s(self, server: BackendServerName) -> float:
         """Return the seconds since the last event of any stream at an engine.
 
@@ -423,6 +434,8 @@
                 self._groups_at(server.name),
                 server.request_limit.allowed_requests,
                 server.software,
+                server.idle_connections,
+                self._far_cost_s(server) / self._run_s,
             )
             for server in servers
         ]
@@ -507,6 +520,7 @@
         self._context.metrics.items.labels(job.spec.service, end.value).inc()
         if end is RunEnd.COMPLETE:
             self._record_length(progress)
+            self._run_s += _RUN_SMOOTHING_RATIO * (now() - started_at - self._run_s)
             self._handle_generated(job, progress, server, started_at)
         elif end is RunEnd.IMPOSSIBLE:
             self._add_result(job, progress, ItemState.EXPIRED)
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -29,6 +29,7 @@
 from ..scheduling.long_slots import allocate_long_slots
 from ..settings.entry import EntrySettings
 from ..version.configuration import AppliedConfiguration
+from .failure_domains import FailureDomains
 from .latencies import RecentLatencies
 from .metrics import Metrics
 from .usage_meter import UsageMeter
@@ -54,7 +55,10 @@
     session : aiohttp.ClientSession
         Client session with a connection pool.
     single_use_session : aiohttp.ClientSession
-        Client session that opens a connection for each request.
+        Client session that opens a connection for each request, for requests that
+        must not run twice.
+    after_timeout_session : aiohttp.ClientSession
+        The same for attempts after a timeout, since idle connections may be dead.
     control : ControlConnection
         Connection to the control instances.
     configuration : AppliedConfiguration
@@ -63,6 +67,8 @@
         Software versions that began the streams of callers.
     directory : BackendDirectory
         Known backend servers and their state.
+    failure_domains : FailureDomains
+        Decides when requests leave the failure domain.
     live_entries : LiveEntries
         Entry processes whose leases have not expired.
     item_runner : ItemRunner
@@ -108,10 +114,12 @@
     rng: random.Random
     session: aiohttp.ClientSession
     single_use_session: aiohttp.ClientSession
+    after_timeout_session: aiohttp.ClientSession
     control: ControlConnection
     configuration: AppliedConfiguration
     stream_origins: StreamOrigins
     directory: BackendDirectory
+    failure_domains: FailureDomains
     live_entries: LiveEntries
     item_runner: ItemRunner
     ledger: LedgerView
@@ -187,6 +195,30 @@
         servers = self.directory.usable_servers(service, software)
         return [server for server in servers if server.name not in drained]
 
+    def far_cost_s(self, service: ServiceName) -> float:
+        """Return what a request to another failure domain costs, in seconds.
+
+        0 stands for a service whose failure domains are ignored.
+        """
+        settings = self.configuration.settings.services.get(service)
+        return settings.far_cost_s if settings is not None else 0.0
+
+    def choose_server(
+        self, service: ServiceName, servers: list[BackendServer]
+    ) -> BackendServer:
+        """Return the backend server for a request of a caller.
+
+        Parameters
+        ----------
+        service : ServiceName
+            Service of the request.
+        servers : list of BackendServer
+            Those that may get it; at least one.
+        """
+        far_cost_s = self.far_cost_s(service)
+        selected = self.failure_domains.select(service, servers, far_cost_s)
+        return self.choose(selected, self.rng)
+
     def retry_budget(self, service: ServiceName) -> RetryBudget:
         """Return the retry budget of a service, created at its first use."""
         if service not in self.retry_budgets:
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -16,7 +16,8 @@
 from ..connection.control_api import LedgerView, QuarantineView
 from ..connection.directory import BackendDirectory
 from ..connection.entries import LiveEntries
-from ..connection.sessions import open_session
+from ..connection.pool import ConnectionTable, OpeningReason
+from ..connection.sessions import open_session, open_single_use_session
 from ..connection.stream_origins import StreamOrigins
 from ..durable.configuration_commands import Announcement
 from ..durable.leases import EntryInfo
@@ -30,6 +31,7 @@
 from .batch_runner import BatchRunner
 from .context import EntryContext
 from .drain import Drain
+from .failure_domains import FailureDomains
 from .http_server import HttpServer
 from .leaving_reports import LeavingReports
 from .metrics import Metrics
@@ -151,6 +153,7 @@
         await context.control.close()
         await context.session.close()
         await context.single_use_session.close()
+        await context.after_timeout_session.close()
         context.events.record("entry.stopped")
         context.events.close()
 
@@ -202,7 +205,11 @@
         Address(settings.listen),
         FailureDomain(settings.failure_domain),
     )
-    session = open_session(True, settings.max_answer_header_bytes)
+    metrics = Metrics()
+    table = ConnectionTable(metrics.record_connection)
+    max_header_bytes = settings.max_answer_header_bytes
+    session = open_session(True, max_header_bytes, table)
+    failure_domains = FailureDomains(identity.failure_domain, metrics, rng)
     configuration = AppliedConfiguration()
     control = ControlConnection(settings.control_addresses, events)
     metrics = Metrics()
@@ -222,11 +229,17 @@
         metrics=metrics,
         rng=rng,
         session=session,
-        single_use_session=open_session(False, settings.max_answer_header_bytes),
+        single_use_session=open_single_use_session(
+            session, max_header_bytes, OpeningReason.SINGLE_USE
+        ),
+        after_timeout_session=open_single_use_session(
+            session, max_header_bytes, OpeningReason.AFTER_TIMEOUT
+        ),
         control=control,
         stream_origins=StreamOrigins(control, events),
         configuration=configuration,
-        directory=BackendDirectory(settings, session, events, probe),
+        directory=BackendDirectory(settings, session, events, probe, failure_domains),
+        failure_domains=failure_domains,
         live_entries=LiveEntries(),
         item_runner=protocol.item_runner,
         ledger=LedgerView(-1, {}),
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -78,6 +78,7 @@
     TokenOrigin,
 )
 from pollenlb.connection.operator import QueryFailure
+from pollenlb.connection.pool import OpeningReason
 from pollenlb.connection.rpc import CallFailure, Method
 from pollenlb.connection.trainer_messages import (
     DeliveredBatch,
@@ -495,6 +496,18 @@
     (EntryKind, {"command", "members", "no-op"}),
     (ItemState, {"completed", "expired"}),
     (KeyState, {"claimed", "ran", "unknown"}),
+    (
+        OpeningReason,
+        {
+            "abandoned",
+            "after-timeout",
+            "closed-by-server",
+            "first",
+            "idle-expired",
+            "none-idle",
+            "single-use",
+        },
+    ),
     (OrderKind, {"swap"}),
     (OrderOutcome, {"accepted", "holds", "refused", "unknown"}),
     (Outcome, {"not-run", "ran", "unknown"}),
@@ -628,6 +641,7 @@
             "drained",
             "health_path",
             "models",
+            "far_cost_s",
             "max_connections",
         ],
         {"kind": ("engine", "plain")},
@@ -773,6 +787,22 @@
 pollenlb_usage_total{action="a"} 1.0
 # TYPE pollenlb_usage_created
 pollenlb_usage_created{action="a"}
+# TYPE pollenlb_opened_connections_total counter
+pollenlb_opened_connections_total{reason="b",service="a"} 1.0
+# TYPE pollenlb_opened_connections_created
+pollenlb_opened_connections_created{reason="b",service="a"}
+# TYPE pollenlb_reused_connections_total counter
+pollenlb_reused_connections_total{service="a"} 1.0
+# TYPE pollenlb_reused_connections_created
+pollenlb_reused_connections_created{service="a"}
+# TYPE pollenlb_domain_attempts_total counter
+pollenlb_domain_attempts_total{path="b",service="a"} 1.0
+# TYPE pollenlb_domain_attempts_created
+pollenlb_domain_attempts_created{path="b",service="a"}
+# TYPE pollenlb_domain_bytes_total counter
+pollenlb_domain_bytes_total{path="b",service="a"} 1.0
+# TYPE pollenlb_domain_bytes_created
+pollenlb_domain_bytes_created{path="b",service="a"}
 # TYPE pollenlb_in_flight gauge
 pollenlb_in_flight 2.0
 """
@@ -1074,6 +1104,10 @@
     metrics.unknown_fields.labels("a").inc()
     metrics.refused_keys.labels("a").inc()
     metrics.usage.labels("a").inc()
+    metrics.opened_connections.labels("a", "b").inc()
+    metrics.reused_connections.labels("a").inc()
+    metrics.domain_attempts.labels("a", "b").inc()
+    metrics.domain_bytes.labels("a", "b").inc()
     metrics.in_flight.set(2)
     lines = metrics.exposition().decode().splitlines()
     stable_lines = [
