Order callers' requests of workspaces by priority and share at an entry

When servers were busy, an entry refused a request at once, whoever sent it, and servers queued the others in order of arrival. One workspace that sent many requests got most of the slots.

Where callers need keys, requests of plain and engine services and streams now wait at the entry, which lets only one request for each server wait there. They are sent by priority, then by share. Retry-After gives each refusal of a workspace the next turn of its share. A caller that comes back to the same entry goes before new requests of its workspace. A request that a server refused gives up its turn. Long requests wait for their slots as before. Without workspaces no queue exists.

--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -22,13 +22,14 @@
 from ..request.caller_request import RequestClass
 from ..request.dialect import Dialect
 from ..request.item_progress import ItemRunner
-from ..scheduling.admission import AdmissionPolicy, admissible_servers
+from ..scheduling.admission import AdmissionPolicy, admissible_servers, free_places
 from ..scheduling.budget import RetryBudget
 from ..scheduling.choice import ChoicePolicy, choose_server
 from ..scheduling.item_placement import PlacementPolicy, place_items
 from ..scheduling.long_slots import allocate_long_slots
 from ..settings.entry import EntrySettings
 from ..version.configuration import AppliedConfiguration
+from .caller_queue import CallerQueue
 from .latencies import RecentLatencies
 from .metrics import Metrics
 
@@ -95,6 +96,8 @@
         When requests of callers must have ended; infinite before a shutdown.
     durations : dict
         Recent durations of requests that ran, by service and class.
+    caller_queues : dict
+        Requests that wait for their turn, by service; empty without workspaces.
     """
 
     settings: EntrySettings
@@ -127,6 +130,7 @@
     durations: dict[tuple[ServiceName, RequestClass], RecentLatencies] = field(
         default_factory=dict
     )
+    caller_queues: dict[ServiceName, CallerQueue] = field(default_factory=dict)
 
     @property
     def accepts_requests(self) -> bool:
@@ -189,6 +193,22 @@
             self.retry_budgets[service] = RetryBudget()
         return self.retry_budgets[service]
 
+    def caller_queue(self, service: ServiceName) -> CallerQueue:
+        """Return the queue of callers' requests, created at its first use."""
+        if service not in self.caller_queues:
+
+            def count_room() -> int:
+                return self._count_places(service)
+
+            self.caller_queues[service] = CallerQueue(self.rng, count_room)
+        return self.caller_queues[service]
+
+    def _count_places(self, service: ServiceName) -> int:
+        """Return how many callers' requests may be sent to a service now."""
+        entries = len(self.live_entries.all)
+        servers = self.admit(self.usable_servers(service), entries, Deadline(math.inf))
+        return free_places(servers, entries)
+
     def recent_latencies(self, service: ServiceName) -> RecentLatencies:
         """Return the recent latencies of a service, created at their first use."""
         if service not in self.latencies:
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -59,6 +59,12 @@
     is_output_invalid: bool = False
     retry_after_s: float | None = None
 
+    @property
+    def is_refusal(self) -> bool:
+        """Whether the backend server refused to run the request now."""
+        is_other = self.is_connection_lost or self.is_timeout or self.is_other_server
+        return self.outcome is Outcome.NOT_RUN and not is_other
+
 
 @dataclass
 class Attempt:
--- a/pollenlb/request/completion.py
+++ b/pollenlb/request/completion.py
@@ -14,6 +14,7 @@
 from .caller_request import CallerRequest
 from .generation import Generation, generate
 from .outcome import SERVER_HEADER, VERSIONS_HEADER, Outcome, RefusedError, bad_request
+from .turns import queue_request
 
 
 async def answer_completion(
@@ -39,6 +40,7 @@
         is_repeatable=caller.is_repeatable,
         is_delivered=bool(body.get("stream")),
         workspace=caller.workspace,
+        queued=queue_request(caller, context),
     )
     if body.get("stream"):
         return await _answer_stream(caller, generation, context)
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -33,6 +33,7 @@
     WeightVersion,
     WorkspaceName,
 )
+from ..process.caller_queue import QueuedRequest
 from ..process.context import EntryContext
 from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailure, send_attempt
 from .caller_request import RequestClass
@@ -92,6 +93,8 @@
         Whether the events are sent to the caller as they arrive.
     workspace : WorkspaceName or None
         Workspace for which it runs; None without one.
+    queued : QueuedRequest or None
+        The request in the queue of its service; None if it does not wait there.
     """
 
     request_id: RequestId
@@ -110,6 +113,7 @@
     software: SoftwareVersion | None = None
     is_delivered: bool = False
     workspace: WorkspaceName | None = None
+    queued: QueuedRequest | None = None
 
     @property
     def fingerprint(self) -> Fingerprint:
@@ -181,6 +185,7 @@
             generation.request_class,
             generation.is_repeatable,
             generation.least_version,
+            queued=generation.queued,
         ),
     )
     while True:
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -28,6 +28,7 @@
 from .hedging import may_hedge, send_hedged
 from .outcome import Outcome, Refusal, RefusedError
 from .retries import Retries, RetryPolicy
+from .turns import queue_request
 
 _HOP_BY_HOP = frozenset(
     (
@@ -102,6 +103,7 @@
         caller.is_repeatable,
         retry_share=caller.route.retry_share,
         max_attempts=caller.route.max_attempts,
+        queued=queue_request(caller, context),
     )
     retries = Retries(
         context, caller.service_name, caller.request_id, caller.fingerprint, policy
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -19,6 +19,7 @@
     SoftwareVersion,
     WeightVersion,
 )
+from ..process.caller_queue import QueuedRequest, TurnRefusedError
 from ..process.context import EntryContext
 from ..scheduling.admission import retry_after_s
 from ..scheduling.choice import is_slow, typical_latency_s
@@ -56,6 +57,9 @@
         Whether a server whose attempt failed may get the request again once
         all others have failed, too. A stream that resumes where it was
         interrupted may.
+    queued : QueuedRequest or None
+        The request in the queue of its service; None if it does not wait for its
+        turn among workspaces.
     """
 
     deadline: Deadline
@@ -65,6 +69,7 @@
     retry_share: float = 0.1
     max_attempts: int = 4
     may_reuse_failed_servers: bool = False
+    queued: QueuedRequest | None = None
 
 
 class Retries:
@@ -149,6 +154,7 @@
             servers.
         """
         while True:
+            await self._wait_for_turn()
             server = self._choose_server()
             if server is not None and await self._try_start(server):
                 server.request_limit.spend()
@@ -173,6 +179,10 @@
     async def record_success(self, server: BackendServer) -> None:
         """Record that an attempt gave an answer, and clear a suspect."""
         self._context.metrics.attempts.labels(self._service, "whole").inc()
+        if self._policy.queued is not None:
+            load = server.load
+            queue = self._context.caller_queue(self._service)
+            queue.record_answer(load.in_flight_per_slot, load.slots)
         await self._trial.end(TrialEnd.CLEARED)
 
     async def record_abandonment(self) -> None:
@@ -218,6 +228,8 @@
         self._may_have_run = self._may_have_run or is_sent
         self._last_failure = failure
         self._record_failed_attempt(server, failure)
+        if failure.is_refusal:
+            self._record_full_server()
         if failure.is_other_server:
             server.record_failure()
         if failure.is_connection_lost and not is_sent:
@@ -272,6 +284,37 @@
         server.request_limit.spend()
         return server
 
+    async def _wait_for_turn(self) -> None:
+        """Return once the request may be sent, which is at once without workspaces.
+
+        Raises
+        ------
+        RefusedError
+            When other requests are served before it for too long.
+        """
+        queued = self._policy.queued
+        if queued is None or queued.has_turn:
+            return
+        if not self._context.usable_servers(self._service):
+            return
+        try:
+            await self._context.caller_queue(self._service).wait_for_turn(queued)
+        except TurnRefusedError as error:
+            reason = f"{self._service}: {error}"
+            raise self._refused_error(503, reason, error.retry_after_s) from error
+
+    def _record_full_server(self) -> None:
+        if self._policy.queued is not None:
+            queue = self._context.caller_queue(self._service)
+            queue.record_full_server(self._policy.queued)
+
+    def _retry_after_s(self, otherwise_s: float | None) -> float | None:
+        """Return when a caller may come back that met full servers."""
+        if self._policy.queued is None:
+            return otherwise_s
+        queue = self._context.caller_queue(self._service)
+        return queue.retry_after_s(self._policy.queued)
+
     def _choose_server(self) -> BackendServer | None:
         self._exhausted_limits = []
         servers = self._candidates()
@@ -293,10 +336,11 @@
             entries = len(self._context.live_entries.all)
             admissible = self._context.admit(eligible, entries, self._policy.deadline)
             if not admissible:
+                self._record_full_server()
                 raise self._refused_error(
                     503,
                     f"every eligible backend server of {self._service} is overloaded",
-                    retry_after_s(eligible),
+                    self._retry_after_s(retry_after_s(eligible)),
                 )
             eligible = admissible
         return self._choose_within_limits(eligible)
@@ -336,6 +380,7 @@
             waiting[self._service] -= 1
 
     def _limit_error(self, limits: list[RequestLimit]) -> RefusedError:
+        self._record_full_server()
         return self._refused_error(
             503,
             f"every eligible backend server of {self._service} has reached the limit "
@@ -399,7 +444,10 @@
             raise self._refused_error(status, failure.reason)
         is_exhausted = self._attempts >= policy.max_attempts
         if is_exhausted or not self._context.retry_budget(self._service).try_spend():
-            raise self._refused_error(status, failure.reason, failure.retry_after_s)
+            after_s = failure.retry_after_s
+            if failure.is_refusal:
+                after_s = self._retry_after_s(after_s)
+            raise self._refused_error(status, failure.reason, after_s)
         self._context.metrics.retries.labels(self._service).inc()
 
     def _failure_status(self, failure: AttemptFailure) -> int:
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -21,6 +21,7 @@
 from .passthrough import answer_headers, request_headers
 from .process_check import check_process
 from .retries import Retries, RetryPolicy
+from .turns import queue_request
 
 _EVENT_END = b"\n\n"
 
@@ -54,6 +55,7 @@
                 retry_share=caller.route.retry_share,
                 max_attempts=caller.route.max_attempts,
                 may_reuse_failed_servers=caller.route.resumable,
+                queued=queue_request(caller, context),
             ),
         )
 
--- a/pollenlb/scheduling/admission.py
+++ b/pollenlb/scheduling/admission.py
@@ -22,6 +22,9 @@
 # Multiplies the share of one entry at a lightly loaded backend server.
 _LIGHT_LOAD_FACTOR = 4
 _MIN_RETRY_AFTER_S = 1.0
+# Requests that an entry lets wait at a backend server where it orders waiting requests
+# itself: one, so that a slot is used again at once.
+_QUEUED_AT_SERVER = 1
 
 
 def admissible_servers(
@@ -59,6 +62,24 @@
     ]
 
 
+def free_places(servers: Sequence[BackendServer], entries: int) -> int:
+    """Return how many requests this entry may send now, so that few wait at servers.
+
+    What waits at a server can neither be served in another order nor be refused.
+
+    Parameters
+    ----------
+    servers : sequence of BackendServer
+        Servers that may get new requests.
+    entries : int
+        Number of entry processes that send to the same servers.
+    """
+    return sum(
+        max(0, _max_places(server, entries) - server.load.in_flight)
+        for server in servers
+    )
+
+
 def retry_after_s(servers: Sequence[BackendServer]) -> float:
     """Return the seconds after which the caller may retry a refused request.
 
@@ -71,6 +92,14 @@
     return max(_MIN_RETRY_AFTER_S, load_per_slot * typical_latency_s(servers))
 
 
+def _max_places(server: BackendServer, entries: int) -> int:
+    places = server.load.slots + _QUEUED_AT_SERVER
+    share = max(_MIN_ENTRY_SHARE_COUNT, math.ceil(places / max(1, entries)))
+    if server.load.in_flight_per_slot < LIGHT_LOAD_PER_SLOT_RATIO:
+        share *= _LIGHT_LOAD_FACTOR
+    return min(places, share)
+
+
 def _max_in_flight(server: BackendServer, entries: int) -> int:
     share = math.ceil(MAX_REQUESTS_PER_SLOT * server.load.slots / max(1, entries))
     share = max(_MIN_ENTRY_SHARE_COUNT, share)
--- a/pollenlb/scheduling/fair_queue.py
+++ b/pollenlb/scheduling/fair_queue.py
@@ -16,7 +16,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Hashable, Iterable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass, field
 from typing import Generic, NamedTuple, TypeVar
 
@@ -183,27 +183,3 @@
         for flow, tag in tags.items():
             if tag <= virtual_time and flow not in self._flows:
                 del self._finish_tags[flow]
-
-
-def fair_order(
-    requests: Iterable[tuple[K, Flow]], served: Iterable[Flow] = ()
-) -> list[K]:
-    """Return waiting requests in the order in which they are served.
-
-    Parameters
-    ----------
-    requests : iterable of tuple
-        Key and flow of each request, in the order of their arrivals.
-    served : iterable of Flow
-        Flows of the requests that are being served, each once for each request.
-    """
-    queue: FairQueue[K] = FairQueue()
-    for flow in served:
-        tag = queue._finish_tags.get(flow, 0.0)
-        queue._finish_tags[flow] = tag + 1 / flow.weight
-    keys = []
-    for key, flow in requests:
-        queue.add(key, flow)
-    while (key_taken := queue.take()) is not None:
-        keys.append(key_taken)
-    return keys
--- a/pollenlb/scheduling/fair_share.py
+++ b/pollenlb/scheduling/fair_share.py
@@ -35,7 +35,8 @@
 _LESS_URGENT_LENDING_LOAD = -1.0
 # Load that a refusal of a full server counts as, at least.
 _FULL_LOAD = 3.0
-# Load that is assumed without recent reports.
+# Load that is assumed without recent reports. Servers that have never reported any
+# count as idle, so that the order of the waiting requests alone decides.
 _UNKNOWN_LOAD = 0.0
 # Requests are held to shares once this part of the recent ones met a full server, and
 # at least this many. While servers accept nearly all, there is nothing to share, and
@@ -44,7 +45,8 @@
 _MIN_REFUSED_COUNT = 1.5
 # Change of the shares for each unit of load below or above the lending load.
 _CAPACITY_PER_LOAD = 0.5
-_MAX_CAPACITY_GROWTH = 1.3
+_MIN_CAPACITY_FACTOR = 0.5
+_MAX_CAPACITY_FACTOR = 1.3
 # Part of the shares that follows the demand. Without it, an entry that has served few
 # requests by chance would go on with small shares; with it, entries that see the same
 # load of the servers tend to serve the same part of their demand.
@@ -62,6 +64,8 @@
 _MAX_LOAD_VALID_S = 4.0
 # Credit beyond one request, as the time in which it is earned.
 _CREDIT_TIME_S = 0.5
+# Shorter measurements say nothing of the rate at which room appears.
+_MIN_MEASURED_S = 0.1
 # Flows with less decayed demand than this are forgotten.
 _MIN_DEMAND = 0.02
 # Credit that a request needs which comes back after a refusal; a new one needs 1.
@@ -125,6 +129,8 @@
         self._served = _DecayingCount()
         self._lent = _DecayingCount()
         self._refused = _DecayingCount()
+        self._queued_s = _DecayingCount()
+        self._served_from_queue = _DecayingCount()
         self._levels: Mapping[int, float] = {}
         self._served_ratios: Mapping[int, float] = {}
         self._levels_at = -math.inf
@@ -198,6 +204,19 @@
         elif flow in self._credit:
             self._credit[flow].refund()
 
+    def record_queue(self, seconds: float, served: int, at: float) -> None:
+        """Record how many requests got room while others waited for it.
+
+        Parameters
+        ----------
+        seconds : float
+            Time since the last record, during which requests waited.
+        served : int
+            Requests that were sent in that time.
+        """
+        self._queued_s.add(seconds, at)
+        self._served_from_queue.add(served, at)
+
     def may_send(self, flow: Flow, at: float, is_returning: bool = False) -> bool:
         """Return whether a request may be sent now.
 
@@ -220,7 +239,8 @@
         """Return the seconds after which a request is expected to be sent.
 
         Infinite when the measured rate shows that it will not be sent; 0 as long as
-        nothing is known of the rate.
+        nothing is known of the rate. Room for waiting requests appears at the rate
+        measured while others waited, as requests in quiet times say nothing of it.
 
         Parameters
         ----------
@@ -232,13 +252,18 @@
             Whether this entry may have another request at some server.
         """
         if not has_room:
-            return self._wait_at_rate_s(self._served, ahead, at)
+            measured_s = self._queued_s.value(at)
+            if measured_s < _MIN_MEASURED_S:
+                return 0.0
+            # One more could have been served at any moment.
+            served = self._served_from_queue.value(at) + 1
+            return _wait_s(ahead, served / measured_s)
         if self.may_send(flow, at):
             return 0.0
         missing = 1.0 - self._accrued_credit(flow, at)
         per_s = self._share_per_s(flow, at)
         own_share_s = max(0.0, missing) / per_s if per_s > 0 else math.inf
-        return min(own_share_s, self._wait_at_rate_s(self._lent, ahead, at))
+        return min(own_share_s, _wait_s(ahead, self._lent.value(at) / WINDOW_S))
 
     def retry_after_s(self, flow: Flow, at: float) -> float:
         """Return the seconds after which a refused caller may come back.
@@ -246,28 +271,23 @@
         Each refusal of a workspace takes the next turn of its share, so that its
         callers come back at the rate at which they can be served.
         """
-        per_s = self._share_per_s(flow, at)
-        interval_s = 1 / per_s if per_s > 0 else _MAX_RETRY_AFTER_S
+        per_s = min(self._share_per_s(flow, at), self._served.value(at) / WINDOW_S)
+        interval_s = min(_MAX_RETRY_AFTER_S, 1 / per_s if per_s else math.inf)
         earliest = at + _MIN_RETRY_AFTER_S
         turn_at = max(earliest, self._retries_until.get(flow, 0.0))
         if turn_at > at + _MAX_RETRY_AFTER_S:
             return self._rng.uniform(_MIN_RETRY_AFTER_S, _MAX_RETRY_AFTER_S)
         self._retries_until[flow] = turn_at + interval_s
-        spread_s = self._rng.random() * min(interval_s, _MAX_RETRY_AFTER_S)
-        return min(_MAX_RETRY_AFTER_S, turn_at - at + spread_s)
+        return turn_at - at + self._rng.random() * interval_s
 
     def _is_overloaded(self, at: float) -> bool:
         refused = self._refused.value(at)
         least = max(_MIN_REFUSED_COUNT, _OVERLOAD_RATIO * self._served.value(at))
         return refused >= least
 
-    def _wait_at_rate_s(self, count: _DecayingCount, ahead: int, at: float) -> float:
-        if self._served.value(at) < 1.0:
-            return 0.0
-        rate_per_s = count.value(at) / WINDOW_S
-        return (ahead + 1) / rate_per_s if rate_per_s > 0 else math.inf
-
     def _load_now(self, at: float) -> float:
+        if math.isinf(self._load_at):
+            return -math.inf
         valid_s = _LOAD_VALID_INTERVALS * self._report_interval_s
         valid_s = min(_MAX_LOAD_VALID_S, max(_MIN_LOAD_VALID_S, valid_s))
         return self._load if at < self._load_at + valid_s else _UNKNOWN_LOAD
@@ -316,7 +336,8 @@
     def _capacity(self, demand: float, at: float) -> float:
         """Return how many recent requests could have been served."""
         excess = self._load_now(at) - _LENDING_LOAD
-        factor = min(_MAX_CAPACITY_GROWTH, math.exp(-_CAPACITY_PER_LOAD * excess))
+        factor = math.exp(min(1.0, -_CAPACITY_PER_LOAD * excess))
+        factor = max(_MIN_CAPACITY_FACTOR, min(_MAX_CAPACITY_FACTOR, factor))
         served = self._served.value(at)
         return (1 - _DEMAND_RATIO) * factor * served + _DEMAND_RATIO * demand
 
@@ -382,6 +403,10 @@
     return ratios
 
 
+def _wait_s(ahead: int, rate_per_s: float) -> float:
+    return (ahead + 1) / rate_per_s if rate_per_s > 0 else math.inf
+
+
 def _needed_credit(is_returning: bool) -> float:
     return _RETURNING_CREDIT if is_returning else 1.0
 
--- a/tests/scheduling/test_fair_queue.py
+++ b/tests/scheduling/test_fair_queue.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, strategies as st
 
-from pollenlb.scheduling.fair_queue import FairQueue, Flow, fair_order
+from pollenlb.scheduling.fair_queue import FairQueue, Flow
 
 _WEIGHTS = st.sampled_from([0.25, 0.5, 1.0, 2.0, 5.0])
 
@@ -19,8 +19,11 @@
 @given(st.lists(st.integers(0, 5), max_size=30))
 def test_one_flow_is_served_in_order_of_arrival(keys):
     """Guards against requests that overtake each other without a reason."""
-    requests = [((number, key), Flow(5, "a")) for number, key in enumerate(keys)]
-    assert fair_order(requests) == [key for key, _ in requests]
+    queue: FairQueue = FairQueue()
+    requests = list(enumerate(keys))
+    for request in requests:
+        queue.add(request, Flow(5, "a"))
+    assert _take_all(queue) == requests
 
 
 @given(weights=st.lists(_WEIGHTS, min_size=2, max_size=5), taken=st.integers(1, 100))
