Enforce shares of workspaces only after three refusals of full servers

An entry that sends few requests took two refusals of engines that change their weights for an overload, and then refused less urgent requests for some seconds.

--- a/pollenlb/scheduling/fair_share.py
+++ b/pollenlb/scheduling/fair_share.py
@@ -42,7 +42,7 @@
 # at least this many. While servers accept nearly all, there is nothing to share, and
 # single refusals have other reasons, such as a change of weights.
 _OVERLOAD_RATIO = 0.1
-_MIN_REFUSED_COUNT = 1.5
+_MIN_REFUSED_COUNT = 2.5
 # Change of the shares for each unit of load below or above the lending load.
 _CAPACITY_PER_LOAD = 0.5
 _MIN_CAPACITY_FACTOR = 0.5
