Share engines among the workspaces whose batch jobs wait for them

Items of batch jobs started in the order of due times, begun groups and lengths. A workspace that submitted a moment before others, or much more than they did, kept the engines until its items were done.

Where callers need keys, items start by their workspace's priority, then by due time, where those within 1 s of the most urgent count as equal, then by start-time fair queueing with weights, counting items that run. The order within a workspace stays. Without workspaces the order is not touched.

--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -33,6 +33,7 @@
     new_id,
 )
 from ..request.item_progress import ItemProgress, RunEnd
+from ..scheduling.fair_queue import Flow
 from ..scheduling.item_moves import (
     EngineSpeed,
     RunningItem,
@@ -43,6 +44,7 @@
 from ..scheduling.item_placement import EngineCapacity, WaitingItem
 from ..scheduling.swap_plan import EngineView, ModelGoal, assign_models
 from .context import EntryContext
+from .item_flows import item_shares
 from .output_saver import OutputSaver, restore_output
 from .owned_job import OwnedJob
 from .reward_calls import RewardCalls, ScoredItem
@@ -325,11 +327,16 @@
         engines = self._engine_capacities(list(servers.values()), service, model)
         if waiting_count and not any(engine.free_slots for engine in engines):
             return
-        waiting = [_waiting_item(*waits) for waits in waiting_progress]
         running = {
             name: sum(progress.server is not None for progress in job.items.values())
             for name, job in jobs.items()
         }
+        specs = {name: job.spec for name, job in jobs.items()}
+        shares = item_shares(specs, running, self._context.configuration.settings)
+        waiting = [
+            _waiting_item(*waits, *shares.get(waits[0], ()))
+            for waits in waiting_progress
+        ]
         if waiting:
             free = self._context.settings.max_items_in_flight - sum(running.values())
             placed = self._context.place_items(waiting, engines, running)
@@ -678,7 +685,11 @@
 
 
 def _waiting_item(
-    name: BatchJobId, job: OwnedJob, progress: ItemProgress
+    name: BatchJobId,
+    job: OwnedJob,
+    progress: ItemProgress,
+    flow: Flow | None = None,
+    running_in_flow: int = 0,
 ) -> WaitingItem[tuple[BatchJobId, ItemId]]:
     for server in [
         name
@@ -700,4 +711,6 @@
         version=progress.required_version,
         is_waiting_to_continue=progress.output.events >= _MIN_KEPT_EVENT_COUNT
         and now() < progress.run_ended_at + _CONTINUATION_WAIT_S,
+        flow=flow,
+        running_in_flow=running_in_flow,
     )
--- a/pollenlb/scheduling/item_placement.py
+++ b/pollenlb/scheduling/item_placement.py
@@ -16,6 +16,8 @@
     SoftwareVersion,
     WeightVersion,
 )
+from .fair_queue import Flow
+from .item_shares import share_by_workspace
 
 K = TypeVar("K", bound=Hashable)
 
@@ -61,6 +63,10 @@
     is_waiting_to_continue : bool
         Whether it waits for an engine that can continue its output, if there is one,
         rather than start over.
+    flow : Flow or None
+        Its workspace and priority; None without workspaces.
+    running_in_flow : int
+        Number of items of its flow that run.
     """
 
     key: K
@@ -74,6 +80,8 @@
     software: SoftwareVersion | None = None
     version: WeightVersion | None = None
     is_waiting_to_continue: bool = False
+    flow: Flow | None = None
+    running_in_flow: int = 0
 
 
 @dataclass
@@ -132,7 +140,8 @@
     groups that have started, and within these the longest items, since the last
     item to finish decides when the step ends. Batch jobs without a due time get
     the same number of slots each, so that a small one does not wait for a large
-    one.
+    one. With workspaces, their priorities come first, and items that are due at about
+    the same time share the engines by the workspaces' weights.
 
     An item with output continues at an engine of the same software version, and of
     the same weight version where a single one must generate it, if one has a free
@@ -209,7 +218,7 @@
         range(len(by_urgency)),
         key=lambda index: (by_urgency[index].due_at, ranks[index]),
     )
-    return [by_urgency[index] for index in order]
+    return share_by_workspace([by_urgency[index] for index in order])
 
 
 def _placement_cost(engine: EngineCapacity, item: WaitingItem) -> float:
--- a/pollenlb/settings/cluster.py
+++ b/pollenlb/settings/cluster.py
@@ -25,6 +25,7 @@
 )
 
 HTTP_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+DEFAULT_PRIORITY = 5
 REQUEST_CLASSES = ("interactive", "short", "long")
 
 
@@ -95,7 +96,7 @@
     target_latency_s = Number(0, 86_400, 0.0)
     """Seconds within which a response is wanted; 0 for no target."""
 
-    priority = Integer(0, 1000, 5)
+    priority = Integer(0, 1000, DEFAULT_PRIORITY)
     """Priority among the routes; lower numbers go first."""
 
     streaming = Flag(False)
