Show workspaces and count their requests and turns

Operators could not tell which workspaces an entry applies, nor whether refused requests had a wrong key or a used-up share.

pollenctl workspaces shows name, weight, priority and number of keys, never a key or its digest. pollenlb_workspace_requests counts the ends of requests, pollenlb_workspace_turns those sent within or beyond a share and those refused.

--- a/pollenlb/__main__.py
+++ b/pollenlb/__main__.py
@@ -91,6 +91,14 @@
     """
 
 
+@dataclass
+class Workspaces:
+    """Show the workspaces: weight, priority and number of keys, never a key.
+
+    Example: pollenctl workspaces
+    """
+
+
 @dataclass
 class Timeline:
     """Show the events of all processes in causal order.
@@ -187,6 +195,7 @@
         | Late
         | Changes
         | Status
+        | Workspaces
         | Timeline
         | Set
         | Drain
@@ -272,6 +281,13 @@
     status(settings, is_json)
 
 
+@run_action.register
+def _(action: Workspaces, settings: CtlSettings, is_json: bool) -> None:
+    from .commands.workspaces import workspaces
+
+    workspaces(settings, is_json)
+
+
 @run_action.register
 def _(action: Timeline, settings: CtlSettings, is_json: bool) -> None:
     from .commands.timeline import timeline
--- a/pollenlb/process/metrics.py
+++ b/pollenlb/process/metrics.py
@@ -5,6 +5,9 @@
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
+from ..ids import WorkspaceName
+from .workspace_labels import WorkspaceLabels
+
 MIN_LATENCY_US = 1
 MAX_LATENCY_US = 3_600_000_000
 SIGNIFICANT_DIGITS = 2
@@ -44,6 +47,17 @@
         self.refused_keys = self._counter(
             "refused_keys", "Requests without a known key of a workspace", "reason"
         )
+        self._workspace_requests = self._counter(
+            "workspace_requests",
+            "Requests by workspace and outcome",
+            "workspace outcome",
+        )
+        self._workspace_turns = self._counter(
+            "workspace_turns",
+            "Requests sent within or beyond a workspace's share, or refused",
+            "workspace turn",
+        )
+        self._workspace_labels = WorkspaceLabels()
         self.in_flight = Gauge(
             "pollenlb_in_flight", "Requests in flight", registry=self._registry
         )
@@ -73,6 +87,26 @@
         value_us = int(seconds * _MICROSECONDS_PER_SECOND)
         histogram.record_value(max(MIN_LATENCY_US, min(value_us, MAX_LATENCY_US)))
 
+    def record_workspace_request(
+        self, workspace: WorkspaceName | None, outcome: str
+    ) -> None:
+        """Count a request of a workspace by its outcome."""
+        label = self._workspace_labels.label(workspace)
+        self._workspace_requests.labels(label, outcome).inc()
+
+    def record_turn(self, workspace: WorkspaceName | None, turn: str) -> None:
+        """Count a turn of a workspace.
+
+        Parameters
+        ----------
+        workspace : WorkspaceName or None
+            The workspace; None for a caller without one.
+        turn : str
+            ``share`` or ``lent`` for a request that was sent, else ``refused``.
+        """
+        label = self._workspace_labels.label(workspace)
+        self._workspace_turns.labels(label, turn).inc()
+
     def encoded_latencies(self) -> dict[str, str]:
         """Return the histograms in the HdrHistogram exchange format, by name."""
         return {
--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -70,6 +70,7 @@
         metrics.in_flight.inc()
         reason = ""
         status = 0
+        caller: CallerRequest | None = None
         try:
             caller = await self._read_request(request, received_at)
             service = caller.service_name
@@ -116,6 +117,8 @@
                 ms=round(1000 * (now() - received_at), 1),
             )
             metrics.in_flight.dec()
+            if caller is not None and caller.hides_credentials:
+                metrics.record_workspace_request(caller.workspace, outcome.value)
             metrics.requests.labels(service, request_class, outcome.value).inc()
             metrics.record_latency(f"{service}/{request_class}", now() - received_at)
 
--- a/pollenlb/request/operator_api.py
+++ b/pollenlb/request/operator_api.py
@@ -122,6 +122,25 @@
     latencies: dict[str, str]
 
 
+class WorkspaceStatus(msgspec.Struct):
+    """A workspace in the configuration that is applied at this entry.
+
+    Attributes
+    ----------
+    weight : float
+        Its share relative to that of others.
+    priority : int or None
+        Priority of its requests; None for that of their routes.
+    keys : int
+        Number of its keys.
+    """
+
+    name: str
+    weight: float
+    priority: int | None
+    keys: int
+
+
 class OperatorApi:
     """HTTP handlers for operators.
 
@@ -141,6 +160,7 @@
         router.add_post(base + "/releases", with_refusal_responses(self.release))
         router.add_post(base + "/pardons", with_refusal_responses(self.pardon))
         router.add_get(base + "/entry", with_refusal_responses(self.entry))
+        router.add_get(base + "/workspaces", with_refusal_responses(self.workspaces))
         router.add_get(base + "/control", with_refusal_responses(self.control))
 
     async def change(self, request: web.Request) -> web.Response:
@@ -213,6 +233,21 @@
             )
         )
 
+    async def workspaces(self, request: web.Request) -> web.Response:
+        """Return the workspaces by name, with the numbers of their keys only."""
+        workspaces = self._context.configuration.settings.workspaces
+        return json_response(
+            [
+                WorkspaceStatus(
+                    name,
+                    workspace.weight,
+                    workspace.priority,
+                    len(workspace.key_digests),
+                )
+                for name, workspace in sorted(workspaces.items())
+            ]
+        )
+
     async def control(self, request: web.Request) -> web.Response:
         """Return the state of each control instance, null for one without answer."""
         answers = await self._context.control.query_status(_STATUS_TIMEOUT_S)
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -300,8 +300,11 @@
         try:
             await self._context.caller_queue(self._service).wait_for_turn(queued)
         except TurnRefusedError as error:
+            self._context.metrics.record_turn(queued.flow.workspace, "refused")
             reason = f"{self._service}: {error}"
             raise self._refused_error(503, reason, error.retry_after_s) from error
+        turn = "share" if queued.is_within_share else "lent"
+        self._context.metrics.record_turn(queued.flow.workspace, turn)
 
     def _record_full_server(self) -> None:
         if self._policy.queued is not None:
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -226,6 +226,7 @@
     PardonBody,
     ReleaseBody,
     ServerStatus,
+    WorkspaceStatus,
 )
 from pollenlb.request.outcome import Outcome, Refusal
 from pollenlb.request.passthrough import CompleteAnswer
@@ -423,6 +424,7 @@
     ("pardon_body", PardonBody, JSON),
     ("release_body", ReleaseBody, JSON),
     ("server_status", ServerStatus, JSON),
+    ("workspace_status", WorkspaceStatus, JSON),
     ("whole_answer", CompleteAnswer, MSGPACK),
     ("score_answer", _ScoreAnswer, JSON),
     ("fencing_number", FencingNumber, JSON),
@@ -666,6 +668,7 @@
     "GET /pollenlb/v1/jobs/{}/batches/{}",
     "GET /pollenlb/v1/operator/control",
     "GET /pollenlb/v1/operator/entry",
+    "GET /pollenlb/v1/operator/workspaces",
     "POST /pollenlb/v1/announce",
     "POST /pollenlb/v1/jobs",
     "POST /pollenlb/v1/jobs/{}/steps",
@@ -726,6 +729,14 @@
 pollenlb_refused_keys_total{reason="a"} 1.0
 # TYPE pollenlb_refused_keys_created
 pollenlb_refused_keys_created{reason="a"}
+# TYPE pollenlb_workspace_requests_total counter
+pollenlb_workspace_requests_total{outcome="b",workspace="a"} 1.0
+# TYPE pollenlb_workspace_requests_created
+pollenlb_workspace_requests_created{outcome="b",workspace="a"}
+# TYPE pollenlb_workspace_turns_total counter
+pollenlb_workspace_turns_total{turn="b",workspace="a"} 1.0
+# TYPE pollenlb_workspace_turns_created
+pollenlb_workspace_turns_created{turn="b",workspace="a"}
 # TYPE pollenlb_in_flight gauge
 pollenlb_in_flight 2.0
 """
@@ -1014,6 +1025,8 @@
     metrics.reward_calls.labels("a", "b").inc()
     metrics.unknown_fields.labels("a").inc()
     metrics.refused_keys.labels("a").inc()
+    metrics.record_workspace_request("a", "b")
+    metrics.record_turn("a", "b")
     metrics.in_flight.set(2)
     lines = metrics.exposition().decode().splitlines()
     stable_lines = [
