--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -33,6 +33,7 @@
     WeightVersion,
     WorkspaceName,
 )
+from ..process.caller_queue import QueuedRequest
 from ..process.context import EntryContext
 from ..process.usage_meter import RequestUsage
 from .attempt import (
@@ -102,6 +103,8 @@
         Workspace for which it runs; None without one.
     usage : RequestUsage or None
         Count of the request in usage reports; None if it does not count.
+    queued : QueuedRequest or None
+        The request in the queue of its service; None if it does not wait there.
     """
 
     request_id: RequestId
@@ -121,6 +124,7 @@
     is_delivered: bool = False
     workspace: WorkspaceName | None = None
     usage: RequestUsage | None = None
+    queued: QueuedRequest | None = None
 
     @property
     def fingerprint(self) -> Fingerprint:
@@ -192,6 +196,7 @@
             generation.request_class,
             generation.is_repeatable,
             generation.least_version,
+            queued=generation.queued,
         ),
     )
     while True:
