Move items only where they are expected to end sooner

Engines of one service differ in speed by more than a factor of two and stall for half a second. Items moved whenever an engine looked slow, to any engine that did not. The time to the first event of a run, which includes the connection and the reading of the prompt, counted as a time between events, so an engine looked slow whenever items started there.

The first event no longer counts. Each engine has a usual time between events (a running median that decays to the typical one), beside the smoothed one that follows stalls. An item of the last ones of a step moves only if it is expected to end at least 0.2 s sooner at the fastest engine with a free slot, and a fifth of its remaining time if its engine is not slow at the moment.

--- a/pollenlb/connection/load.py
+++ b/pollenlb/connection/load.py
@@ -14,6 +14,13 @@
 # Time constant with which a measured latency decays to the typical one.
 _LATENCY_DECAY_S = 4.0
 _EVENT_INTERVAL_EWMA_WEIGHT = 0.25
+# Share by which the usual time between events changes with each event. It follows a
+# lasting change by a factor of two within 70 events, less than half a second of a full
+# engine, and changes by 8 % when all streams of an engine with 8 slots stall once.
+_USUAL_INTERVAL_STEP_RATIO = 0.01
+# Time constant with which the usual time between events decays to the typical one
+# while an engine generates nothing.
+_USUAL_INTERVAL_DECAY_S = 30.0
 # Slowness changes several times a second, so older reports are not used.
 _SLOWNESS_VALID_S = 0.3
 _IN_FLIGHT_VALID_S = 1.0
@@ -41,6 +48,8 @@
         self._reported_at = float("-inf")
         self._own_in_flight_at_report = 0
         self._event_interval_s = 0.0
+        self._usual_event_interval_s = 0.0
+        self._event_interval_at = 0.0
         self._slowness = 0.0
         self._slowness_at = float("-inf")
         self._latency_s = 0.0
@@ -99,6 +108,25 @@
         """
         return self._event_interval_s
 
+    def usual_event_interval_s(self, typical_s: float) -> float:
+        """Return the median time between two events of a stream, in seconds.
+
+        Unlike ``event_interval_s``, it does not follow short stalls. It decays to
+        the typical time while the server generates nothing.
+
+        Parameters
+        ----------
+        typical_s : float
+            Typical time of the service's backend servers, in seconds; 0 when
+            unknown.
+        """
+        usual_s = self._usual_event_interval_s
+        if not usual_s or not typical_s:
+            return usual_s or typical_s
+        passed_s = now() - self._event_interval_at
+        weight = math.exp(-passed_s / _USUAL_INTERVAL_DECAY_S)
+        return typical_s + weight * (usual_s - typical_s)
+
     @property
     def latency_s(self) -> float:
         """Smoothed latency of complete answers, in seconds.
@@ -179,7 +207,11 @@
     def record_event_interval(self, seconds: float) -> None:
         """Record the time between two events of a stream, in seconds."""
         if not self._event_interval_s:
-            self._event_interval_s = seconds
+            self._event_interval_s = self._usual_event_interval_s = seconds
+        is_slower = seconds > self._usual_event_interval_s
+        step = 1 + _USUAL_INTERVAL_STEP_RATIO * (1 if is_slower else -1)
+        self._usual_event_interval_s *= step
+        self._event_interval_at = now()
         self._event_interval_s += _EVENT_INTERVAL_EWMA_WEIGHT * (
             seconds - self._event_interval_s
         )
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -376,6 +376,10 @@
             )
             for engine in engines
         ]
+        typical_s = typical_event_interval_s(speeds)
+        for speed in speeds:
+            load = servers[speed.server].load
+            speed.usual_interval_s = load.usual_event_interval_s(typical_s)
         for name, item in choose_moves(running, speeds):
             jobs[name].items[item].is_moving = True
             jobs[name].tasks[item].cancel()
--- a/pollenlb/request/item_progress.py
+++ b/pollenlb/request/item_progress.py
@@ -174,8 +174,13 @@
     saved_at: float = float("inf")
 
     def record_event(self, server: BackendServer) -> None:
-        """Record an event of the current run at an engine."""
-        server.load.record_event_interval(now() - self.last_event_at)
+        """Record an event of the current run at an engine.
+
+        The time to the first event of a run says nothing of the engine's speed,
+        since it includes the connection and the reading of the prompt.
+        """
+        if self.last_event_at > self.run_started_at:
+            server.load.record_event_interval(now() - self.last_event_at)
         self.last_event_at = now()
         self.saved_at = min(self.saved_at, self.last_event_at)
 
--- a/pollenlb/scheduling/item_moves.py
+++ b/pollenlb/scheduling/item_moves.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Hashable, Sequence
+from collections.abc import Hashable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
@@ -18,9 +18,13 @@
 _MOVE_COST_S = 0.08
 # An engine that shares its machine stays slow for about this long.
 _SLOW_PERIOD_S = 0.5
+# An item moves only if it is expected to end sooner by at least this time and, from
+# an engine that is not slow at the moment, by this share of its remaining time.
+_MIN_SAVED_S = 0.2
+_MIN_SAVED_RATIO = 0.2
 # An item moves only if its remaining time exceeds this share of the remaining
 # time of the slowest item of its batch job.
-_MIN_REMAINING_TIME_RATIO = 0.5
+_MIN_REMAINING_TIME_RATIO = 0.85
 # The first event of a run may be late for many reasons other than a slow engine.
 _MIN_RUN_S = 0.4
 # An item that has exceeded its expected length may still continue.
@@ -73,6 +77,7 @@
         The engine.
     event_interval_s : float
         Smoothed time between events of a stream, in seconds; 0 when unknown.
+        Follows stalls.
     silent_s : float
         Seconds since any stream of the engine had an event; 0 when no stream
         runs there.
@@ -85,6 +90,9 @@
         Version of the engine's software.
     version : WeightVersion or None
         Version of the items' model that the engine serves.
+    usual_interval_s : float
+        Median time between events of a stream, in seconds, which does not follow
+        stalls; 0 when unknown.
     """
 
     server: BackendServerName
@@ -94,6 +102,7 @@
     reported_slowness: float = 0.0
     software: SoftwareVersion = SoftwareVersion("")
     version: WeightVersion | None = None
+    usual_interval_s: float = 0.0
 
 
 def typical_event_interval_s(speeds: Sequence[EngineSpeed]) -> float:
@@ -111,10 +120,11 @@
 ) -> list[K]:
     """Return the keys of items to interrupt so that they resume at a faster engine.
 
-    Covers engines that share their machines with others and become slow or
-    silent for a while when the last items of a step run there. An engine reads
-    a resumed stream again within a few milliseconds, so the items with the most
-    remaining events move as long as engines that are not slow have free slots.
+    Covers engines that differ in speed by a factor of two and stall for moments. When
+    no items wait, the last ones of a step decide when it ends, so those of them move
+    that are expected to end sooner elsewhere, by a margin. A move costs a connection,
+    and the engine reads the prompt and the text again. An engine that is slow for the
+    moment is expected to be slow for about half a second.
 
     Items that will finish long before the last item of their batch job stay, as
     each move costs a connection. Items whose run has just started stay, too:
@@ -134,47 +144,122 @@
     shared_silence_s = min(
         (speed.silent_s for speed in speeds if speed.silent_s), default=0.0
     )
-    slowness = {
-        speed.server: estimate_slowness(speed, typical_s, shared_silence_s)
+    estimates = {
+        speed.server: _EngineEstimate.of(speed, typical_s, shared_silence_s)
         for speed in speeds
     }
-    software = {speed.server: speed.software for speed in speeds}
-    targets = [speed for speed in speeds if slowness[speed.server] < SLOW_RATIO]
-    free_slots = Counter({target.server: target.free_slots for target in targets})
+    free_slots = Counter({speed.server: speed.free_slots for speed in speeds})
+    remaining_s = {
+        item.key: estimates[item.server].remaining_s(item.remaining_events)
+        for item in running
+        if item.server in estimates
+    }
     longest: dict[BatchJobId, float] = {}
     for item in running:
-        weighted_events = item.remaining_events * slowness.get(item.server, 1.0)
-        longest[item.batch_job] = max(longest.get(item.batch_job, 0.0), weighted_events)
-    slow = [
+        known_s = remaining_s.get(item.key, 0.0)
+        longest[item.batch_job] = max(longest.get(item.batch_job, 0.0), known_s)
+    last = [
         item
         for item in running
         if item.run_s >= _MIN_RUN_S
-        and slowness.get(item.server, 1.0) >= SLOW_RATIO
-        and item.remaining_events * slowness[item.server]
-        > _MIN_REMAINING_TIME_RATIO * longest[item.batch_job]
-        and _saved_time_s(item, slowness[item.server], typical_s) > _MOVE_COST_S
+        and item.key in remaining_s
+        and remaining_s[item.key] > _MIN_REMAINING_TIME_RATIO * longest[item.batch_job]
     ]
-    slow.sort(key=lambda item: -item.remaining_events)
+    last.sort(key=lambda item: -remaining_s[item.key])
     moved = []
-    for item in slow:
-        # Other software, or other weights if a single version must generate the item,
-        # would have to generate it anew.
-        target = next(
-            (
-                target.server
-                for target in targets
-                if free_slots[target.server] > 0
-                and target.software == software[item.server]
-                and item.version in (None, target.version)
-            ),
-            None,
-        )
-        if target is not None:
-            free_slots[target] -= 1
+    for item in last:
+        target = _fastest_target(item, estimates, free_slots)
+        if target is None:
+            continue
+        moved_s = _MOVE_COST_S + target.remaining_s(item.remaining_events)
+        if remaining_s[item.key] - moved_s > _least_saving_s(
+            remaining_s[item.key], estimates[item.server]
+        ):
+            free_slots[target.speed.server] -= 1
             moved.append(item.key)
     return moved
 
 
+@dataclass(frozen=True)
+class _EngineEstimate:
+    """Expected speed of an engine.
+
+    Attributes
+    ----------
+    usual_s : float
+        Time between events while it is not slow, in seconds.
+    slowness : float
+        How many times longer events take at the moment.
+    stall_s : float
+        Seconds for which it is expected to generate nothing.
+    """
+
+    speed: EngineSpeed
+    usual_s: float
+    slowness: float
+    stall_s: float
+
+    @classmethod
+    def of(
+        cls, speed: EngineSpeed, typical_s: float, shared_silence_s: float
+    ) -> _EngineEstimate:
+        """Return the estimate of an engine; see ``estimate_slowness``."""
+        usual_s = speed.usual_interval_s or speed.event_interval_s or typical_s
+        slowness = max(1.0, speed.event_interval_s / usual_s, speed.reported_slowness)
+        silent_s = speed.silent_s - shared_silence_s
+        is_silent = silent_s > SLOW_RATIO * usual_s + _MIN_SILENCE_S
+        stall_s = max(_SLOW_PERIOD_S, silent_s) if is_silent else 0.0
+        return cls(speed, usual_s, slowness, stall_s)
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether it is much slower than usual at the moment."""
+        return self.stall_s > 0 or self.slowness >= SLOW_RATIO
+
+    def remaining_s(self, events: float) -> float:
+        """Return the seconds until an item with this many events left ends."""
+        usual_s = events * self.usual_s
+        if self.stall_s:
+            return usual_s + self.stall_s
+        if not self.is_slow:
+            return usual_s
+        return usual_s + min(usual_s, _SLOW_PERIOD_S) * (self.slowness - 1)
+
+
+def _least_saving_s(remaining_s: float, estimate: _EngineEstimate) -> float:
+    """Return the time in seconds that a move from an engine must save.
+
+    A stall is observed; a lasting difference in speed is an estimate that is multiplied
+    by an estimated length.
+    """
+    if estimate.is_slow:
+        return _MIN_SAVED_S
+    return max(_MIN_SAVED_S, _MIN_SAVED_RATIO * remaining_s)
+
+
+def _fastest_target(
+    item: RunningItem,
+    estimates: Mapping[BackendServerName, _EngineEstimate],
+    free_slots: Mapping[BackendServerName, int],
+) -> _EngineEstimate | None:
+    """Return the fastest engine that can go on with an item, if there is one.
+
+    Other software, or other weights if a single version must generate the item,
+    would have to generate it anew.
+    """
+    software = estimates[item.server].speed.software
+    targets = [
+        estimate
+        for server, estimate in estimates.items()
+        if free_slots[server] > 0
+        and server != item.server
+        and not estimate.is_slow
+        and estimate.speed.software == software
+        and item.version in (None, estimate.speed.version)
+    ]
+    return min(targets, key=lambda target: target.usual_s, default=None)
+
+
 def estimate_slowness(
     speed: EngineSpeed, typical_s: float, shared_silence_s: float = 0
 ) -> float:
@@ -197,8 +282,3 @@
     return max(
         1.0, speed.event_interval_s / typical_s, speed.reported_slowness, silence
     )
-
-
-def _saved_time_s(item: RunningItem, slowness: float, typical_s: float) -> float:
-    """Return the seconds that a move saves while the engine stays slow."""
-    return min(item.remaining_events * typical_s, _SLOW_PERIOD_S) * (slowness - 1)
--- a/tests/scheduling/test_item_placement.py
+++ b/tests/scheduling/test_item_placement.py
@@ -275,3 +275,35 @@
 def test_no_more_items_start_than_the_limit_of_an_engine_allows():
     engines = [EngineCapacity("engine", _SLOTS, 0, 2, allowed_starts=2.6)]
     assert len(place_items([_waiting(key) for key in range(4)], engines)) == 2
+
+
+def _uneven(slow_s: float, fast_s: float) -> list[EngineSpeed]:
+    return [
+        EngineSpeed("engine-0", slow_s, 0.01, 2, usual_interval_s=slow_s),
+        EngineSpeed("engine-1", fast_s, 0.01, 2, usual_interval_s=fast_s),
+    ]
+
+
+def test_a_last_item_moves_from_a_lastingly_slower_engine():
+    running = [_running(0, 0, 10, 100), _running(1, 1, 10, 100)]
+    assert choose_moves(running, _uneven(0.036 / 0.55, 0.036 / 1.2)) == [0]
+
+
+def test_an_item_stays_when_a_move_saves_little():
+    # 10 events at 65 ms take 0.65 s; elsewhere they take 0.3 s and a new connection.
+    slow_s, fast_s = 0.036 / 0.55, 0.036 / 1.2
+    assert choose_moves([_running(0, 0, 94, 100)], _uneven(slow_s, fast_s)) == []
+    assert choose_moves([_running(0, 0, 10, 100)], _uneven(0.04, 0.038)) == []
+
+
+def test_an_item_moves_to_the_engine_at_which_it_ends_first():
+    speeds = [*_uneven(0.08, 0.05), EngineSpeed("engine-2", 0.03, 0.01, 1)]
+    speeds[1].free_slots = 0
+    running = [_running(0, 0, 10, 100), _running(1, 0, 12, 100)]
+    assert choose_moves(running, speeds) == [0]
+
+
+def test_a_short_stall_that_is_over_does_not_move_items():
+    speeds = _uneven(0.036, 0.036)
+    speeds[0].event_interval_s = 1.5 * 0.036
+    assert choose_moves([_running(0, 0, 10, 60)], speeds) == []
