Divide engines among models by need when a step would be late

Engines of a service were divided evenly among its models, so a trainer with larger steps lost steps while engines of other models were idle.

The leader measures the seconds of a slot per token, and compares what the open batch jobs of each model need with the engines that it has. If a step would be late, it divides the engines by need, records the division in the log (AssignEngines) and sends it to owners with the planned loads. Without one the even division holds, and services with one model or with engines that announce no versions are not affected.

--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -59,6 +59,8 @@
         HTTP status to answer, without events, by request id.
     orders : list of dict
         Accepted swap orders, oldest first.
+    other_models : dict
+        Versions of other models that it has loaded.
     refuses_orders : bool
         Whether every order is refused.
     refused_order_count : int
@@ -105,6 +107,7 @@
         self._last_answers: dict[asyncio.BaseTransport, bytes] = {}
         self.forced_statuses: dict[str, int] = {}
         self.orders: list[dict] = []
+        self.other_models: dict[str, int] = {}
         self.refuses_orders = False
         self.refused_order_count = 0
         self.refused_count = 0
@@ -161,7 +164,7 @@
             "slots": 8,
             "state": self.state,
             "cold_left_ms": 0,
-            "models": [{"name": self.model, "version": self.version, "adapters": []}],
+            "models": self._loaded_models(),
             "seq": self._sequence,
             "born": self.started_at_ms,
             **changes,
@@ -203,16 +206,22 @@
         return web.Response(headers={"X-Instance-Id": self.name})
 
     async def _handle_report(self, request: web.Request) -> web.Response:
-        models = [{"name": self.model, "version": self.version, "adapters": []}]
         return web.json_response(
             {
-                "models": models,
+                "models": self._loaded_models(),
                 "busy": self.is_busy,
                 "seq": len(self.orders),
                 "born": self.started_at_ms,
             }
         )
 
+    def _loaded_models(self) -> list[dict]:
+        versions = {self.model: self.version, **self.other_models}
+        return [
+            {"name": name, "version": version, "adapters": []}
+            for name, version in versions.items()
+        ]
+
     async def _handle_order(self, request: web.Request) -> web.Response:
         order = await request.json()
         is_expected = order.get("expected") in (None, len(self.orders))
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -125,10 +125,13 @@
     ----------
     loads : dict
         Planned load by engine.
+    assigned : dict
+        Model of each engine of a service that is not divided evenly.
     """
 
     version: int
     loads: dict[BackendServerName, PlannedLoad]
+    assigned: dict[BackendServerName, ModelName] = {}
 
 
 class JobView(msgspec.Struct, frozen=True):
--- a/pollenlb/durable/commands.py
+++ b/pollenlb/durable/commands.py
@@ -18,6 +18,7 @@
 from .configuration_commands import (
     AbandonLoad,
     AnnounceServer,
+    AssignEngines,
     ChangeConfiguration,
     ConfigurationChanged,
     ConfigurationConflict,
@@ -59,6 +60,7 @@
     | NoteModelVersion
     | NoteOrder
     | AbandonLoad
+    | AssignEngines
     | ReleaseVersion
     | SubmitBatchJob
     | CommitItems
--- a/pollenlb/durable/configuration_commands.py
+++ b/pollenlb/durable/configuration_commands.py
@@ -290,6 +290,19 @@
     fencing: int
 
 
+class AssignEngines(Command, frozen=True):
+    """Divides the engines of a service among its models.
+
+    Attributes
+    ----------
+    models : dict
+        Model of each engine; others follow from an even division.
+    """
+
+    service: ServiceName
+    models: dict[BackendServerName, ModelName]
+
+
 class RetireInstance(Command, frozen=True):
     """Removes a control instance from the replicas of the log permanently."""
 
--- a/pollenlb/durable/directory.py
+++ b/pollenlb/durable/directory.py
@@ -4,13 +4,14 @@
 
 import msgspec
 
-from ..ids import BackendServerName, BootId, ModelName, WeightVersion
+from ..ids import BackendServerName, BootId, ModelName, ServiceName, WeightVersion
 from .command_base import Done, Refused
 from .commands import AnyResult
 from .configuration_commands import (
     AbandonLoad,
     Announcement,
     AnnounceServer,
+    AssignEngines,
     ForgetServer,
     NoteModelVersion,
     NoteOrder,
@@ -68,6 +69,9 @@
         Latest order by name of the backend server.
     fencing : int
         Highest fencing number of an order so far.
+    assigned : dict
+        Model of each engine by service, for services whose engines are not divided
+        evenly among their models.
     """
 
     servers: dict[BackendServerName, Announcement] = {}
@@ -75,6 +79,7 @@
     releases: dict[ModelName, WeightVersion] = {}
     orders: dict[BackendServerName, OrderRecord] = {}
     fencing: int = 0
+    assigned: dict[ServiceName, dict[BackendServerName, ModelName]] = {}
 
     def announce(self, command: AnnounceServer) -> AnyResult:
         """Add or replace an announcement, unless a newer one is known.
@@ -175,6 +180,11 @@
             self.orders[command.server] = OrderRecord(record.fencing, record.at_ms)
         return Done()
 
+    def assign_engines(self, command: AssignEngines) -> AnyResult:
+        """Divide the engines of a service among its models."""
+        self.assigned[command.service] = command.models
+        return Done()
+
     def planned_loads(self) -> dict[BackendServerName, OrderRecord]:
         """Return the orders whose version their backend server does not serve yet.
 
--- a/pollenlb/durable/state_machine.py
+++ b/pollenlb/durable/state_machine.py
@@ -23,6 +23,7 @@
 from .configuration_commands import (
     AbandonLoad,
     AnnounceServer,
+    AssignEngines,
     ChangeConfiguration,
     ConfigurationConflict,
     ForgetServer,
@@ -238,6 +239,11 @@
     return state.directory.abandon_load(command)
 
 
+@apply_command.register
+def _(command: AssignEngines, state: State, position: LogPosition) -> AnyResult:
+    return state.directory.assign_engines(command)
+
+
 @apply_command.register
 def _(command: RetireInstance, state: State, position: LogPosition) -> AnyResult:
     state.retiring.add(command.instance)
@@ -364,6 +370,7 @@
     NoteModelVersion: ("directory",),
     ForgetServer: ("directory",),
     AbandonLoad: ("loads",),
+    AssignEngines: ("loads",),
     ReleaseVersion: ("directory",),
     CreateJob: ("ledger",),
     SetTrainerVersion: ("ledger",),
--- a/pollenlb/durable/views.py
+++ b/pollenlb/durable/views.py
@@ -65,6 +65,11 @@
             )
             for server, record in planned.items()
         },
+        {
+            server: model
+            for assigned in machine.state.directory.assigned.values()
+            for server, model in assigned.items()
+        },
     )
 
 
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -42,7 +42,8 @@
     typical_event_interval_s,
 )
 from ..scheduling.item_placement import EngineCapacity, WaitingItem
-from ..scheduling.swap_plan import EngineView, ModelGoal, assign_models
+from ..scheduling.model_division import complete_assignment
+from ..scheduling.swap_plan import EngineView, ModelGoal
 from .context import EntryContext
 from .output_saver import OutputSaver, restore_output
 from .owned_job import OwnedJob
@@ -95,6 +96,7 @@
         self._events_per_token = 0.0
         self._availability = EngineAvailability()
         self._loads_version = 0
+        self._assigned: dict[BackendServerName, ModelName] = {}
         self.engine_became_idle = asyncio.Event()
 
     @property
@@ -161,6 +163,7 @@
     def apply_loads(self, view: LoadsView) -> None:
         """Place no items on engines that are about to load a weight version."""
         self._loads_version = view.version
+        self._assigned = view.assigned
         self._availability.apply_loads(view.loads, now())
         self._changed.set()
 
@@ -465,7 +468,7 @@
             EngineView(server.name, server.announcement.models, False)
             for server in servers
         ]
-        return assign_models(views, goals)
+        return complete_assignment(views, goals, self._assigned)
 
     def _groups_at(self, server: BackendServerName) -> set:
         return {
--- a/pollenlb/scheduling/swap_plan.py
+++ b/pollenlb/scheduling/swap_plan.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -83,7 +83,10 @@
 
 
 def next_swaps(
-    engines: Sequence[EngineView], goals: Sequence[ModelGoal], max_swaps: int
+    engines: Sequence[EngineView],
+    goals: Sequence[ModelGoal],
+    max_swaps: int,
+    assigned: Mapping[BackendServerName, ModelName] | None = None,
 ) -> list[Swap]:
     """Return the changes of weights to start now, the most urgent first.
 
@@ -108,13 +111,20 @@
     max_swaps : int
         Maximum number of engines that load at the same time; engines that are
         loading already count.
+    assigned : mapping or None
+        Model that each engine is assigned; None for the even division.
     """
+    if assigned is None:
+        assigned = assign_models(engines, goals)
     goals_by_model = {goal.model: goal for goal in goals}
     urgent: list[Swap] = []
     idle: list[Swap] = []
-    for server, model in assign_models(engines, goals).items():
+    views = {engine.server: engine for engine in engines}
+    for server, model in assigned.items():
+        if server not in views:
+            continue
         goal = goals_by_model[model]
-        view = next(engine for engine in engines if engine.server == server)
+        view = views[server]
         version = view.versions.get(model, WeightVersion(0))
         if view.is_swapping or version >= goal.version:
             continue
--- a/pollenlb/version/orders.py
+++ b/pollenlb/version/orders.py
@@ -32,6 +32,7 @@
 from ..process.control_context import ControlContext
 from ..scheduling.swap_plan import EngineView, ModelGoal, Swap, next_swaps
 from ..settings.cluster import ClusterSettings, ServiceSettings
+from .engine_division import EngineDivider
 from .order_channel import EngineReport, OrderChannel, OrderOutcome, SwapOrder
 
 _POLL_INTERVAL_S = 0.1
@@ -122,6 +123,7 @@
         self._observed_fencing: dict[BackendServerName, int] = {}
         self._observed_at: dict[BackendServerName, float] = {}
         self._own_fencing: set[int] = set()
+        self._divider = EngineDivider(context)
         self._paused_until: dict[BackendServerName, Deadline] = {}
         self._services_revision = Revision(-1)
         self._services: dict[ServiceName, ServiceSettings] = {}
@@ -142,6 +144,7 @@
                 self._leadership = leadership
                 self._pending.clear()
                 self._own_fencing.clear()
+                self._divider = EngineDivider(self._context)
             try:
                 await self._check_pending()
                 await self._abandon_untracked_loads()
@@ -315,6 +318,7 @@
             and server.state is ServerState.SERVING
             and self._is_announcing(server)
         ]
+        assigned = await self._divide_engines(name, servers, goals)
         if all(
             self._is_up_to_date(server, goals) for server in servers if server.models
         ):
@@ -323,7 +327,7 @@
         max_swaps = max(service.max_swaps, int(service.swap_share * len(views)))
         swaps = [
             (server, swap)
-            for swap in next_swaps(views, goals, max_swaps)
+            for swap in next_swaps(views, goals, max_swaps, assigned)
             if (server := self._announcements.get(swap.server)) is not None
             and self._may_order(server, service)
             and not self._is_paused(server)
@@ -338,6 +342,15 @@
                     await self._give_up_order(order, "in use")
             await self._send_orders(due, len(uninformed), leadership)
 
+    async def _divide_engines(
+        self, name: ServiceName, servers: list[Announcement], goals: list[ModelGoal]
+    ) -> dict[BackendServerName, ModelName] | None:
+        """Return the model of each engine; None for the even division."""
+        if len(goals) < 2 or not servers or not all(each.models for each in servers):
+            return None
+        views = [view for view in await self._engine_views(servers) if view is not None]
+        return await self._divider.divide(name, servers, views, goals)
+
     def _is_announcing(self, server: Announcement) -> bool:
         leader_state = self._context.leader_state
         last_at = leader_state.announced_at.get(
--- a/tests/durable/test_directory.py
+++ b/tests/durable/test_directory.py
@@ -9,6 +9,7 @@
     AbandonLoad,
     Announcement,
     AnnounceServer,
+    AssignEngines,
     NoteModelVersion,
     NoteOrder,
     ReleaseVersion,
@@ -161,3 +162,10 @@
     _announce(directory, models={"m": 1})
     directory.record_order(NoteOrder("a", 1), 0)
     assert directory.planned_loads() == {}
+
+
+def test_a_division_of_engines_replaces_the_one_before():
+    directory = Directory()
+    directory.assign_engines(AssignEngines("model", {"a": "m", "b": "n"}))
+    directory.assign_engines(AssignEngines("model", {"a": "n"}))
+    assert directory.assigned == {"model": {"a": "n"}}
--- a/tests/platform/test_weight_loads.py
+++ b/tests/platform/test_weight_loads.py
@@ -4,10 +4,10 @@
 
 import asyncio
 
-from pollenlb.durable.configuration_commands import NoteOrder
+from pollenlb.durable.configuration_commands import AssignEngines, NoteOrder
 
 from ..local_system import wait_until
-from .platform_system import MODEL, PlatformSystem, batch_job
+from .platform_system import MODEL, PlatformSystem, batch_job, configuration
 
 # Much longer than it takes to submit a batch job.
 _LOAD_S = 1.5
@@ -119,3 +119,23 @@
     await system.submit(0, "job", batch_job(_items("item", 16, length=40)))
     assert len(await system.read_all_results(0, "job")) == 16
     await wait_until(lambda: loading.version == 2)
+
+
+async def test_owners_use_the_division_of_engines_that_the_log_holds(platform_system):
+    system = await platform_system()
+    (control,) = system.controls
+    for engine in system.engines:
+        engine.other_models = {"other": 1}
+        await engine.send_heartbeat()
+    changed = configuration(2)
+    models = [{"name": MODEL}, {"name": "other"}]
+    changed["services"][0]["engine"]["models"] = models
+    assert (await system.call_control("POST", "/-/Config.Replace", changed))[0] == 200
+    for number, own in enumerate(system.engines):
+        assigned = {engine.name: "other" for engine in system.engines}
+        await control.execute(AssignEngines("engines", {**assigned, own.name: MODEL}))
+        items = _items(f"job-{number}", 3)
+        await system.submit(0, f"job-{number}", batch_job(items))
+        assert len(await system.read_all_results(0, f"job-{number}")) == 3
+        ran = {request for request, _ in own.received_runs}
+        assert items.keys() <= ran
--- a/tests/scheduling/step_replay.py
+++ b/tests/scheduling/step_replay.py
@@ -35,7 +35,7 @@
 _PROMPT_S = 0.08
 _LOAD_S = 0.9
 _NOTICE_S = 0.15
-_DUE_S = 7.5
+DUE_S = 7.5
 _PAUSE_S = 4.0
 _MAX_LENGTH_RATIO = 5.0
 _PLACEMENT_TICKS = 2
@@ -350,7 +350,7 @@
             WaitingItem(
                 item.key,
                 trainer.model,
-                step.started_at + _DUE_S,
+                step.started_at + DUE_S,
                 item.group,
                 item.events > 0,
                 item.length,
@@ -402,5 +402,5 @@
 
 
 def _share_in_time(durations_s: list[float]) -> float:
-    in_time = sum(duration <= _DUE_S for duration in durations_s)
+    in_time = sum(duration <= DUE_S for duration in durations_s)
     return in_time / max(1, len(durations_s))
--- a/tests/scheduling/test_swap_plan.py
+++ b/tests/scheduling/test_swap_plan.py
@@ -102,3 +102,18 @@
         _engine(number, {"a": 1}, is_swapping=number == 0) for number in range(5)
     ]
     assert len(next_swaps(engines, [ModelGoal("a", 2)], _MAX_SWAPS)) == _MAX_SWAPS - 1
+
+
+def test_an_engine_loads_the_model_that_it_is_assigned():
+    engines = [_engine(number, {"a": 1, "b": 1}) for number in range(4)]
+    goals = [ModelGoal("a", 2), ModelGoal("b", 2)]
+    assigned = {engine.server: "b" for engine in engines}
+    swaps = next_swaps(engines, goals, max_swaps=10, assigned=assigned)
+    assert [(swap.server, swap.model) for swap in swaps] == list(assigned.items())
+
+
+def test_an_assigned_engine_that_may_not_receive_orders_is_left_out():
+    engines = [_engine(0, {"a": 1})]
+    assigned = {"engine-0": "a", "engine-1": "a"}
+    swaps = next_swaps(engines, [ModelGoal("a", 2)], max_swaps=10, assigned=assigned)
+    assert [swap.server for swap in swaps] == ["engine-0"]
--- /dev/null
+++ b/tests/version/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of orders to engines and of their division."""
