--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -43,7 +43,8 @@
     typical_event_interval_s,
 )
 from ..scheduling.item_placement import EngineCapacity, WaitingItem
-from ..scheduling.swap_plan import EngineView, ModelGoal, assign_models
+from ..scheduling.model_division import complete_assignment
+from ..scheduling.swap_plan import EngineView, ModelGoal
 from .context import EntryContext
 from .item_flows import item_shares
 from .output_saver import OutputSaver, restore_output
@@ -101,6 +102,7 @@
         self._availability = EngineAvailability()
         self._loads_version = 0
         self._run_s = _DEFAULT_RUN_S
+        self._assigned: dict[BackendServerName, ModelName] = {}
         self.engine_became_idle = asyncio.Event()
 
     @property
@@ -167,6 +169,7 @@
     def apply_loads(self, view: LoadsView) -> None:
         """Place no items on engines that are about to load a weight version."""
         self._loads_version = view.version
+        self._assigned = view.assigned
         self._availability.apply_loads(view.loads, now())
         self._changed.set()
 
@@ -387,6 +390,10 @@
             )
             for engine in engines
         ]
+        typical_s = typical_event_interval_s(speeds)
+        for speed in speeds:
+            load = servers[speed.server].load
+            speed.usual_interval_s = load.usual_event_interval_s(typical_s)
         for name, item in choose_moves(running, speeds):
             jobs[name].items[item].is_moving = True
             jobs[name].tasks[item].cancel()
@@ -481,7 +488,7 @@
             EngineView(server.name, server.announcement.models, False)
             for server in servers
         ]
-        return assign_models(views, goals)
+        return complete_assignment(views, goals, self._assigned)
 
     def _groups_at(self, server: BackendServerName) -> set:
         return {
