Bound the bytes of incomplete requests at every HTTP server

Cause: after an error aiohttp's parser goes on with whatever else arrives, and reports each read of up to 256 KB as another error whose text quotes the bytes twice; up to 32 such errors wait for each connection. Trailers, chunk extensions and empty lines had no limit at all, and a request whose trailers were invalid waited for its body until its caller left.

The connection handler of all HTTP servers now passes bytes to the parser in pieces of 16 KB and nothing after the first error, keeps 1,000 characters of the error's text, closes a connection whose head, trailers or chunk extension is above max_head_bytes (262,144), and closes the connections that hold the most once incomplete and waiting requests are above max_held_bytes (8 MB). Closed connections are counted by reason and logged once a second and reason.

--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -114,7 +114,9 @@
             addresses = [Address(settings.listen), *settings.seed_addresses]
             self._connection = ControlConnection(addresses, self._events)
             application = application_factory(self._connection, self._context)
-            self._http = HttpServer(application, settings.http_listen)
+            self._http = HttpServer(
+                application, settings.http_listen, settings, self._events
+            )
 
     @property
     def replica(self) -> Replica:
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -86,6 +86,9 @@
         self._http = HttpServer(
             self._application(),
             settings.listen,
+            settings,
+            self._context.events,
+            self._count_closed,
             shutdown_timeout=_MIN_SHUTDOWN_TIMEOUT_S,
             max_line_size=settings.max_header_bytes,
             max_field_size=settings.max_header_bytes,
@@ -94,7 +97,11 @@
         self._ready_http: HttpServer | None = None
         if settings.ready_listen:
             self._ready_http = HttpServer(
-                self._ready_application(), settings.ready_listen
+                self._ready_application(),
+                settings.ready_listen,
+                settings,
+                self._context.events,
+                self._count_closed,
             )
 
     @property
@@ -176,6 +183,9 @@
         router.add_get(self._context.dialect.ready_path, self._answer_ready)
         router.add_get("/metrics", self._answer_metrics)
 
+    def _count_closed(self, reason: str) -> None:
+        self._context.metrics.closed_connections.labels(reason).inc()
+
     async def _answer_health(self, request: web.Request) -> web.Response:
         return web.Response(text="alive\n")
 
--- a/pollenlb/process/http_server.py
+++ b/pollenlb/process/http_server.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from ..events import EventLog
+from ..settings.http_server import HttpServerSettings
+from .connection_guard import ConnectionGuard, GuardedRunner
+
 # Connections that the kernel queues until they are accepted.
 _LISTEN_BACKLOG_COUNT = 1024
 
@@ -20,16 +25,32 @@
         Application to serve.
     listen : str
         Address to listen on, as ``IP:PORT``.
+    settings : HttpServerSettings
+        Limits for the connections.
+    events : EventLog
+        Receives a line for connections that are closed at a limit.
+    count_closed : callable
+        Counts a connection that is closed at a limit, by the reason.
     **options
         Further options of ``aiohttp.web.AppRunner``.
     """
 
     def __init__(
-        self, application: web.Application, listen: str, **options: Any
+        self,
+        application: web.Application,
+        listen: str,
+        settings: HttpServerSettings,
+        events: EventLog,
+        count_closed: Callable[[str], None] = lambda reason: None,
+        **options: Any,
     ) -> None:
         self._listen = listen
-        self._runner = web.AppRunner(
-            application, access_log=None, handle_signals=False, **options
+        self._runner = GuardedRunner(
+            application,
+            ConnectionGuard(settings, events, count_closed),
+            access_log=None,
+            handle_signals=False,
+            **options,
         )
 
     @property
--- a/pollenlb/process/metrics.py
+++ b/pollenlb/process/metrics.py
@@ -44,6 +44,9 @@
         self.refused_keys = self._counter(
             "refused_keys", "Requests without a known key of a workspace", "reason"
         )
+        self.closed_connections = self._counter(
+            "closed_connections", "Connections closed at a limit", "reason"
+        )
         self.in_flight = Gauge(
             "pollenlb_in_flight", "Requests in flight", registry=self._registry
         )
--- a/pollenlb/settings/control.py
+++ b/pollenlb/settings/control.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from ..ids import Address
+from .http_server import HttpServerSettings
 from .options import (
     Choice,
     Flag,
@@ -32,7 +33,7 @@
     """Failure domain that it runs in."""
 
 
-class ControlSettings(Settings):
+class ControlSettings(HttpServerSettings):
     """Settings of ``pollen-control``."""
 
     name: Option[str] = Name()
--- a/pollenlb/settings/entry.py
+++ b/pollenlb/settings/entry.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from ..ids import Address
+from .http_server import HttpServerSettings
 from .options import (
     Flag,
     Folder,
@@ -14,13 +15,12 @@
     Number,
     Option,
     Problem,
-    Settings,
     SocketAddress,
     with_port,
 )
 
 
-class EntrySettings(Settings):
+class EntrySettings(HttpServerSettings):
     """Settings of ``pollen-entry``."""
 
     name: Option[str] = Name()
--- a/pollenlb/settings/reference.py
+++ b/pollenlb/settings/reference.py
@@ -66,10 +66,13 @@
 
 def _option_docstrings(settings: type[Settings]) -> dict[str, str]:
     """Return the docstring under each option, by key."""
+    docstrings: dict[str, str] = {}
+    for base in settings.__mro__[1:]:
+        if issubclass(base, Settings):
+            docstrings |= _option_docstrings(base)
     tree = ast.parse(textwrap.dedent(inspect.getsource(settings)))
     definition = tree.body[0]
     assert isinstance(definition, ast.ClassDef)
-    docstrings: dict[str, str] = {}
     for statement, following in zip(definition.body, definition.body[1:]):
         name = _assigned_name(statement)
         is_docstring = isinstance(following, ast.Expr) and isinstance(
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -212,6 +212,7 @@
 from pollenlb.platform.dialect import _Start
 from pollenlb.platform.entry_protocol import platform_protocol
 from pollenlb.platform.orders import _Order, _Report
+from pollenlb.process.connection_guard import CloseReason
 from pollenlb.process.metrics import Metrics
 from pollenlb.request import announce_api, caller_request, outcome
 from pollenlb.request.announce_api import AnnounceBody
@@ -241,6 +242,7 @@
 from pollenlb.settings.control import ControlSettings, MemberSettings
 from pollenlb.settings.ctl import CtlSettings
 from pollenlb.settings.entry import EntrySettings
+from pollenlb.settings.http_server import HttpServerSettings
 from pollenlb.settings.options import Choice, Problem, Settings
 from pollenlb.version.order_api import FencingNumber, Order, OrderKind
 from pollenlb.version.order_channel import EngineReport, OrderOutcome, SwapOrder
@@ -463,6 +465,7 @@
 
 _ENUMS: list[tuple[type[Enum], set[str]]] = [
     (CallStatus, {"done", "in-doubt", "not-leader"}),
+    (CloseReason, {"bytes-held", "head-too-large", "invalid-request"}),
     (EntryKind, {"command", "members", "no-op"}),
     (ItemState, {"completed", "expired"}),
     (KeyState, {"claimed", "ran", "unknown"}),
@@ -520,6 +523,10 @@
 ]
 
 # Keys in files, and the allowed values of the keys that have a fixed choice.
+_HTTP_SERVER_KEYS = [
+    "max_head_bytes",
+    "max_held_bytes",
+]
 _SETTINGS: list[tuple[type[Settings], list[str], dict[str, tuple[str, ...]]]] = [
     (
         CtlSettings,
@@ -551,6 +558,7 @@
             "snapshot_bytes",
             "order_lifetime_s",
             "forget_after_s",
+            *_HTTP_SERVER_KEYS,
         ],
         {"event_output": ("file", "stdout")},
     ),
@@ -578,9 +586,11 @@
             "balancer_delay_s",
             "shutdown_grace_s",
             "max_items_in_flight",
+            *_HTTP_SERVER_KEYS,
         ],
         {},
     ),
+    (HttpServerSettings, _HTTP_SERVER_KEYS, {}),
     (
         ServiceSettings,
         [
@@ -726,6 +736,10 @@
 pollenlb_refused_keys_total{reason="a"} 1.0
 # TYPE pollenlb_refused_keys_created
 pollenlb_refused_keys_created{reason="a"}
+# TYPE pollenlb_closed_connections_total counter
+pollenlb_closed_connections_total{reason="a"} 1.0
+# TYPE pollenlb_closed_connections_created
+pollenlb_closed_connections_created{reason="a"}
 # TYPE pollenlb_in_flight gauge
 pollenlb_in_flight 2.0
 """
@@ -1014,6 +1028,7 @@
     metrics.reward_calls.labels("a", "b").inc()
     metrics.unknown_fields.labels("a").inc()
     metrics.refused_keys.labels("a").inc()
+    metrics.closed_connections.labels("a").inc()
     metrics.in_flight.set(2)
     lines = metrics.exposition().decode().splitlines()
     stable_lines = [
