Bound the time for a head, open connections and unread answers

Causes: a connection that had sent no complete head was closed after an hour at the earliest, and never while it sent empty lines; nothing bounded the number of connections; answers that nobody reads were held without end.

A complete head must arrive within head_timeout_s (20) after its first byte or after the connection was opened; that is above the 3 s that callers may take, and above the 12 s for which they keep a connection open. Idle connections that have sent a request keep their time. At most max_connections are open at each server (by default 0.4 of the descriptors), and those that have sent no request are closed first, the oldest before the others. A connection whose reader takes no byte for unread_answer_timeout_s (120) is closed.

--- a/pollenlb/process/connection_guard.py
+++ b/pollenlb/process/connection_guard.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import resource
 from collections import Counter
 from collections.abc import Callable
 from enum import Enum
@@ -19,9 +21,13 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
-from ..clock import Deadline, deadline_in, now
+from ..clock import Deadline, deadline_in, now, sleep_until
 from ..events import EventLog
-from ..scheduling.connections import ConnectionLoad, choose_to_free_bytes
+from ..scheduling.connections import (
+    ConnectionLoad,
+    choose_to_free_bytes,
+    choose_to_make_room,
+)
 from ..settings.http_server import HttpServerSettings
 
 # Bytes that the parser gets at once. They bound the text of an error, which quotes
@@ -32,6 +38,11 @@
 _WAITING_REQUEST_BYTES = 2048
 # Between two log lines with the same reason.
 _LOG_INTERVAL_S = 1.0
+# Between two checks of the connections' deadlines.
+_CHECK_INTERVAL_S = 0.25
+_NEVER = Deadline(math.inf)
+# An entry has two HTTP servers; the rest is for backend servers and files.
+_CONNECTION_DESCRIPTOR_RATIO = 0.4
 
 
 class CloseReason(Enum):
@@ -40,6 +51,9 @@
     INVALID_REQUEST = "invalid-request"
     HEAD_TOO_LARGE = "head-too-large"
     BYTES_HELD = "bytes-held"
+    HEAD_TIMEOUT = "head-timeout"
+    TOO_MANY_CONNECTIONS = "too-many-connections"
+    ANSWER_NOT_READ = "answer-not-read"
 
 
 class ConnectionGuard:
@@ -66,6 +80,8 @@
         self._count = count
         self._connections: set[GuardedRequestHandler] = set()
         self._held_bytes = 0
+        self._max_connections = settings.max_connections or _default_connection_count()
+        self._check_task: asyncio.Task | None = None
         self._totals: Counter[CloseReason] = Counter()
         self._next_log_at: dict[CloseReason, Deadline] = {}
 
@@ -74,9 +90,23 @@
         """Limits for the connections."""
         return self._settings
 
+    def start(self) -> None:
+        """Start to check the deadlines of connections."""
+        self._check_task = asyncio.create_task(self._check_deadlines())
+
+    def stop(self) -> None:
+        """Stop to check the deadlines of connections."""
+        if self._check_task is not None:
+            self._check_task.cancel()
+
     def add(self, connection: GuardedRequestHandler) -> None:
-        """Include a connection that was opened."""
+        """Include a connection that was opened; close others if there are too many."""
         self._connections.add(connection)
+        if len(self._connections) <= self._max_connections:
+            return
+        loads = {each: each.load for each in self._connections}
+        for each in choose_to_make_room(loads, self._max_connections):
+            each.abort(CloseReason.TOO_MANY_CONNECTIONS)
 
     def remove(self, connection: GuardedRequestHandler) -> None:
         """Leave out a connection that has ended."""
@@ -109,6 +139,12 @@
             total=self._totals[reason],
         )
 
+    async def _check_deadlines(self) -> None:
+        while True:
+            await sleep_until(deadline_in(_CHECK_INTERVAL_S))
+            for connection in list(self._connections):
+                connection.check_deadlines()
+
     def _free_bytes(self) -> None:
         for each in self._connections:
             each.counted_bytes = each.load.held_bytes
@@ -146,6 +182,9 @@
         "_has_sent_request",
         "_is_refused",
         "_own_transport",
+        "_head_deadline",
+        "_read_deadline",
+        "_unsent_bytes",
     )
 
     def __init__(
@@ -164,6 +203,10 @@
         self._is_refused = False
         # aiohttp forgets its transport before the last bytes are sent.
         self._own_transport: asyncio.Transport | None = None
+        self._head_deadline = deadline_in(guard.settings.head_timeout_s)
+        # When the reader of an answer must have taken more of it.
+        self._read_deadline = _NEVER
+        self._unsent_bytes = 0
 
     @property
     def load(self) -> ConnectionLoad:
@@ -210,6 +253,22 @@
             self._own_transport.abort()
         self._guard.remove(self)
 
+    def check_deadlines(self) -> None:
+        """Close the connection if a head is late or its answers are not read."""
+        if self._own_transport is None:
+            return
+        unsent_bytes = self._own_transport.get_write_buffer_size()
+        if not unsent_bytes:
+            self._read_deadline = _NEVER
+        elif unsent_bytes < self._unsent_bytes or self._read_deadline == _NEVER:
+            timeout_s = self._guard.settings.unread_answer_timeout_s
+            self._read_deadline = deadline_in(timeout_s)
+        self._unsent_bytes = unsent_bytes
+        if now() >= self._read_deadline:
+            self.abort(CloseReason.ANSWER_NOT_READ)
+        elif now() >= self._head_deadline and not self._buffer_paused:
+            self.abort(CloseReason.HEAD_TIMEOUT)
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -243,6 +302,9 @@
             self._unread_bytes = 0
         else:
             self._unread_bytes += len(piece)
+            if piece and payload.is_eof() and self._head_deadline == _NEVER:
+                timeout_s = self._guard.settings.head_timeout_s
+                self._head_deadline = deadline_in(timeout_s)
         # While requests wait, the parser holds what it has not read yet; the transport
         # is paused then, and the budget of the process bounds it.
         is_above = self._unread_bytes > self._guard.settings.max_head_bytes
@@ -256,6 +318,7 @@
                 self._refuse(message)
                 return
             self._has_sent_request = True
+            self._head_deadline = _NEVER
             self._payload = payload
             head_bytes = _head_bytes(message)
             self._waiting_bytes += head_bytes
@@ -336,6 +399,13 @@
         return GuardedServer(await super()._make_server(), self._guard)
 
 
+def _default_connection_count() -> int:
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        return 1_000_000
+    return max(1, int(soft_limit * _CONNECTION_DESCRIPTOR_RATIO))
+
+
 def _head_bytes(message: RawRequestMessage) -> int:
     """Return the size of a head, as it is without optional spaces."""
     lines = sum(len(name) + len(value) + 4 for name, value in message.raw_headers)
--- a/pollenlb/process/http_server.py
+++ b/pollenlb/process/http_server.py
@@ -45,9 +45,10 @@
         **options: Any,
     ) -> None:
         self._listen = listen
+        self._guard = ConnectionGuard(settings, events, count_closed)
         self._runner = GuardedRunner(
             application,
-            ConnectionGuard(settings, events, count_closed),
+            self._guard,
             access_log=None,
             handle_signals=False,
             **options,
@@ -72,6 +73,7 @@
             self._runner, host.strip("[]"), int(port), backlog=_LISTEN_BACKLOG_COUNT
         )
         await site.start()
+        self._guard.start()
 
     async def stop_listening(self) -> None:
         """Accept no new connections; open ones stay open."""
@@ -81,3 +83,4 @@
     async def stop(self) -> None:
         """Let requests in flight finish within the runner's timeout, then close."""
         await self._runner.cleanup()
+        self._guard.stop()
--- a/pollenlb/settings/http_server.py
+++ b/pollenlb/settings/http_server.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .options import Integer, Settings
+from .options import Integer, Number, Settings
 
 
 class HttpServerSettings(Settings):
@@ -15,3 +15,15 @@
     max_held_bytes = Integer(65_536, 1_073_741_824, 8_388_608)
     """Bytes of incomplete and waiting requests that one HTTP server holds; beyond it,
     the connections that hold the most are closed."""
+
+    head_timeout_s = Number(0.1, 3600, 20.0)
+    """Seconds in which a complete head must arrive after its first byte, or after the
+    connection was opened; the connection is closed otherwise."""
+
+    max_connections = Integer(0, 1_000_000, 0)
+    """Greatest number of open connections of one HTTP server; 0 is 0.4 of the
+    descriptors that the process may open. Those without a request are closed first."""
+
+    unread_answer_timeout_s = Number(0.1, 86_400, 120.0)
+    """Seconds without a byte of an answer taken by its reader after which the
+    connection is closed."""
--- a/tests/system/test_untrusted_callers.py
+++ b/tests/system/test_untrusted_callers.py
@@ -52,8 +52,13 @@
 }
 _PORTS = ["callers", "ready", "operator", "between processes"]
 
-_ENTRY_OPTIONS = {"max_header_bytes": 16_384}
-_CONTROL_OPTIONS: dict[str, int] = {}
+# Lowered, so that the tests are short.
+_CONTROL_OPTIONS = {
+    "head_timeout_s": 2,
+    "max_connections": _CONNECTION_COUNT + 5,
+    "unread_answer_timeout_s": 2,
+}
+_ENTRY_OPTIONS = {"max_header_bytes": 16_384, **_CONTROL_OPTIONS}
 
 
 @dataclass
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -465,7 +465,17 @@
 
 _ENUMS: list[tuple[type[Enum], set[str]]] = [
     (CallStatus, {"done", "in-doubt", "not-leader"}),
-    (CloseReason, {"bytes-held", "head-too-large", "invalid-request"}),
+    (
+        CloseReason,
+        {
+            "answer-not-read",
+            "bytes-held",
+            "head-timeout",
+            "head-too-large",
+            "invalid-request",
+            "too-many-connections",
+        },
+    ),
     (EntryKind, {"command", "members", "no-op"}),
     (ItemState, {"completed", "expired"}),
     (KeyState, {"claimed", "ran", "unknown"}),
@@ -526,6 +536,9 @@
 _HTTP_SERVER_KEYS = [
     "max_head_bytes",
     "max_held_bytes",
+    "head_timeout_s",
+    "max_connections",
+    "unread_answer_timeout_s",
 ]
 _SETTINGS: list[tuple[type[Settings], list[str], dict[str, tuple[str, ...]]]] = [
     (
