Give up at once what a refused or closed connection holds

Cause: the traceback of a parser's error refers to the received bytes and, over the list of messages, to itself, so that each refused connection stayed in memory until a garbage collection; and connections that the budget closes in one turn of the event loop kept their parser and waiting requests until the next. Answers that nobody reads were not counted.

The traceback is removed, a closed connection gives up its parser and waiting requests at once, and answers count for connections with waiting requests.

--- a/pollenlb/process/connection_guard.py
+++ b/pollenlb/process/connection_guard.py
@@ -35,7 +35,7 @@
 _PIECE_BYTES = 16_384
 _MAX_ERROR_CHARACTERS = 1000
 # Estimated memory of a parsed request that waits, beside the bytes of its head.
-_WAITING_REQUEST_BYTES = 2048
+_WAITING_REQUEST_BYTES = 4096
 # Between two log lines with the same reason.
 _LOG_INTERVAL_S = 1.0
 # Between two checks of the connections' deadlines.
@@ -215,6 +215,9 @@
         if self._messages:
             overhead_bytes = _WAITING_REQUEST_BYTES * len(self._messages)
             waiting_bytes = self._waiting_bytes + overhead_bytes
+            # Answers count for callers that send requests without reading them.
+            if self._own_transport is not None:
+                waiting_bytes += self._own_transport.get_write_buffer_size()
         return ConnectionLoad(
             held_bytes=self._unread_bytes + waiting_bytes,
             opened_at=self._opened_at,
@@ -251,6 +254,12 @@
         self.force_close()
         if self._own_transport is not None:
             self._own_transport.abort()
+        # Many connections may be closed before the event loop ends them, so what they
+        # hold is given up now. The handler may already have been woken for the first
+        # message.
+        self._parser = None
+        while len(self._messages) > 1:
+            self._messages.pop()
         self._guard.remove(self)
 
     def check_deadlines(self) -> None:
@@ -337,6 +346,9 @@
         """
         self._is_refused = True
         self._unread_bytes = 0
+        # Its traceback refers to the received bytes and, through them, to itself, so
+        # that the connection would be kept until the next garbage collection.
+        error.exc.with_traceback(None)
         text = error.message[:_MAX_ERROR_CHARACTERS]
         # The parser's text quotes what it was given, and is held until it is answered.
         shortened = _ErrInfo(
