--- a/pollenlb/process/metrics.py
+++ b/pollenlb/process/metrics.py
@@ -91,6 +91,9 @@
             "workspace turn",
         )
         self._workspace_labels = WorkspaceLabels()
+        self.closed_connections = self._counter(
+            "closed_connections", "Connections closed at a limit", "reason"
+        )
         self.in_flight = Gauge(
             "pollenlb_in_flight", "Requests in flight", registry=self._registry
         )
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -229,6 +229,7 @@
 from pollenlb.platform.duties import _UsageReport
 from pollenlb.platform.entry_protocol import platform_protocol
 from pollenlb.platform.orders import _Order, _Report
+from pollenlb.process.connection_guard import CloseReason
 from pollenlb.process.metrics import Metrics
 from pollenlb.request import announce_api, caller_request, outcome
 from pollenlb.request.announce_api import AnnounceBody
@@ -260,6 +261,7 @@
 from pollenlb.settings.control import ControlSettings, MemberSettings
 from pollenlb.settings.ctl import CtlSettings
 from pollenlb.settings.entry import EntrySettings
+from pollenlb.settings.http_server import HttpServerSettings
 from pollenlb.settings.options import Choice, Problem, Settings
 from pollenlb.version.order_api import FencingNumber, Order, OrderKind
 from pollenlb.version.order_channel import EngineReport, OrderOutcome, SwapOrder
@@ -497,6 +499,17 @@
 
 _ENUMS: list[tuple[type[Enum], set[str]]] = [
     (CallStatus, {"done", "in-doubt", "not-leader"}),
+    (
+        CloseReason,
+        {
+            "answer-not-read",
+            "bytes-held",
+            "head-timeout",
+            "head-too-large",
+            "invalid-request",
+            "too-many-connections",
+        },
+    ),
     (EntryKind, {"command", "members", "no-op"}),
     (ItemState, {"completed", "expired"}),
     (KeyState, {"claimed", "ran", "unknown"}),
@@ -567,6 +580,13 @@
 ]
 
 # Keys in files, and the allowed values of the keys that have a fixed choice.
+_HTTP_SERVER_KEYS = [
+    "max_head_bytes",
+    "max_held_bytes",
+    "head_timeout_s",
+    "max_connections",
+    "unread_answer_timeout_s",
+]
 _SETTINGS: list[tuple[type[Settings], list[str], dict[str, tuple[str, ...]]]] = [
     (
         CtlSettings,
@@ -604,6 +624,7 @@
             "duty_lease_ms",
             "usage_window_s",
             "usage_late_s",
+            *_HTTP_SERVER_KEYS,
         ],
         {"event_output": ("file", "stdout")},
     ),
@@ -631,9 +652,11 @@
             "balancer_delay_s",
             "shutdown_grace_s",
             "max_items_in_flight",
+            *_HTTP_SERVER_KEYS,
         ],
         {},
     ),
+    (HttpServerSettings, _HTTP_SERVER_KEYS, {}),
     (
         ServiceSettings,
         [
@@ -816,6 +839,10 @@
 pollenlb_workspace_turns_total{turn="b",workspace="a"} 1.0
 # TYPE pollenlb_workspace_turns_created
 pollenlb_workspace_turns_created{turn="b",workspace="a"}
+# TYPE pollenlb_closed_connections_total counter
+pollenlb_closed_connections_total{reason="a"} 1.0
+# TYPE pollenlb_closed_connections_created
+pollenlb_closed_connections_created{reason="a"}
 # TYPE pollenlb_in_flight gauge
 pollenlb_in_flight 2.0
 """
@@ -1123,6 +1150,7 @@
     metrics.domain_bytes.labels("a", "b").inc()
     metrics.record_workspace_request("a", "b")
     metrics.record_turn("a", "b")
+    metrics.closed_connections.labels("a").inc()
     metrics.in_flight.set(2)
     lines = metrics.exposition().decode().splitlines()
     stable_lines = [
