Bound the table of connections by the number of addresses

Cause: closed connections to an address were removed only when the address was used again, so that the table grew with each address that a server ever had.

Change: from 1024 addresses on, those without an open connection are removed before one is added. A test adds twenty addresses with a bound of two.

--- a/pollenlb/connection/pool.py
+++ b/pollenlb/connection/pool.py
@@ -21,8 +21,9 @@
 _MAX_IDLE_MARGIN_S = 1.0
 _IDLE_MARGIN_RATIO = 0.2
 _STATED_TIMEOUT = re.compile(r"\btimeout\s*=\s*(\d{1,6})\b", re.IGNORECASE)
-# Addresses whose last closed connection is remembered.
-_MAX_ENDED_COUNT = 1024
+# Addresses whose last closed connection is remembered, and addresses from which on
+# those without an open connection are removed.
+_MAX_ADDRESS_COUNT = 1024
 
 
 class OpeningReason(Enum):
@@ -182,6 +183,9 @@
 
     def add(self, address: str, protocol: PooledProtocol) -> None:
         """Add a new connection to an address, given as host and port."""
+        if address not in self._open and len(self._open) >= _MAX_ADDRESS_COUNT:
+            for known in list(self._open):
+                self._live(known)
         self._open.setdefault(address, []).append(protocol)
 
     def idle_count(self, address: str) -> int:
@@ -214,7 +218,7 @@
             self._open[address] = live
         else:
             del self._open[address]
-        while len(self._ends) > _MAX_ENDED_COUNT:
+        while len(self._ends) > _MAX_ADDRESS_COUNT:
             del self._ends[next(iter(self._ends))]
         return live
 
--- a/tests/connection/test_pool.py
+++ b/tests/connection/test_pool.py
@@ -166,13 +166,22 @@
     assert sum(not each.is_closing() for each in system.transports) == 1
 
 
-def test_ends_are_remembered_for_a_bounded_number_of_addresses(monkeypatch):
-    monkeypatch.setattr(pool, "_MAX_ENDED_COUNT", 2)
+class _Ended:
+    end = OpeningReason.IDLE_EXPIRED
+
+
+# Guards against memory that grows with each server that ever had an address.
+def test_closed_connections_are_removed_without_a_further_request(monkeypatch):
+    monkeypatch.setattr(pool, "_MAX_ADDRESS_COUNT", 2)
     table = ConnectionTable()
+    for number in range(20):
+        table.add(f"host:{number}", _Ended())
+    assert len(table._open) <= 2 and len(table._ends) <= 2
 
-    class _Ended:
-        end = OpeningReason.IDLE_EXPIRED
 
+def test_ends_are_remembered_for_a_bounded_number_of_addresses(monkeypatch):
+    monkeypatch.setattr(pool, "_MAX_ADDRESS_COUNT", 2)
+    table = ConnectionTable()
     for number in range(4):
         table.add(f"host:{number}", _Ended())
         assert table.opening_reason(f"host:{number}") is OpeningReason.IDLE_EXPIRED
