Offer a request to a server's queue before refusing it

An entry lets one request wait at each server and keeps the others. A request whose wait ended was refused even if the entry's admission control allowed it another one at some server, which would have queued and run it.

Such servers now get the waiting requests up to that one, in the order of the queue, as long as these are within their workspace's share or lent.

--- a/pollenlb/process/caller_queue.py
+++ b/pollenlb/process/caller_queue.py
@@ -103,10 +103,19 @@
         Spreads the times at which refused callers come back.
     count_room : callable
         Returns how many requests this entry may send to servers now.
+    count_admitting : callable
+        Returns how many servers would take one more request into their queues. A
+        request that may be sent goes there rather than being refused.
     """
 
-    def __init__(self, rng: random.Random, count_room: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        count_room: Callable[[], int],
+        count_admitting: Callable[[], int],
+    ) -> None:
         self._count_room = count_room
+        self._count_admitting = count_admitting
         self._shares = FairShares(rng)
         self._queue: FairQueue[QueuedRequest] = FairQueue()
         self._refused: dict[Fingerprint, Deadline] = {}
@@ -190,18 +199,11 @@
         waited_s = at - self._served_at if self._check is not None else 0.0
         served = 0
         while served < room:
-            request = self._queue.take(
-                lambda flow, is_returning: self._shares.may_send(flow, at, is_returning)
-            )
+            request = self._take(at)
             if request is None:
                 break
-            flow, is_returning = request.flow, request.is_returning
-            request.is_within_share = self._shares.record_sent(flow, at, is_returning)
-            request.has_turn = True
-            self._finish(request)
+            self._give_turn(request, at)
             served += 1
-            self._starting += 1
-            asyncio.get_running_loop().call_later(_START_S, self._on_started)
         if waited_s:
             self._shares.record_queue(waited_s, served, at)
         self._served_at = at
@@ -212,7 +214,7 @@
 
     def _refuse_late(self, at: float) -> None:
         for request in [each for each in self._waiting if each.waits_until <= at]:
-            self._refuse(request)
+            self._send_or_refuse(request, at)
 
     def _refuse_hopeless(self, has_room: bool, at: float) -> None:
         """Refuse the last requests of flows that wait longer than they may."""
@@ -222,18 +224,38 @@
                 wait_s = self._shares.expected_wait_s(flow, ahead, has_room, at)
                 if at + wait_s <= request.waits_until:
                     break
-                self._refuse(request)
+                self._send_or_refuse(request, at)
 
-    def _refuse(self, request: QueuedRequest) -> None:
-        self._queue.remove(request, request.flow)
+    def _send_or_refuse(self, request: QueuedRequest, at: float) -> None:
+        """Let servers queue what is served up to a request, or refuse it."""
+        while request in self._waiting and self._count_admitting() > self._starting:
+            first = self._take(at)
+            if first is None:
+                break
+            self._give_turn(first, at)
+        if request in self._waiting:
+            self._refuse(request)
+
+    def _take(self, at: float) -> QueuedRequest | None:
+        return self._queue.take(
+            lambda flow, is_returning: self._shares.may_send(flow, at, is_returning)
+        )
+
+    def _give_turn(self, request: QueuedRequest, at: float) -> None:
+        flow, is_returning = request.flow, request.is_returning
+        request.is_within_share = self._shares.record_sent(flow, at, is_returning)
+        request.has_turn = True
+        self._starting += 1
+        asyncio.get_running_loop().call_later(_START_S, self._on_started)
         self._waiting.discard(request)
         if request.done is not None and not request.done.done():
-            request.done.set_exception(TurnRefusedError(self.retry_after_s(request)))
+            request.done.set_result(None)
 
-    def _finish(self, request: QueuedRequest) -> None:
+    def _refuse(self, request: QueuedRequest) -> None:
+        self._queue.remove(request, request.flow)
         self._waiting.discard(request)
         if request.done is not None and not request.done.done():
-            request.done.set_result(None)
+            request.done.set_exception(TurnRefusedError(self.retry_after_s(request)))
 
     def _schedule_check(self) -> None:
         if self._check is not None:
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -198,16 +198,22 @@
         if service not in self.caller_queues:
 
             def count_room() -> int:
-                return self._count_places(service)
+                entries = len(self.live_entries.all)
+                return free_places(self._admitting_servers(service), entries)
 
-            self.caller_queues[service] = CallerQueue(self.rng, count_room)
+            def count_admitting() -> int:
+                return len(self._admitting_servers(service))
+
+            self.caller_queues[service] = CallerQueue(
+                self.rng, count_room, count_admitting
+            )
         return self.caller_queues[service]
 
-    def _count_places(self, service: ServiceName) -> int:
-        """Return how many callers' requests may be sent to a service now."""
+    def _admitting_servers(self, service: ServiceName) -> list[BackendServer]:
+        """Return the servers that may get another request without a deadline."""
         entries = len(self.live_entries.all)
-        servers = self.admit(self.usable_servers(service), entries, Deadline(math.inf))
-        return free_places(servers, entries)
+        usable = self.usable_servers(service)
+        return self.admit(usable, entries, Deadline(math.inf))
 
     def recent_latencies(self, service: ServiceName) -> RecentLatencies:
         """Return the recent latencies of a service, created at their first use."""
--- a/tests/process/test_caller_queue.py
+++ b/tests/process/test_caller_queue.py
@@ -22,6 +22,7 @@
 
     def __init__(self) -> None:
         self.count = 0
+        self.admitting = 0
 
     def take(self) -> int:
         count, self.count = self.count, 0
@@ -30,7 +31,7 @@
 
 def _queue() -> tuple[CallerQueue, _Room]:
     room = _Room()
-    return CallerQueue(random.Random(1), room.take), room
+    return CallerQueue(random.Random(1), room.take, lambda: room.admitting), room
 
 
 def _request(
@@ -120,6 +121,15 @@
     assert order[0] is again
 
 
+async def test_request_is_offered_to_a_server_rather_than_refused():
+    """Guards against refusals of requests that a server would queue."""
+    queue, room = _queue()
+    room.admitting = 1
+    request = _request("a", wait_s=0.05)
+    await asyncio.wait_for(queue.wait_for_turn(request), 1.0)
+    assert request.has_turn
+
+
 async def test_caller_that_disconnects_leaves_the_queue():
     """Guards against turns for callers that are gone."""
     queue, _ = _queue()
