Order numbers of backend servers, and show duties to operators

Deployments that let the product order servers got no orders, so idle servers were paid for and lasting backlogs stayed.

Entries tell their requests in flight only where the duty is on. pollenctl duties shows holder, fencing number, calls, and servers ordered and present.

Two tests of usage reports are corrected. One compared pauses that were equal but for microseconds; it now compares them with the stated ones.

--- a/fakes/duty_api.py
+++ b/fakes/duty_api.py
@@ -1,4 +1,4 @@
-"""Stand-in for the API of the infrastructure: takes usage reports."""
+"""Stand-in for the API of the infrastructure: usage reports and server orders."""
 
 from __future__ import annotations
 
@@ -24,12 +24,15 @@
         Neither takes the call nor responds.
     BUSY
         Responds with status 503 without taking the call.
+    NONE_AVAILABLE
+        Responds with status 409 without taking the call.
     """
 
     ACCEPT = "accept"
     LOSE_RESPONSES = "lose-responses"
     SILENT = "silent"
     BUSY = "busy"
+    NONE_AVAILABLE = "none-available"
 
 
 @dataclass
@@ -104,6 +107,8 @@
             await asyncio.sleep(3600)
         if self.mode is ApiMode.BUSY:
             return web.Response(status=503)
+        if self.mode is ApiMode.NONE_AVAILABLE:
+            return web.Response(status=409)
         self.calls.append(call)
         if self.mode is ApiMode.LOSE_RESPONSES and request.transport is not None:
             request.transport.abort()
--- a/pollenlb/__main__.py
+++ b/pollenlb/__main__.py
@@ -99,6 +99,14 @@
     """
 
 
+@dataclass
+class Duties:
+    """Show who calls the infrastructure, its last calls, and ordered servers.
+
+    Example: pollenctl duties
+    """
+
+
 @dataclass
 class Timeline:
     """Show the events of all processes in causal order.
@@ -196,6 +204,7 @@
         | Changes
         | Status
         | Workspaces
+        | Duties
         | Timeline
         | Set
         | Drain
@@ -288,6 +297,13 @@
     workspaces(settings, is_json)
 
 
+@run_action.register
+def _(action: Duties, settings: CtlSettings, is_json: bool) -> None:
+    from .commands.duties import duties
+
+    duties(settings, is_json)
+
+
 @run_action.register
 def _(action: Timeline, settings: CtlSettings, is_json: bool) -> None:
     from .commands.timeline import timeline
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -10,6 +10,7 @@
 from ..durable.batch_job_commands import BatchJobSpec, ItemResult, SavedOutput
 from ..durable.commands import AnyCommand, AnyResult
 from ..durable.configuration_commands import Announcement, Change
+from ..durable.duty_commands import DutyCall
 from ..durable.job_commands import JobSettings
 from ..durable.leases import EntryHealth, EntryInfo
 from ..durable.records import Member
@@ -20,6 +21,7 @@
     BootId,
     CommandId,
     DocumentVersion,
+    FailureDomain,
     Fingerprint,
     InstanceName,
     ItemId,
@@ -29,6 +31,7 @@
     ReplicaId,
     RequestId,
     Revision,
+    ServiceName,
     SoftwareVersion,
     StepNumber,
     Term,
@@ -360,6 +363,8 @@
         they are not to be counted.
     usage_sealed : UsageWindow
         First window whose counts may still change.
+    needs_load : bool
+        Whether renewals are to tell the requests in flight by backend server.
     """
 
     status: CallStatus
@@ -378,6 +383,7 @@
     usage_window_s: float = 0.0
     usage_sealed: UsageWindow = UsageWindow(0)
     loads: LoadsView | None = None
+    needs_load: bool = False
 
 
 class ReadBatchJob(msgspec.Struct, frozen=True):
@@ -500,6 +506,55 @@
     is_confirmed: bool
 
 
+class ReplicaView(msgspec.Struct, frozen=True):
+    """Backend servers of one kind in a failure domain, ordered and present.
+
+    Attributes
+    ----------
+    is_reclaimable : bool
+        Whether the infrastructure may reclaim them at any time.
+    ordered : int or None
+        Number that was ordered; None if none was.
+    present : int
+        Number that is announced and serves.
+    reason : str
+        Why the number was ordered.
+    status : int or None
+        HTTP status of the response to the order; None without one.
+    """
+
+    service: ServiceName
+    failure_domain: FailureDomain
+    is_reclaimable: bool
+    ordered: int | None
+    present: int
+    reason: str = ""
+    status: int | None = None
+
+
+class DutiesView(msgspec.Struct, frozen=True):
+    """Holder of the duties and what it has done.
+
+    Attributes
+    ----------
+    holder : InstanceName
+        Control instance that may make calls; empty before the first one.
+    accepted_call : DutyCall or None
+        Last call that was accepted.
+    last_call : DutyCall or None
+        Last call of the answering process, whatever the response.
+    unsent_windows : list of UsageWindow
+        Sealed windows whose report is not accepted yet.
+    """
+
+    holder: InstanceName
+    fencing: int
+    accepted_call: DutyCall | None = None
+    last_call: DutyCall | None = None
+    unsent_windows: list[UsageWindow] = []
+    replicas: list[ReplicaView] = []
+
+
 class StatusAnswer(msgspec.Struct, frozen=True):
     """State of a control instance and its copy of the replicated state.
 
@@ -512,6 +567,8 @@
         Entry processes with a live lease; empty unless this instance leads.
     suspects : dict
         Whether the request is refused, by fingerprint.
+    duties : DutiesView or None
+        None if this instance has no duties.
     """
 
     status: CallStatus
@@ -529,6 +586,7 @@
     releases: dict[ModelName, WeightVersion]
     jobs: dict[JobName, JobView]
     suspects: dict[Fingerprint, bool]
+    duties: DutiesView | None = None
 
 
 class RecordStream(msgspec.Struct, frozen=True):
--- a/pollenlb/durable/commands.py
+++ b/pollenlb/durable/commands.py
@@ -43,7 +43,9 @@
 )
 from .duty_commands import (
     CloseUsage,
+    EndReplicaOrder,
     OpenUsage,
+    OrderReplicas,
     RecordUsage,
     SealUsage,
     SkipUsage,
@@ -93,6 +95,8 @@
     | SealUsage
     | SkipUsage
     | CloseUsage
+    | OrderReplicas
+    | EndReplicaOrder
 )
 
 AnyResult = (
--- a/pollenlb/durable/configuration_commands.py
+++ b/pollenlb/durable/configuration_commands.py
@@ -58,6 +58,8 @@
         Weight version that it serves, by model; empty when it does not report it.
     software : SoftwareVersion
         Version of its software; empty when it does not report it.
+    is_reclaimable : bool
+        Whether the infrastructure may reclaim it at any time.
     """
 
     server: BackendServerName
@@ -71,6 +73,7 @@
     sequence: int = 0
     models: dict[ModelName, WeightVersion] = {}
     software: SoftwareVersion = SoftwareVersion("")
+    is_reclaimable: bool = False
 
     def differs_beyond_sequence(self, other: Announcement) -> bool:
         """Return whether anything but the sequence number differs."""
--- a/pollenlb/durable/duties.py
+++ b/pollenlb/durable/duties.py
@@ -9,8 +9,11 @@
 from .duty_commands import (
     CloseUsage,
     DutyCall,
+    EndReplicaOrder,
     OpenUsage,
+    OrderReplicas,
     RecordUsage,
+    ReplicaSubject,
     SealUsage,
     SkipUsage,
     TakeDuties,
@@ -23,6 +26,31 @@
 Counts = dict[WorkspaceName, int]
 
 
+class ReplicaOrder(msgspec.Struct):
+    """Latest order of a number of backend servers.
+
+    Attributes
+    ----------
+    count : int
+        Number that is in force, or was ordered.
+    earlier_count : int
+        Number that was in force before.
+    reason : str
+        Why it was ordered.
+    at_ms : int
+        Wall time of the order, milliseconds since the epoch.
+    call : DutyCall or None
+        Last call with a final response; None while there is none.
+    """
+
+    subject: ReplicaSubject
+    count: int
+    earlier_count: int
+    reason: str
+    at_ms: int
+    call: DutyCall | None = None
+
+
 class DutyTable(msgspec.Struct):
     """Holder of the duties, and the counts of requests by window.
 
@@ -40,6 +68,8 @@
         Counts by workspace, by sealed window whose report is not accepted yet.
     last_call : DutyCall or None
         Last call that was accepted.
+    replica_orders : list of ReplicaOrder
+        Latest order of each subject.
     """
 
     holder: InstanceName = InstanceName("")
@@ -48,6 +78,41 @@
     open_counts: dict[UsageWindow, dict[BootId, Counts]] = {}
     sealed_counts: dict[UsageWindow, Counts] = {}
     last_call: DutyCall | None = None
+    replica_orders: list[ReplicaOrder] = []
+
+    def replica_order(self, subject: ReplicaSubject) -> ReplicaOrder | None:
+        """Return the latest order of a subject, or None."""
+        for order in self.replica_orders:
+            if order.subject == subject:
+                return order
+        return None
+
+    def order_replicas(self, command: OrderReplicas, at_ms: int) -> Done:
+        """Record an order before it is sent."""
+        self.replica_orders = [
+            order for order in self.replica_orders if order.subject != command.subject
+        ]
+        self.replica_orders.append(
+            ReplicaOrder(
+                command.subject,
+                command.count,
+                command.earlier_count,
+                command.reason,
+                at_ms,
+            )
+        )
+        return Done()
+
+    def end_replica_order(self, command: EndReplicaOrder) -> Done:
+        """Record a response, unless another number has been ordered since."""
+        order = self.replica_order(command.subject)
+        if order is not None and order.count == command.count:
+            order.call = command.call
+            if not command.is_accepted:
+                order.count = order.earlier_count
+        if command.is_accepted:
+            self.last_call = command.call
+        return Done()
 
     def take(self, command: TakeDuties) -> Done:
         """Change the holder and raise the fencing number."""
--- a/pollenlb/durable/duty_commands.py
+++ b/pollenlb/durable/duty_commands.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-from ..ids import BootId, InstanceName, UsageWindow, WorkspaceName
+from ..ids import (
+    BootId,
+    FailureDomain,
+    InstanceName,
+    ServiceName,
+    UsageWindow,
+    WorkspaceName,
+)
 from .command_base import Command
 
 
@@ -83,3 +90,49 @@
 
     window: UsageWindow
     call: DutyCall | None = None
+
+
+class ReplicaSubject(msgspec.Struct, frozen=True, array_like=True):
+    """The backend servers of one kind that an order is about.
+
+    Attributes
+    ----------
+    is_reclaimable : bool
+        Whether the infrastructure may reclaim them at any time.
+    """
+
+    service: ServiceName
+    failure_domain: FailureDomain
+    is_reclaimable: bool
+
+
+class OrderReplicas(Command, frozen=True):
+    """Records the number of backend servers that is about to be ordered.
+
+    Attributes
+    ----------
+    earlier_count : int
+        Number that was in force before, to which a rejected order returns.
+    reason : str
+        Why, for operators.
+    """
+
+    subject: ReplicaSubject
+    count: int
+    earlier_count: int
+    reason: str
+
+
+class EndReplicaOrder(Command, frozen=True):
+    """Records the response to an order.
+
+    Attributes
+    ----------
+    is_accepted : bool
+        Whether the number is in force; else the one before stays.
+    """
+
+    subject: ReplicaSubject
+    count: int
+    is_accepted: bool
+    call: DutyCall
--- a/pollenlb/durable/leases.py
+++ b/pollenlb/durable/leases.py
@@ -95,6 +95,9 @@
         Number of items of these batch jobs that run, by engine.
     waiting : dict of ModelName to int
         Number of items of these batch jobs that wait for a slot, by model.
+    in_flight : dict of BackendServerName to int
+        Number of all requests of the process in flight, by backend server; only if
+        the leader asks for it.
     """
 
     is_draining: bool = False
@@ -102,6 +105,7 @@
     batch_jobs: list[BatchJobId] = []
     running: dict[BackendServerName, int] = {}
     waiting: dict[ModelName, int] = {}
+    in_flight: dict[BackendServerName, int] = {}
 
 
 class Lease(msgspec.Struct):
--- a/pollenlb/durable/state_machine.py
+++ b/pollenlb/durable/state_machine.py
@@ -40,7 +40,9 @@
 from .duties import DutyTable
 from .duty_commands import (
     CloseUsage,
+    EndReplicaOrder,
     OpenUsage,
+    OrderReplicas,
     RecordUsage,
     SealUsage,
     SkipUsage,
@@ -401,6 +403,16 @@
     return state.duties.close(command)
 
 
+@apply_command.register
+def _(command: OrderReplicas, state: State, position: LogPosition) -> AnyResult:
+    return state.duties.order_replicas(command, position.at_ms)
+
+
+@apply_command.register
+def _(command: EndReplicaOrder, state: State, position: LogPosition) -> AnyResult:
+    return state.duties.end_replica_order(command)
+
+
 # Tables that each type of command may change, of those that entry processes hold a
 # view of. ``CommitItems`` and ``NoteOrder`` are missing, since theirs depend on more
 # than the type.
--- a/pollenlb/platform/announcements.py
+++ b/pollenlb/platform/announcements.py
@@ -54,6 +54,8 @@
         Start of the server's process, in milliseconds since the epoch.
     seq : int
         Number of the check-in since the start of the process, from 0.
+    spot : bool
+        Whether the infrastructure may reclaim the server.
     """
 
     service: str
@@ -65,6 +67,7 @@
     born: Annotated[int, msgspec.Meta(gt=0)]
     seq: _Count
     models: list[LoadedModel] = []
+    spot: bool = False
 
 
 class _Deregistration(msgspec.Struct):
@@ -114,6 +117,7 @@
         sequence=heartbeat.seq,
         models=versions_by_model(heartbeat.models),
         software=SoftwareVersion(heartbeat.version),
+        is_reclaimable=heartbeat.spot,
     )
     return Ok(AnnounceServer(announcement))
 
--- a/pollenlb/platform/configuration.py
+++ b/pollenlb/platform/configuration.py
@@ -32,6 +32,26 @@
     models: list[_Model] = []
 
 
+class _Scaling(msgspec.Struct):
+    """Bounds and prices of the servers of a service in each failure domain.
+
+    Attributes
+    ----------
+    boot_s : float
+        Seconds until a new server serves.
+    spot_price : float
+        Price of a server that may be reclaimed, relative to others.
+    zone_prices : dict
+        Price of a server by failure domain.
+    """
+
+    min: int = 0
+    max: int = 0
+    boot_s: float = 10.0
+    spot_price: float = 1.0
+    zone_prices: dict[str, float] = {}
+
+
 class _Service(msgspec.Struct):
     """A service.
 
@@ -42,12 +62,15 @@
         together.
     engine : _Engine or None
         Present for a service of model engines; None for a plain service.
+    scaling : _Scaling or None
+        Present if the number of its servers may be ordered.
     """
 
     name: str
     health_path: str = "/healthz"
     max_conns: int = 100_000
     engine: _Engine | None = None
+    scaling: _Scaling | None = None
 
 
 class _TrafficShare(msgspec.Struct):
@@ -249,6 +272,12 @@
         # The platform's engines run only items of batch jobs, so that these may take
         # every slot.
         settings["long_share"] = 1.0
+    if service.scaling is not None:
+        settings["min_servers"] = service.scaling.min
+        settings["max_servers"] = service.scaling.max
+        settings["start_s"] = service.scaling.boot_s
+        settings["reclaimable_price"] = service.scaling.spot_price
+        settings["domain_prices"] = service.scaling.zone_prices
     return settings
 
 
--- a/pollenlb/platform/duties.py
+++ b/pollenlb/platform/duties.py
@@ -9,10 +9,11 @@
 
 from ..connection.sessions import ConnectionLostError
 from ..durable.duties import Counts
+from ..durable.duty_commands import ReplicaSubject
 from ..ids import Address, UsageWindow
 from ..process.duty_channel import DutyHolder, DutyResponse
 from ..request.outcome import parse_retry_after_s
-from .names import FENCING_HEADER, HOLDER_HEADER, USAGE_PATH
+from .names import FENCING_HEADER, HOLDER_HEADER, SCALE_PATH, USAGE_PATH
 
 # The API may be 50 times slower than usual.
 _CALL_TIMEOUT_S = 2.0
@@ -29,6 +30,23 @@
     counts: dict[str, int]
 
 
+class _ScaleOrder(msgspec.Struct, omit_defaults=True):
+    """The number of servers of one kind that a service should have.
+
+    Attributes
+    ----------
+    zone : str
+        Failure domain of the servers.
+    spot : bool
+        Whether the infrastructure may reclaim the servers.
+    """
+
+    service: str
+    zone: str
+    group_count: int
+    spot: bool = False
+
+
 class PlatformDutyChannel:
     """Makes calls in the platform's format; satisfies ``DutyChannel``."""
 
@@ -44,6 +62,20 @@
         report = _UsageReport(window, dict(sorted(counts.items())))
         return await self._post(session, address, USAGE_PATH, holder, report)
 
+    async def order_replicas(
+        self,
+        session: aiohttp.ClientSession,
+        address: Address,
+        holder: DutyHolder,
+        subject: ReplicaSubject,
+        count: int,
+    ) -> DutyResponse:
+        """Order the number of backend servers of one kind in a failure domain."""
+        order = _ScaleOrder(
+            subject.service, subject.failure_domain, count, subject.is_reclaimable
+        )
+        return await self._post(session, address, SCALE_PATH, holder, order)
+
     async def _post(
         self,
         session: aiohttp.ClientSession,
--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -294,6 +294,7 @@
             releases=state.directory.releases,
             jobs=self._leases.ledger_view().jobs,
             suspects=build_quarantine_view(self.machine).suspects,
+            duties=self._duties.view() if self._duties is not None else None,
         )
 
     async def _record_stream(self, request: RecordStream) -> StreamRecorded:
--- a/pollenlb/process/duties.py
+++ b/pollenlb/process/duties.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from ..clock import Deadline, deadline_in, now, remaining_time_s, sleep_until
+from ..connection.control_api import DutiesView
 from ..connection.sessions import open_session
 from ..durable.duties import DutyTable
 from ..durable.duty_commands import (
@@ -27,6 +28,7 @@
 from ..scheduling.usage_seal import SealAction, decide_seal
 from .control_context import ControlContext
 from .duty_channel import DutyChannel, DutyHolder, DutyResponse
+from .replica_orders import ReplicaOrderer
 
 _POLL_INTERVAL_S = 0.1
 _RECORD_INTERVAL_S = 1.0
@@ -52,6 +54,23 @@
 SendCall = Callable[[DutyHolder], Awaitable[DutyResponse]]
 
 
+class _Backoff:
+    """Pauses after failed calls of one duty."""
+
+    def __init__(self) -> None:
+        self.retry_at = Deadline(0.0)
+        self._failure_count = 0
+
+    def record(self, response: DutyResponse) -> None:
+        """Set when the next call of the duty may be made."""
+        if response.is_accepted or response.is_refused:
+            self._failure_count = 0
+            return
+        retry_s = min(_MAX_RETRY_S, _FIRST_RETRY_S * 2**self._failure_count)
+        self._failure_count = min(10, self._failure_count + 1)
+        self.retry_at = deadline_in(response.retry_after_s or retry_s)
+
+
 class DutyIssuer:
     """Carries out the duties while its instance leads.
 
@@ -74,12 +93,33 @@
         self._may_call_at = Deadline(math.inf)
         self._next_call_at = Deadline(0.0)
         self._next_record_at = Deadline(0.0)
-        self._failure_count = 0
+        self._last_call: DutyCall | None = None
+        self._usage_backoff = _Backoff()
+        replica_backoff = _Backoff()
+
+        async def call(
+            subject: str, send: SendCall, leadership: Leadership
+        ) -> DutyResponse | None:
+            return await self._call(subject, send, leadership, replica_backoff)
+
+        self._replicas = ReplicaOrderer(context, channel, call)
 
     @property
     def _table(self) -> DutyTable:
         return self._context.machine.state.duties
 
+    def view(self) -> DutiesView:
+        """Return the state of the duties for operators."""
+        table = self._table
+        return DutiesView(
+            table.holder,
+            table.fencing,
+            table.last_call,
+            self._last_call,
+            sorted(table.sealed_counts),
+            self._replicas.views(),
+        )
+
     async def run(self) -> None:
         """Carry out the duties whenever this instance leads, until cancelled."""
         # A connection is used once: one that is cut while it is idle would deliver a
@@ -89,6 +129,8 @@
             tasks.create_task(self._repeat(self._maintain))
             if self._settings.reports_usage:
                 tasks.create_task(self._repeat(self._send_next_report))
+            if self._settings.scales_services:
+                tasks.create_task(self._repeat(self._order_replicas))
 
     async def close(self) -> None:
         """Close the connections to the API."""
@@ -192,7 +234,7 @@
             self._table.sealed_counts,
             key=lambda each: (self._is_late(each, wall_s), each),
         )
-        if not windows or not self._may_call(leadership):
+        if not windows:
             return
         window = windows[0]
         end_s = (window + 1) * self._settings.usage_window_s
@@ -209,13 +251,19 @@
                 self._session, address, holder, window, counts
             )
 
-        response = await self._call(f"usage {window}", send, leadership)
+        response = await self._call(
+            f"usage {window}", send, leadership, self._usage_backoff
+        )
         if response is not None and response.is_accepted:
             call = DutyCall(
                 f"usage {window}", time.time_ns() // 1_000_000, response.status
             )
             await self._context.execute(CloseUsage(window, call))
 
+    async def _order_replicas(self, leadership: Leadership) -> None:
+        assert self._session is not None
+        await self._replicas.step(self._session, leadership)
+
     def _is_late(self, window: UsageWindow, wall_s: float) -> bool:
         end_s = (window + 1) * self._settings.usage_window_s
         return wall_s > end_s + self._settings.usage_late_s
@@ -229,7 +277,11 @@
         )
 
     async def _call(
-        self, subject: str, send: SendCall, leadership: Leadership
+        self,
+        subject: str,
+        send: SendCall,
+        leadership: Leadership,
+        backoff: _Backoff,
     ) -> DutyResponse | None:
         """Make a call if this instance certainly holds the duties.
 
@@ -238,6 +290,8 @@
         DutyResponse or None
             The response; None if the call was not sent.
         """
+        if remaining_time_s(backoff.retry_at) or not self._may_call(leadership):
+            return None
         confirmed_at = now()
         await self._context.replica.confirm_leadership()
         if not self._may_call(leadership) or now() > confirmed_at + _CONFIRMED_S:
@@ -246,13 +300,9 @@
         pause_s = 1 / (_RATE_RATIO * self._settings.duty_per_s)
         self._next_call_at = deadline_in(pause_s)
         response = await send(holder)
-        if response.is_accepted:
-            self._failure_count = 0
-        else:
-            retry_s = min(_MAX_RETRY_S, _FIRST_RETRY_S * 2**self._failure_count)
-            retry_s = max(pause_s, response.retry_after_s or retry_s)
-            self._failure_count = min(10, self._failure_count + 1)
-            self._next_call_at = deadline_in(retry_s)
+        backoff.record(response)
+        at_ms = time.time_ns() // 1_000_000
+        self._last_call = DutyCall(subject, at_ms, response.status)
         self._context.events.record(
             "duty.called",
             subject=subject,
--- a/pollenlb/process/duty_channel.py
+++ b/pollenlb/process/duty_channel.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from ..durable.duties import Counts
+from ..durable.duty_commands import ReplicaSubject
 from ..ids import Address, InstanceName, UsageWindow
 
 
@@ -46,6 +47,11 @@
     retry_after_s: float | None = None
     reason: str = ""
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether the API will not carry the call out, also when it is repeated."""
+        return 400 <= self.status < 500 and self.status not in (408, 425, 429)
+
     @property
     def is_accepted(self) -> bool:
         """Whether the API has accepted the call."""
@@ -64,3 +70,13 @@
         counts: Counts,
     ) -> DutyResponse:
         """Report the requests of a window by workspace."""
+
+    async def order_replicas(
+        self,
+        session: aiohttp.ClientSession,
+        address: Address,
+        holder: DutyHolder,
+        subject: ReplicaSubject,
+        count: int,
+    ) -> DutyResponse:
+        """Order the number of backend servers of one kind in a failure domain."""
--- a/pollenlb/process/lease_service.py
+++ b/pollenlb/process/lease_service.py
@@ -162,6 +162,7 @@
                 else {}
             ),
             limits_version=leader_state.limits.version if lease_s else 0,
+            needs_load=self._context.settings.scales_services,
             usage_window_s=(
                 self._context.settings.usage_window_s
                 if self._context.settings.reports_usage
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -10,6 +10,7 @@
 from ..clock import Deadline, deadline_in, now, sleep_until
 from ..connection.control_api import RenewAnswer, RenewRequest
 from ..durable.leases import EntryHealth
+from ..ids import BackendServerName
 from .batch_runner import BatchRunner
 from .context import EntryContext
 from .loop_lag import LoopLag
@@ -45,6 +46,7 @@
         self._task: asyncio.Task | None = None
         self._was_leased = False
         self._limits_version = 0
+        self._needs_load = False
         self._interruptions = (
             batch_runner.engine_became_idle,
             context.directory.limit_shares.changed,
@@ -128,6 +130,7 @@
                 self._batch_runner.batch_jobs,
                 dict(self._batch_runner.running_items_by_server()),
                 dict(self._batch_runner.waiting_items_by_model()),
+                self._in_flight() if self._needs_load else {},
             ),
             limits=context.directory.report_limits(),
             limits_version=self._limits_version,
@@ -137,6 +140,13 @@
             loads=self._batch_runner.loads_version,
         )
 
+    def _in_flight(self) -> dict[BackendServerName, int]:
+        return {
+            name: server.load.in_flight
+            for name, server in self._context.directory.servers.items()
+            if server.load.in_flight
+        }
+
     def _apply(self, answer: RenewAnswer, sent_at: float) -> None:
         context = self._context
         if answer.configuration is not None:
@@ -164,6 +174,7 @@
             answer.limits, len(context.live_entries.all), leased_until
         )
         self._limits_version = answer.limits_version
+        self._needs_load = answer.needs_load
         context.usage.configure(answer.usage_window_s, answer.usage_sealed)
 
     def _record_lease_change(self) -> None:
--- a/pollenlb/settings/cluster.py
+++ b/pollenlb/settings/cluster.py
@@ -63,6 +63,21 @@
     max_connections = Integer(1, 1_000_000, 100_000)
     """Connections that a backend server accepts from all instances in total."""
 
+    min_servers = Integer(0, 10_000, 0)
+    """Fewest backend servers that may be ordered for a failure domain."""
+
+    max_servers = Integer(0, 10_000, 0)
+    """Most backend servers that may be ordered for one; 0: none are ordered."""
+
+    start_s = Number(0, 86_400, 10.0)
+    """Seconds from an order until a new backend server serves."""
+
+    reclaimable_price = Number(0, 1_000_000, 1.0)
+    """Price of a server that may be reclaimed, relative to others of its domain."""
+
+    domain_prices: Option[dict] = Weights({})
+    """Price of a backend server by failure domain; 1 where none is given."""
+
 
 class RouteSettings(Settings):
     """Which requests go to which service, and how they are handled."""
--- a/tests/durable/test_duties.py
+++ b/tests/durable/test_duties.py
@@ -7,9 +7,12 @@
 from pollenlb.durable.duty_commands import (
     CloseUsage,
     DutyCall,
+    EndReplicaOrder,
     EntryUsage,
     OpenUsage,
+    OrderReplicas,
     RecordUsage,
+    ReplicaSubject,
     SealUsage,
     SkipUsage,
     TakeDuties,
@@ -89,3 +92,20 @@
     restored = AppliedLog()
     restored.machine.restore(log.machine.snapshot())
     assert restored.machine.state.duties == table
+
+
+def test_a_refused_order_leaves_the_number_before_it():
+    """Guards against later orders that start from a number which is not in force."""
+    log = AppliedLog()
+    subject = ReplicaSubject("service", "north", False)
+    call = DutyCall("replicas", 1, 409)
+    log.apply(OrderReplicas(subject, 3, 2, "reason"))
+    log.apply(EndReplicaOrder(subject, 3, True, call))
+    log.apply(OrderReplicas(subject, 5, 3, "reason"))
+    order = log.machine.state.duties.replica_order(subject)
+    assert (order.count, order.call) == (5, None)
+    log.apply(EndReplicaOrder(subject, 4, False, call))
+    assert (order.count, order.call) == (5, None)
+    log.apply(EndReplicaOrder(subject, 5, False, call))
+    order = log.machine.state.duties.replica_order(subject)
+    assert (order.count, order.call) == (3, call)
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -130,8 +130,9 @@
     assert len(set(holders.values())) == len(holders)
 
 
-async def _wait_until_reported(api: FakeDutyApi, window: int) -> None:
-    await wait_until(lambda: window in api.usage)
+async def _wait_until_reported(api: FakeDutyApi, first: int, last: int) -> None:
+    """Wait for the reports of all windows; those that are late may come last."""
+    await wait_until(lambda: set(range(first, last + 1)) <= set(api.usage))
 
 
 async def test_each_window_is_reported_in_time_with_the_requests_of_all_entries(
@@ -146,9 +147,8 @@
         await _send(system, "key-1", 1, 1)
         await asyncio.sleep(0.5)
     last = _window() + 1
-    await _wait_until_reported(api, last)
+    await _wait_until_reported(api, first, last)
     assert time.time() < (last + 1) * WINDOW_S + LATE_S
-    assert set(range(first, last + 1)) <= set(api.usage)
     assert (_total(api, "first"), _total(api, "second")) == (9, 3)
     assert api.usage[last] == {}
     assert len(api.calls) == len(api.usage)
@@ -158,6 +158,7 @@
 async def test_items_of_batch_jobs_are_not_counted(platform_system, api):
     """Guards against reports that hold more than callers' own requests."""
     system = await _start(platform_system, api)
+    first = _window()
     status, _, _ = await system.call_entry(
         "POST",
         0,
@@ -169,7 +170,7 @@
     )
     assert status == 202
     await wait_until(lambda: sum(len(e.received_headers) for e in system.engines) >= 2)
-    await _wait_until_reported(api, _window() + 1)
+    await _wait_until_reported(api, first, _window() + 1)
     assert _total(api, "first") == 0
 
 
@@ -178,10 +179,11 @@
 ):
     """Guards against a report that waits forever, and counts lost without a line."""
     system = await _start(platform_system, api)
+    first = _window()
     await _send(system, "key-1", 0, 3)
     await system.crash_entry(1)
     window = _window()
-    await _wait_until_reported(api, window + 1)
+    await _wait_until_reported(api, first, window + 1)
     assert time.time() < (window + 2) * WINDOW_S + LATE_S
     assert _total(api, "first") == 3
     sealed = _events(tmp_path, "usage.sealed")
@@ -191,11 +193,12 @@
 async def test_stopping_entry_reports_its_last_counts(platform_system, api):
     """Guards against counts that an orderly stop loses."""
     system = await _start(platform_system, api)
+    first = _window()
     await _send(system, "key-1", 1, 5)
     window = _window()
     stopped = system.entries.pop(1)
     await stopped.stop()
-    await _wait_until_reported(api, window)
+    await _wait_until_reported(api, first, window)
     assert _total(api, "first") == 5
 
 
@@ -207,9 +210,8 @@
     await _send(system, "key-2", 1, 2)
     old = await _stop_leader(system)
     last = _window()
-    await _wait_until_reported(api, last)
+    await _wait_until_reported(api, first, last)
     assert (_total(api, "first"), _total(api, "second")) == (3, 2)
-    assert set(range(first, last + 1)) <= set(api.usage)
     assert api.calls[-1].holder != old
     _check_rules(api)
 
@@ -219,6 +221,7 @@
 ):
     """Guards against a new leader that reports other counts than were sealed."""
     system = await _start(platform_system, api, controls=3)
+    first = _window()
     leader = _leader(system)
     leader._duties._may_call_at = Deadline(math.inf)
     await _send(system, "key-1", 0, 4)
@@ -226,7 +229,7 @@
     await wait_until(lambda: leader.machine.state.duties.next_window > window)
     assert window not in api.usage
     await _stop_leader(system)
-    await _wait_until_reported(api, window + 1)
+    await _wait_until_reported(api, first, window + 1)
     assert _total(api, "first") == 4
     _check_rules(api)
 
@@ -238,6 +241,8 @@
     """Guards against a leader that recounts a window another one has reported."""
     system = await _start(platform_system, api, controls=3)
     await wait_until(lambda: api.usage)
+    first = _window()
+    api.mode = mode
     await _send(system, "key-1", 0, 4)
     window = _window()
     # Windows before it would otherwise be repeated first, maybe until it is late.
@@ -251,7 +256,7 @@
     )
     await _stop_leader(system)
     api.mode = ApiMode.ACCEPT
-    await _wait_until_reported(api, window + 1)
+    await _wait_until_reported(api, first, window + 1)
     assert _total(api, "first") == 4
     _check_rules(api)
 
@@ -261,6 +266,7 @@
 ):
     """Guards against counts that a frozen entry reports in time but too late."""
     system = await _start(platform_system, api)
+    first = _window()
     control = system.entries[1].context.control
     renew = control.renew_lease
     await wait_until(lambda: time.time() % WINDOW_S < 0.1)
@@ -275,7 +281,7 @@
     monkeypatch.setattr(control, "renew_lease", renew_later)
     await _send(system, "key-1", 1, 3)
     window = _window()
-    await _wait_until_reported(api, window)
+    await _wait_until_reported(api, first, window)
     assert _total(api, "first") == 3
 
 
@@ -289,7 +295,7 @@
     await _send(system, "key-1", 0, 2)
     api.mode = ApiMode.ACCEPT
     last = _window()
-    await wait_until(lambda: set(range(first, last + 1)) <= set(api.usage))
+    await _wait_until_reported(api, first, last)
     assert _total(api, "first") == 4
     _check_rules(api)
 
@@ -299,8 +305,9 @@
 ):
     """Guards against guesses about windows that nobody could collect."""
     system = await _start(platform_system, api, entries=1)
+    first = _window()
     await _send(system, "key-1", 0, 1)
-    await _wait_until_reported(api, _window())
+    await _wait_until_reported(api, first, _window())
     (control,) = system.controls
     await control.stop()
     stopped = _window()
@@ -308,7 +315,7 @@
     system.controls.clear()
     await system.add_control(0, system.seeds[0])
     resumed = _window()
-    await _wait_until_reported(api, resumed + 1)
+    await _wait_until_reported(api, resumed + 1, resumed + 1)
     assert stopped + 1 not in api.usage
     _check_rules(api)
 
--- a/tests/process/test_duties.py
+++ b/tests/process/test_duties.py
@@ -85,7 +85,7 @@
         return DutyResponse(200)
 
     try:
-        await issuer._call("usage 1", send, issuer._leadership)
+        await issuer._call("usage 1", send, issuer._leadership, issuer._usage_backoff)
     except NotLeaderError:
         assert not sent
     return sent
@@ -167,8 +167,9 @@
     async def send(holder):
         return DutyResponse(503)
 
+    backoff = issuer._usage_backoff
     for _ in range(6):
-        issuer._next_call_at = deadline_in(0)
-        await issuer._call("usage 1", send, issuer._leadership)
-        pauses.append(issuer._next_call_at - now())
-    assert pauses == sorted(pauses) and 0.9 < pauses[-1] <= 1.0
+        issuer._next_call_at = backoff.retry_at = deadline_in(0)
+        await issuer._call("usage 1", send, issuer._leadership, backoff)
+        pauses.append(backoff.retry_at - now())
+    assert pauses == pytest.approx([0.1, 0.2, 0.4, 0.8, 1.0, 1.0], abs=0.05)
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -44,6 +44,7 @@
     ConfigurationRead,
     ConfigurationView,
     DirectoryView,
+    DutiesView,
     EntriesView,
     FindStream,
     ItemRead,
@@ -62,6 +63,7 @@
     RecordStream,
     RenewAnswer,
     RenewRequest,
+    ReplicaView,
     RetireAnswer,
     Retirement,
     RetireRequest,
@@ -143,13 +145,16 @@
 )
 from pollenlb.durable.deduplication import CommandResultTable
 from pollenlb.durable.directory import Directory, OrderRecord
-from pollenlb.durable.duties import DutyTable
+from pollenlb.durable.duties import DutyTable, ReplicaOrder
 from pollenlb.durable.duty_commands import (
     CloseUsage,
     DutyCall,
+    EndReplicaOrder,
     EntryUsage,
     OpenUsage,
+    OrderReplicas,
     RecordUsage,
+    ReplicaSubject,
     SealUsage,
     SkipUsage,
     TakeDuties,
@@ -220,13 +225,14 @@
     _Engine,
     _Model,
     _Route,
+    _Scaling,
     _Service,
     _Tenant,
     _TrafficShare,
 )
 from pollenlb.platform.control import ControlApi, _ReleaseBody
 from pollenlb.platform.dialect import _Start
-from pollenlb.platform.duties import _UsageReport
+from pollenlb.platform.duties import _ScaleOrder, _UsageReport
 from pollenlb.platform.entry_protocol import platform_protocol
 from pollenlb.platform.orders import _Order, _Report
 from pollenlb.process.connection_guard import CloseReason
@@ -463,6 +469,16 @@
     ("skip_usage", SkipUsage, MSGPACK),
     ("close_usage", CloseUsage, MSGPACK),
     ("platform_usage_report", _UsageReport, JSON),
+    ("replica_view", ReplicaView, MSGPACK),
+    ("replica_view", ReplicaView, JSON),
+    ("duties_view", DutiesView, MSGPACK),
+    ("duties_view", DutiesView, JSON),
+    ("replica_subject", ReplicaSubject, MSGPACK),
+    ("replica_order", ReplicaOrder, MSGPACK),
+    ("order_replicas", OrderReplicas, MSGPACK),
+    ("end_replica_order", EndReplicaOrder, MSGPACK),
+    ("platform_scale_order", _ScaleOrder, JSON),
+    ("platform_scaling", _Scaling, JSON),
 ]
 
 _NOT_STORED_OR_SENT = {
@@ -670,6 +686,11 @@
             "models",
             "far_cost_s",
             "max_connections",
+            "min_servers",
+            "max_servers",
+            "start_s",
+            "reclaimable_price",
+            "domain_prices",
         ],
         {"kind": ("engine", "plain")},
     ),
@@ -738,6 +759,7 @@
     (names.HOLDER_HEADER, "X-Lease-Holder"),
     (names.FENCING_HEADER, "X-Fencing-Token"),
     (names.USAGE_PATH, "/usage"),
+    (names.SCALE_PATH, "/scale"),
     (names.ORDER_PATH, "/-/order"),
 ]
 
@@ -954,15 +976,20 @@
     claimant = Claimant(instance="entry-1", boot="boot-1")
     span = Span(version=1, first=2, last=3)
     fencing = FencingNumber(term=1, sequence=2)
-    assert [JSON.encode(each) for each in (member, entry, claimant, span, fencing)] == [
+    subject = ReplicaSubject(
+        service="service-1", failure_domain="domain-1", is_reclaimable=True
+    )
+    values = (member, entry, claimant, span, fencing, subject)
+    assert [JSON.encode(each) for each in values] == [
         b'["replica-1","control-1","127.0.0.1:1",true,"domain-1"]',
         b'[1,2,"command","Mw=="]',
         b'["entry-1","boot-1"]',
         b"[1,2,3]",
         b"[1,2]",
+        b'["service-1","domain-1",true]',
     ]
     unnamed = {type_ for _, type_, _ in _TYPES if type_.__struct_config__.array_like}
-    assert unnamed == {Member, LogEntry, Claimant, Span, FencingNumber}
+    assert unnamed == {Member, LogEntry, Claimant, Span, FencingNumber, ReplicaSubject}
 
 
 @pytest.mark.parametrize(
