Judge steps by their whole work when engines are divided

The division by need compared the work that is left with the time that is left. The leader does not know the progress of running items, so each step seemed late towards its end, and engines changed their model although no step was at risk: 8 to 10 of 22 in 100 s, with steps of the smaller trainers up to 0.9 s longer.

--- a/pollenlb/version/engine_division.py
+++ b/pollenlb/version/engine_division.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from ..clock import now
+from ..durable.batch_job_commands import BatchItem
 from ..durable.batch_jobs import BatchJob
 from ..durable.configuration_commands import Announcement, AssignEngines
 from ..ids import BackendServerName, BatchJobId, ModelName, ServiceName
@@ -89,8 +90,8 @@
                 ended_tokens += max(0.0, known - remaining)
             if batch_job.is_open:
                 self._remaining_tokens[name] = remaining
-                age_s = self._context.batch_job_age_s(name, batch_job.at_ms)
-                work.append(OpenWork(spec.model, remaining, spec.due_s - age_s))
+                tokens = sum(_expected_tokens(item) for item in spec.items)
+                work.append(OpenWork(spec.model, tokens, spec.due_s))
         return work, ended_tokens
 
 
@@ -99,7 +100,11 @@
     if not batch_job.is_open:
         return 0.0
     return sum(
-        item.length_hint or item.tokens
+        _expected_tokens(item)
         for item in batch_job.spec.items
         if item.item not in batch_job.listed
     )
+
+
+def _expected_tokens(item: BatchItem) -> int:
+    return item.length_hint or item.tokens
