Count connections in the metrics of the entry

Cause: two parts that were merged each made a set of metrics for the entry; what the first one counted was not shown. tests/platform/test_connections.py failed on the merged code and passes now.

--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -222,7 +222,6 @@
     failure_domains = FailureDomains(identity.failure_domain, metrics, rng)
     configuration = AppliedConfiguration()
     control = ControlConnection(settings.control_addresses, events)
-    metrics = Metrics()
 
     async def probe(
         session: aiohttp.ClientSession, server: Announcement, timeout_s: float
