Hand settings of duties to control instances in the environment

Cause: the template of the settings file named fields that only installations with duties have; what renders templates may refuse a missing field. Change: the fields stand in the environment of the role, where a missing one is an empty text and a placeholder that nobody filled in has no effect.

--- a/pollenlb/platform/__main__.py
+++ b/pollenlb/platform/__main__.py
@@ -48,9 +48,10 @@
         from ..settings.control import ControlSettings
         from .control import make_control_application
         from .duties import PlatformDutyChannel
+        from .duty_settings import read_duty_settings
         from .orders import PlatformOrderChannel
 
-        control = ControlSettings.load(settings_file)
+        control = ControlSettings.load(settings_file, read_duty_settings(os.environ))
         asyncio.run(
             run_control(
                 control,
--- a/pollenlb/settings/options.py
+++ b/pollenlb/settings/options.py
@@ -440,9 +440,16 @@
         return Err(problems)
 
     @classmethod
-    def load(cls, path: Path) -> Any:
+    def load(cls, path: Path, more: dict[str, Any] | None = None) -> Any:
         """Read and check a TOML file.
 
+        Parameters
+        ----------
+        path : Path
+            The file.
+        more : dict or None
+            Values that go before those of the file, by key.
+
         Raises
         ------
         SettingsError
@@ -459,7 +466,7 @@
             raise SettingsError(
                 f"settings file {path} is not valid TOML: {error}"
             ) from error
-        match cls.check(table):
+        match cls.check({**table, **(more or {})}):
             case Ok(settings):
                 return settings
             case Err(problems):
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -17,6 +17,7 @@
 from pollenlb.clock import Deadline
 from pollenlb.durable.duties import DutyTable
 from pollenlb.events import EVENT_FILE
+from pollenlb.platform.duty_settings import read_duty_settings
 from pollenlb.settings.control import ControlSettings
 
 from ..local_system import wait_until
@@ -25,7 +26,7 @@
 WINDOW_S = 1.0
 LATE_S = 5.0
 LEASE_MS = 600
-_TEMPLATE = Path(__file__).parents[2] / "deploy" / "control.toml"
+_DEPLOYMENT = Path(__file__).parents[2] / "deploy" / "system.toml"
 
 
 @pytest.fixture
@@ -332,24 +333,13 @@
     assert not any(entry.context.usage.is_enabled for entry in system.entries)
 
 
-def _render(fields: dict[str, str]) -> dict:
-    """Return the duty settings of the template as the platform renders them."""
-    rendered = []
-    for line in _TEMPLATE.read_text().splitlines():
-        if "cloud_api." not in line and "bounds." not in line:
-            continue
-        section = re.fullmatch(r"{{#([\w.]+)}}(.*){{/\1}}", line)
-        if section is None:
-            line = re.sub(r"{{([\w.]+)}}", lambda name: fields.get(name[1], ""), line)
-        elif section[1] not in fields:
-            continue
-        else:
-            line = section[2].replace("{{.}}", fields[section[1]])
-        rendered.append(line)
-    return tomllib.loads("\n".join(rendered))
-
-
 def _settings(fields: dict[str, str]) -> ControlSettings:
+    """Return the settings of a control instance that the platform starts."""
+    deployment = tomllib.loads(_DEPLOYMENT.read_text())
+    environment = {
+        name: re.sub(r"{{([\w.]+)}}", lambda field: fields.get(field[1], ""), text)
+        for name, text in deployment["roles"]["control"]["env"].items()
+    }
     return ControlSettings.check(
         {
             "name": "a",
@@ -357,19 +347,19 @@
             "listen": "127.0.0.1:1",
             "data_folder": "c",
             "seeds": ["127.0.0.1:1"],
-            **_render(fields),
+            **read_duty_settings(environment),
         }
     ).unwrap()
 
 
-def test_template_without_the_platforms_fields_turns_duties_off():
-    """Guards against a settings file that is invalid where there are no duties."""
+def test_deployment_without_the_platforms_fields_turns_duties_off():
+    """Guards against settings that are invalid where there are no duties."""
     settings = _settings({})
     assert not settings.reports_usage and not settings.scales_services
 
 
-def test_template_with_the_platforms_fields_turns_duties_on():
-    """Guards against fields that the template names wrongly."""
+def test_deployment_with_the_platforms_fields_turns_duties_on():
+    """Guards against fields that the deployment names wrongly."""
     settings = _settings(
         {
             "cloud_api.address": "10.200.0.190:8307",
@@ -383,3 +373,9 @@
     assert settings.reports_usage and settings.scales_services
     assert (settings.duty_per_s, settings.duty_lease_ms) == (50.0, 3000.0)
     assert (settings.usage_window_s, settings.usage_late_s) == (5.0, 10.0)
+
+
+def test_placeholders_that_nobody_filled_in_turn_duties_off():
+    """Guards against a program that does not start where only a file is rendered."""
+    deployment = tomllib.loads(_DEPLOYMENT.read_text())
+    assert read_duty_settings(deployment["roles"]["control"]["env"]) == {}
