--- a/review/10/case.py
+++ b/review/10/case.py
@@ -36,7 +36,7 @@
 
 
 async def play() -> bool:
-    record = Record(Path(__file__).parent)
+    record = Record(Path(__file__).with_name("record.txt"))
     cluster = Cluster(entries=1)
     tasks: list[asyncio.Task] = []
     server = PlainService("i-desk", "desk", "zone-a", record, WORK_S)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -21,7 +21,7 @@
 
 
 async def play() -> bool:
-    record = Record(Path(__file__).parent)
+    record = Record(Path(__file__).with_name("record.txt"))
     cluster = Cluster(entries=2)
     tasks: list[asyncio.Task] = []
     engines = [Engine(f"i-{n}", "engines", "zone-a", record, EVENT_S) for n in range(2)]
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -233,8 +233,8 @@
 class Record:
     """Lines of what was sent, answered and run."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w")
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("w")
         self._started_at = time.monotonic()
 
     def add(self, text: str) -> None:
--- a/review/trials-2/foreign_service.py
+++ b/review/trials-2/foreign_service.py
@@ -10,6 +10,7 @@
 import asyncio
 import json
 import os
+import tempfile
 import time
 from pathlib import Path
 
@@ -26,7 +27,7 @@
 
 
 async def play() -> bool:
-    record = Record(Path(os.environ.get("RECORD_FOLDER", "/tmp")))
+    record = Record(Path(tempfile.gettempdir()) / "record.txt")
     cluster = Cluster(entries=2)
     tasks: list[asyncio.Task] = []
     engines = [Engine(f"i-{n}", "engines", "zone-a", record, EVENT_S) for n in range(2)]
--- a/review/trials-2/large_page.py
+++ b/review/trials-2/large_page.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import os
+import tempfile
 import time
 from pathlib import Path
 
@@ -60,7 +61,7 @@
 
 
 async def play() -> bool:
-    record = Record(Path(os.environ.get("RECORD_FOLDER", "/tmp")))
+    record = Record(Path(tempfile.gettempdir()) / "record.txt")
     cluster = Cluster(entries=2)
     tasks: list[asyncio.Task] = []
     engines = [LongEngine(f"i-{n}", "engines", "a", Quiet(), 0.01) for n in range(4)]
--- a/review/trials-2/slow_readers.py
+++ b/review/trials-2/slow_readers.py
@@ -10,6 +10,7 @@
 import asyncio
 import os
 import socket
+import tempfile
 import time
 from pathlib import Path
 
@@ -86,7 +87,7 @@
 
 
 async def play() -> bool:
-    record = Record(Path(os.environ.get("RECORD_FOLDER", "/tmp")))
+    record = Record(Path(tempfile.gettempdir()) / "record.txt")
     cluster = Cluster(entries=2)
     tasks: list[asyncio.Task] = []
     engines = [LongEngine(f"i-{n}", "engines", "a", Quiet(), 0.01) for n in range(4)]
