--- a/review/10/case.py
+++ b/review/10/case.py
@@ -67,7 +67,7 @@
 
 
 async def run_client(number: int, host: str, port: int, record: Record) -> bool:
-    """Send a short and a long request on one connection; return if both are answered."""
+    """Send a short and a long request on one connection; return if both ended."""
     reader, writer = await asyncio.open_connection(host, port)
     try:
         if not await ask(reader, writer, f"short-{number}", "/desk/short", record):
