Read an address once, in one form, so that one entry stops no others

Ordinary requests that chose the server got 500.

Cause: SocketAddress.check split the text at its last colon and accepted what the HTTP client's URL parser refuses: IPv6 without brackets or with two pairs, and ports such as 8_0, ' 80' and +80. The entry asks each server of a service for its idle connections before it places items, so that the error for one ended the placement of all.

Evidence: the owner's log has items.not_placed with ValueError("Invalid URL: port can't be converted to integer") in place of each placement, and none before the check-in.

Why it works: an address is read once, with the HTTP client's own parser, and has to be in its canonical form; settings, announcements and check-ins share that check, so that nothing is acknowledged that cannot be read elsewhere. Entries ignore a server whose recorded address is unreadable, as the log of an earlier release may hold one. HTTP servers take the host from the same module.

--- a/pollenlb/connection/directory.py
+++ b/pollenlb/connection/directory.py
@@ -6,10 +6,12 @@
 
 import aiohttp
 
+from ..addresses import parse_address
 from ..clock import Deadline, now
 from ..durable.configuration_commands import Announcement
 from ..events import EventLog
 from ..ids import (
+    Address,
     BackendServerName,
     BootId,
     ModelName,
@@ -64,6 +66,8 @@
         self._releases: dict[ModelName, WeightVersion] = {}
         self._found_leaving: asyncio.Queue[Announcement] = asyncio.Queue()
         self._stop_tasks: set[asyncio.Task] = set()
+        # Addresses that were logged, by server.
+        self._invalid_addresses: dict[BackendServerName, Address] = {}
         # In the order in which they were removed.
         self._left_boots: dict[BootId, None] = {}
 
@@ -96,7 +100,14 @@
         """Start to probe new backend servers and remove those no longer listed."""
         self._version = view.version
         self._releases = view.releases
-        announced = {announcement.server: announcement for announcement in view.servers}
+        announced = {
+            announcement.server: announcement
+            for announcement in view.servers
+            if self._has_valid_address(announcement)
+        }
+        listed = {announcement.server for announcement in view.servers}
+        for name in [name for name in self._invalid_addresses if name not in listed]:
+            del self._invalid_addresses[name]
         for name in [name for name in self._servers if name not in announced]:
             self._schedule_stop(self._servers.pop(name))
         for name, announcement in announced.items():
@@ -201,6 +212,22 @@
             self._schedule_stop(server)
         await asyncio.gather(*self._stop_tasks, return_exceptions=True)
 
+    def _has_valid_address(self, announcement: Announcement) -> bool:
+        """Return whether requests can be sent to the announced address.
+
+        Control instances of earlier releases recorded addresses that cannot be read.
+        """
+        try:
+            parse_address(announcement.address)
+        except ValueError as error:
+            name = announcement.server
+            if self._invalid_addresses.get(name) != announcement.address:
+                self._invalid_addresses[name] = announcement.address
+                self._events.record("server.ignored", server=name, reason=str(error))
+            return False
+        self._invalid_addresses.pop(announcement.server, None)
+        return True
+
     def _schedule_stop(self, server: BackendServer) -> None:
         if server.is_leaving:
             self._left_boots[server.boot] = None
--- a/pollenlb/platform/announcements.py
+++ b/pollenlb/platform/announcements.py
@@ -11,6 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from ..addresses import parse_address
 from ..durable.configuration_commands import (
     Announcement,
     AnnounceServer,
@@ -18,7 +19,6 @@
     WithdrawServer,
 )
 from ..ids import (
-    Address,
     BackendServerName,
     BootId,
     FailureDomain,
@@ -27,7 +27,6 @@
     SoftwareVersion,
     WeightVersion,
 )
-from ..settings.options import SocketAddress
 
 _Count = Annotated[int, msgspec.Meta(ge=0)]
 
@@ -99,7 +98,7 @@
     """
     try:
         heartbeat = _decode_heartbeat(body)
-        SocketAddress().check(heartbeat.address)
+        address = parse_address(heartbeat.address)
     except (msgspec.MsgspecError, ValueError) as error:
         return Err(f"check-in of backend server {server} is invalid: {error}")
     state = (
@@ -108,7 +107,7 @@
     announcement = Announcement(
         server=BackendServerName(server),
         service=ServiceName(heartbeat.service),
-        address=Address(heartbeat.address),
+        address=address,
         failure_domain=FailureDomain(heartbeat.zone),
         boot=BootId(f"{server}/{heartbeat.born}"),
         slots=heartbeat.slots,
--- a/pollenlb/process/http_server.py
+++ b/pollenlb/process/http_server.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from ..addresses import split_address
 from ..events import EventLog
 from ..settings.http_server import HttpServerSettings
 from .connection_guard import ConnectionGuard, GuardedRunner
@@ -68,10 +69,8 @@
             When the address cannot be bound.
         """
         await self._runner.setup()
-        host, _, port = self._listen.rpartition(":")
-        site = web.TCPSite(
-            self._runner, host.strip("[]"), int(port), backlog=_LISTEN_BACKLOG_COUNT
-        )
+        host, port = split_address(self._listen)
+        site = web.TCPSite(self._runner, host, port, backlog=_LISTEN_BACKLOG_COUNT)
         await site.start()
         self._guard.start()
 
--- a/pollenlb/request/announce_api.py
+++ b/pollenlb/request/announce_api.py
@@ -7,10 +7,10 @@
 import msgspec
 from aiohttp import web
 
+from ..addresses import parse_address
 from ..connection.trainer_messages import NameText, PositiveInt
 from ..durable.configuration_commands import Announcement, AnnounceServer, ServerState
 from ..ids import (
-    Address,
     BackendServerName,
     BootId,
     FailureDomain,
@@ -18,7 +18,6 @@
     SoftwareVersion,
 )
 from ..process.context import EntryContext
-from ..settings.options import SocketAddress
 from .api import execute_command, json_response, read_json, with_refusal_responses
 from .outcome import bad_request
 
@@ -82,7 +81,7 @@
         """
         body = await read_json(request, AnnounceBody)
         try:
-            SocketAddress().check(body.address)
+            address = parse_address(body.address)
         except ValueError as error:
             raise bad_request(f"address {error}", "address") from error
         if body.service not in self._context.configuration.settings.services:
@@ -92,7 +91,7 @@
         announcement = Announcement(
             BackendServerName(body.server),
             ServiceName(body.service),
-            Address(body.address),
+            address,
             FailureDomain(body.failure_domain),
             BootId(body.boot),
             body.slots,
--- a/pollenlb/settings/options.py
+++ b/pollenlb/settings/options.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import difflib
-import ipaddress
 import re
 import tomllib
 from pathlib import Path
@@ -12,6 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from ..addresses import parse_address
 from ..exceptions import SettingsError
 from ..ids import Address
 
@@ -140,15 +140,9 @@
 
     def check(self, value: Any) -> str:
         """Return the address."""
-        host, _, port = str(value).rpartition(":")
-        try:
-            ipaddress.ip_address(host.strip("[]"))
-            is_port = 0 < int(port) < 65536
-        except ValueError:
-            is_port = False
-        if not is_port:
-            raise ValueError(f"{value!r} must be IP:PORT, for example 10.0.0.5:7000")
-        return str(value)
+        if not isinstance(value, str):
+            raise ValueError(f"{value!r} must be {self.allowed}")
+        return parse_address(value)
 
 
 class OptionalAddress(SocketAddress):
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -5,12 +5,14 @@
 import asyncio
 import json
 
+import msgspec
 import pytest
 
 from fakes.ports import free_ports
+from pollenlb.durable.configuration_commands import AnnounceServer
 
 from ..local_system import wait_until
-from .platform_system import HOST, MODEL, PlatformSystem, configuration
+from .platform_system import HOST, MODEL, PlatformSystem, batch_job, configuration
 
 
 async def test_the_configuration_with_the_highest_version_wins_and_is_read_back(
@@ -76,6 +78,10 @@
         {"born": 1.5},
         {"state": "strange"},
         {"address": "nowhere"},
+        {"address": "::1:8080"},
+        {"address": "[[::1]]:8080"},
+        {"address": "127.0.0.1:65536"},
+        {"address": "127.0.0.1:8_0"},
         {"slots": 0},
         {"seq": "4"},
         {"models": 3},
@@ -92,6 +98,41 @@
     assert "stranger" not in system.controls[0].machine.state.directory.servers
 
 
+async def test_a_check_in_with_an_unreadable_address_stops_no_items(platform_system):
+    """Guards against one entry of another writer that stops all items of a service."""
+    system = await platform_system()
+    lengths = {f"item-{number}": 40 for number in range(40)}
+    assert await system.submit(0, "job", batch_job(lengths)) == 202
+    check_in = {
+        "service": "engines",
+        "address": "::1:8080",
+        "zone": "north",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "models": [{"name": MODEL, "version": 1}],
+        "seq": 1,
+        "born": 1_000,
+    }
+    path = "/-/Instances.Heartbeat/i-other"
+    assert (await system.call_control("POST", path, check_in))[0] == 400
+    results = await system.read_all_results(1, "job")
+    assert {result["id"] for result in results} == lengths.keys()
+
+
+async def test_an_unreadable_address_in_the_log_stops_no_items(platform_system):
+    """Guards against an address that an earlier release recorded in the log."""
+    system = await platform_system()
+    known = system.controls[0].machine.state.directory.servers["i-0"]
+    foreign = msgspec.structs.replace(known, server="i-other", address="::1:8080")
+    await system.controls[0].execute(AnnounceServer(foreign))
+    assert await system.submit(0, "job", batch_job({"item": 20})) == 202
+    (result,) = await system.read_all_results(1, "job")
+    assert result["state"] == "completed"
+    request = system.call_entry("GET", 0, "/safe/1", 1, X_Request_Id="a")
+    assert (await request)[0] == 200
+
+
 async def test_a_server_that_checks_in_as_draining_is_leaving_at_every_entry(
     platform_system,
 ):
--- a/tests/settings/test_options.py
+++ b/tests/settings/test_options.py
@@ -12,6 +12,7 @@
 from pollenlb.settings.cluster import ClusterSettings, RouteSettings
 from pollenlb.settings.control import ControlSettings
 from pollenlb.settings.entry import EntrySettings
+from pollenlb.settings.options import SocketAddress
 from pollenlb.settings.reference import render_reference
 
 _PAGE = Path(__file__).parents[2] / "docs/user-guide/settings.md"
@@ -196,3 +197,39 @@
     ClusterSettings.check(_cluster(a=_route(), b=_route())).unwrap()
     assert list(ClusterSettings.check(_cluster(b=_route())).unwrap().routes) == ["b"]
     assert ClusterSettings.check(_cluster(a={"service": 3}, b=_route())).is_err()
+
+
+@pytest.mark.parametrize("text", ["10.0.0.1:80", "[::1]:8080", "0.0.0.0:65535"])
+def test_addresses_in_canonical_form_are_accepted(text):
+    assert SocketAddress().check(text) == text
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "::1:8080",
+        "[[::1]]:8080",
+        "[127.0.0.1]:8080",
+        "[0:0::1]:8080",
+        "[fe80::1%eth0]:8080",
+        "127.0.0.1",
+        "127.0.0.1:",
+        "127.0.0.1:0",
+        "127.0.0.1:65536",
+        "127.0.0.1:8_0",
+        "127.0.0.1: 80",
+        "127.0.0.1:+80",
+        "127.0.0.1:080",
+        "127.0.0.1:\u0668\u0660",
+        "127.0.0.1:80/path",
+        "user@127.0.0.1:80",
+        "name:80",
+        "1" * 100_000,
+        "",
+        7000,
+    ],
+)
+def test_addresses_in_another_form_are_refused(text):
+    """Guards against an address that is taken here and cannot be read elsewhere."""
+    with pytest.raises(ValueError, match="must be"):
+        SocketAddress().check(text)
