Begin the time for a head at its own first bytes, not at a last chunk

Cause: the guard of the connections looked at the body after it had passed a piece on. A last chunk in a packet of its own brings no byte of a body and completes it, so it counted as the first bytes of the next head. The time for a head then passed although a request ran, and its end closed the connection.

Evidence: connection.closed with the reason head-timeout and 10 held bytes, the framing of the two chunks, in the log of a connection whose only request runs.

Why it works: bytes begin a head only if the body was complete before them and they are more than empty lines, and the time does not pass while a request runs. Related paths with the same effect: trailers, empty lines after a body, a part of the next head, and idle connections closed 20 s after such a body. A head that never ends is still closed, once the request before it is answered.

--- a/pollenlb/process/connection_guard.py
+++ b/pollenlb/process/connection_guard.py
@@ -273,6 +273,10 @@
             timeout_s = self._guard.settings.unread_answer_timeout_s
             self._read_deadline = deadline_in(timeout_s)
         self._unsent_bytes = unsent_bytes
+        if self._head_deadline != _NEVER and self._request_in_progress:
+            # Closing would cut the request. The rest of the next head has its time
+            # once this one is answered.
+            self._head_deadline = deadline_in(self._guard.settings.head_timeout_s)
         if now() >= self._read_deadline:
             self.abort(CloseReason.ANSWER_NOT_READ)
         elif now() >= self._head_deadline and not self._buffer_paused:
@@ -300,18 +304,23 @@
             return
         payload, request_count = self._payload, self._request_count
         body_bytes = payload.total_bytes
+        was_complete = payload.is_eof()
         if not self._messages:
             self._waiting_bytes = 0
         super().data_received(piece)
         new_count = self._request_count - request_count
+        has_completed_body = payload.is_eof() and not was_complete
         if new_count:
             self._count_messages(piece, new_count, payload.total_bytes - body_bytes)
-        elif payload.total_bytes > body_bytes:
-            # A caller may send many small chunks, each with a line of its own.
+        elif payload.total_bytes > body_bytes or has_completed_body:
+            # A caller may send many small chunks, each with a line of its own. The
+            # last one has no bytes, and may be followed by trailers.
             self._unread_bytes = 0
         else:
             self._unread_bytes += len(piece)
-            if piece and payload.is_eof() and self._head_deadline == _NEVER:
+            # Empty lines before a head are allowed, and do not begin it.
+            is_head = was_complete and bool(piece.strip(b"\r\n"))
+            if is_head and self._head_deadline == _NEVER:
                 timeout_s = self._guard.settings.head_timeout_s
                 self._head_deadline = deadline_in(timeout_s)
         # While requests wait, the parser holds what it has not read yet; the transport
--- a/pollenlb/settings/http_server.py
+++ b/pollenlb/settings/http_server.py
@@ -18,7 +18,8 @@
 
     head_timeout_s = Number(0.1, 3600, 20.0)
     """Seconds in which a complete head must arrive after its first byte, or after the
-    connection was opened; the connection is closed otherwise."""
+    connection was opened; the connection is closed otherwise. They do not pass while an
+    earlier request of the connection runs."""
 
     max_connections = Integer(0, 1_000_000, 0)
     """Greatest number of open connections of one HTTP server; 0 is 0.4 of the
