Bound the counts that are read from headers and events

Callers saw: after one answer whose load report had a figure of 400 digits, ordinary requests of the service ended with 500, at its other servers too. A batch job one of whose events named the weight version 10^30 got no result for good. An event with the id -1 or 10^30 was taken for output. A deadline or a length hint of 5,000 digits, or of digits of another script, ended its request with 500.

Cause: the texts were read with int, whose results have no bound. The ratio of such a number to the slots is no float, and OverflowError is no ValueError; a result with it cannot be encoded for the log, so that items.uncommitted was repeated without end.

Why it works: a count in a text has at most 15 decimal digits. Others are ignored in headers, as a missing header is; in an event they break the stream, so that the item is run again.

--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -79,6 +79,12 @@
         Limit that its answers name.
     is_leaving : bool
         Whether its answers say that it leaves.
+    report : bytes or None
+        Body of its reports; None for the true one.
+    report_count : int
+        Number of reports sent.
+    load_report : str or None
+        Load that its answers to requests report; None for the true one.
     received_at : list of float
         Monotonic times in seconds at which requests, orders and calls arrived.
     """
@@ -118,6 +124,9 @@
         self.floods: dict[str, RawAnswer] = {}
         self.request_limit_per_s: float | None = None
         self.is_leaving = False
+        self.report: bytes | None = None
+        self.report_count = 0
+        self.load_report: str | None = None
         self.received_at: list[float] = []
         self._sequence = 0
         self._runner: web.AppRunner | None = None
@@ -206,6 +215,9 @@
         return web.Response(headers={"X-Instance-Id": self.name})
 
     async def _handle_report(self, request: web.Request) -> web.Response:
+        self.report_count += 1
+        if self.report is not None:
+            return web.Response(body=self.report, content_type="application/json")
         return web.json_response(
             {
                 "models": self._loaded_models(),
@@ -269,7 +281,7 @@
             headers={
                 "X-Request-Id": request.headers["X-Request-Id"],
                 "X-Weight-Versions": str(self.version),
-                "X-Load-Report": f"{len(self.running)},0,8,100",
+                "X-Load-Report": self.load_report or f"{len(self.running)},0,8,100",
             }
         )
         response.content_type = "text/event-stream"
--- a/pollenlb/platform/batch_jobs.py
+++ b/pollenlb/platform/batch_jobs.py
@@ -16,6 +16,7 @@
     ItemResult,
     RewardCall,
 )
+from ..external_data import Integer, json_decoder, read_count
 from ..ids import (
     BatchJobId,
     GroupName,
@@ -58,7 +59,7 @@
     path: str
     body: bytes
     headers: dict[str, str] = {}
-    tokens: int = 0
+    tokens: Integer = 0
     group: str = ""
     scorer: _Scorer | None = None
 
@@ -83,9 +84,9 @@
 
     requests: list[_Item]
     model: str = ""
-    min_version: int = 0
-    group_count: int = 0
-    step: int | None = None
+    min_version: Integer = 0
+    group_count: Integer = 0
+    step: Integer | None = None
 
 
 class _FieldNames(msgspec.Struct):
@@ -96,9 +97,9 @@
 
 _KNOWN_JOB_FIELDS = frozenset(_BatchJob.__struct_fields__)
 _KNOWN_ITEM_FIELDS = frozenset(_Item.__struct_fields__)
-_decode_job_fields = msgspec.json.Decoder(dict[str, msgspec.Raw]).decode
-_decode_field_names = msgspec.json.Decoder(_FieldNames).decode
-_decode_batch_job = msgspec.json.Decoder(_BatchJob).decode
+_decode_job_fields = json_decoder(dict[str, msgspec.Raw])
+_decode_field_names = json_decoder(_FieldNames)
+_decode_batch_job = json_decoder(_BatchJob)
 
 
 def parse_batch_job(
@@ -187,14 +188,13 @@
 
 
 def _to_batch_item(item: _Item) -> BatchItem:
-    hint = item.headers.get(LENGTH_HINT_HEADER, "")
     return BatchItem(
         item=ItemId(item.id),
         path=item.path,
         headers=item.headers,
         body=item.body,
         tokens=item.tokens,
-        length_hint=int(hint) if hint.isdigit() else 0,
+        length_hint=read_count(item.headers, LENGTH_HINT_HEADER) or 0,
         group=GroupName(item.group),
         reward=_to_reward_call(item.scorer) if item.scorer is not None else None,
     )
--- a/pollenlb/platform/dialect.py
+++ b/pollenlb/platform/dialect.py
@@ -14,6 +14,7 @@
 from ..connection.sessions import ConnectionLostError
 from ..durable.batch_job_commands import BatchItem, BatchJobSpec, RewardCall
 from ..durable.configuration_commands import Announcement
+from ..external_data import Integer, json_decoder, parse_count, read_count
 from ..ids import BackendServerName, RequestId, WeightVersion
 from ..request.attempt import Attempt
 from ..request.caller_request import RequestClass, read_authorization
@@ -54,6 +55,7 @@
 _PROBE_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
 _MAX_REPORT_BYTES = 65_536
 _MS_PER_S = 1000
+_MAX_QUOTED_CHARACTERS = 40
 # On the platform these statuses mean that the request has not run and never will.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -67,10 +69,10 @@
         Milliseconds since the epoch.
     """
 
-    born: int | None = None
+    born: Integer | None = None
 
 
-_decode_start = msgspec.json.Decoder(_Start).decode
+_decode_start = json_decoder(_Start)
 
 
 class PlatformDialect:
@@ -171,14 +173,14 @@
     ) -> AnswerHead:
         """Return what status and headers of a backend server's answer report."""
         is_other_server = status == MISDIRECTED_STATUS
-        version = headers.get(WEIGHT_VERSION_HEADER, "")
+        version = read_count(headers, WEIGHT_VERSION_HEADER)
         return AnswerHead(
             is_not_run=is_other_server or NOT_EXECUTED_HEADER in headers,
             is_other_server=is_other_server,
             is_for_request=headers.get(REQUEST_ID_HEADER) == request_id,
             in_flight=parse_in_flight(headers),
             slowness=parse_slowness(headers),
-            version=WeightVersion(int(version)) if version.isdigit() else None,
+            version=WeightVersion(version) if version is not None else None,
             retry_after_s=parse_retry_after_s(headers.get("Retry-After")),
             request_limit_per_s=parse_request_limit(headers),
             is_leaving=not is_other_server and _says_it_leaves(headers),
@@ -303,7 +305,7 @@
         ------
         ValueError
             When the block is not UTF-8, has no ``id`` field, or its ``id`` or
-            version is not an integer.
+            version is not a count.
         """
         number: int | None = None
         version: WeightVersion | None = None
@@ -312,22 +314,30 @@
             name, _, value = line.partition(":")
             value = value.removeprefix(" ")
             if name == "id":
-                number = int(value)
+                number = _event_count(value)
             elif name == "data":
                 data.append(value)
             elif name == WEIGHT_VERSION_HEADER.lower():
-                version = WeightVersion(int(value))
+                version = WeightVersion(_event_count(value))
         if number is None:
             raise ValueError("stream event has no id field")
         return NumberedEvent(number, "\n".join(data), version)
 
 
+def _event_count(text: str) -> int:
+    count = parse_count(text)
+    if count is None:
+        raise ValueError(f"{text[:_MAX_QUOTED_CHARACTERS]!r} is not a count")
+    return count
+
+
 def _says_it_leaves(headers: Mapping[str, str]) -> bool:
     return headers.get(SERVER_LEAVING_HEADER) == "1"
 
 
 def _request_deadline(request: web.Request, route: RouteSettings) -> Deadline:
     """Return the earlier of the caller's deadline and the route's timeout."""
-    text = request.headers.get(DEADLINE_MS_HEADER, "")
-    requested_s = int(text) / _MS_PER_S if text.isdigit() else route.timeout_s
-    return deadline_in(min(requested_s, route.timeout_s))
+    requested_ms = read_count(request.headers, DEADLINE_MS_HEADER)
+    if requested_ms is None:
+        return deadline_in(route.timeout_s)
+    return deadline_in(min(requested_ms / _MS_PER_S, route.timeout_s))
--- a/pollenlb/platform/entry_protocol.py
+++ b/pollenlb/platform/entry_protocol.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from ..external_data import parse_count, read_count
 from ..ids import BatchJobId, ItemId, RequestId
 from ..process.context import EntryContext
 from ..process.entry import EntryProtocol
@@ -57,14 +58,12 @@
             When ``after`` is no position, when there is no such batch job, or
             when the leader of the control instances cannot be reached.
         """
-        text = request.query.get("after", "0")
-        if not text.isdigit():
+        after = parse_count(request.query.get("after", "0"))
+        if after is None:
             raise bad_request(
                 "query parameter after must be a position (0, 1, ...)", "after"
             )
-        after = int(text)
-        wait_ms = request.headers.get(WAIT_MS_HEADER, "0")
-        wait_s = int(wait_ms) / _MS_PER_S if wait_ms.isdigit() else 0.0
+        wait_s = (read_count(request.headers, WAIT_MS_HEADER) or 0) / _MS_PER_S
         name = self._batch_job_of(request)
         wait_s = min(wait_s, _MAX_WAIT_S)
         results = await read_batch_job(name, after, wait_s, self._context)
--- a/pollenlb/platform/names.py
+++ b/pollenlb/platform/names.py
@@ -11,6 +11,7 @@
 
 from ..connection.backend_api import ProbeAnswer
 from ..durable.configuration_commands import Announcement, ServerState
+from ..external_data import parse_count
 from ..ids import BootId
 
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -53,6 +54,11 @@
 MISDIRECTED_STATUS = 421  # the expected server is not the one that answers
 
 
+def _read_load_report(headers: Mapping[str, str]) -> list[int | None]:
+    report = headers.get(LOAD_REPORT_HEADER, "")
+    return [parse_count(figure) for figure in report.split(",")]
+
+
 def parse_in_flight(headers: Mapping[str, str]) -> int | None:
     """Return the number of running and waiting requests at a backend server.
 
@@ -66,12 +72,10 @@
     int or None
         None when the load report is missing or malformed.
     """
-    parts = headers.get(LOAD_REPORT_HEADER, "").split(",")
-    try:
-        running, waiting = int(parts[0]), int(parts[1])
-    except (IndexError, ValueError):
+    figures = _read_load_report(headers)
+    if len(figures) < 2 or figures[0] is None or figures[1] is None:
         return None
-    return running + waiting
+    return figures[0] + figures[1]
 
 
 def parse_slowness(headers: Mapping[str, str]) -> float | None:
@@ -88,11 +92,10 @@
         1.0 at the usual speed; None when the load report is missing, malformed
         or without slowness.
     """
-    parts = headers.get(LOAD_REPORT_HEADER, "").split(",")
-    try:
-        return int(parts[3]) / 100  # 100 is the usual duration
-    except (IndexError, ValueError):
+    figures = _read_load_report(headers)
+    if len(figures) < 4 or figures[3] is None:
         return None
+    return figures[3] / 100  # 100 is the usual duration
 
 
 def parse_request_limit(headers: Mapping[str, str]) -> float | None:
--- a/pollenlb/request/native_dialect.py
+++ b/pollenlb/request/native_dialect.py
@@ -22,6 +22,7 @@
 from ..connection.probe import probe_server
 from ..durable.batch_job_commands import BatchItem, BatchJobSpec, RewardCall
 from ..durable.configuration_commands import Announcement
+from ..external_data import read_count
 from ..ids import BackendServerName, BootId, RequestId, ServiceName
 from ..settings.cluster import RouteSettings
 from ..settings.entry import EntrySettings
@@ -129,12 +130,11 @@
     ) -> AnswerHead:
         """Return the parsed status and headers of a backend server's answer."""
         boot = headers.get(BOOT_HEADER)
-        reported = headers.get(IN_FLIGHT_HEADER, "")
         return AnswerHead(
             is_not_run=headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN.value,
             is_for_request=headers.get(REQUEST_ID_HEADER) == request_id,
             boot=BootId(boot) if boot is not None else None,
-            in_flight=int(reported) if reported.isdigit() else None,
+            in_flight=read_count(headers, IN_FLIGHT_HEADER),
             retry_after_s=parse_retry_after_s(headers.get("Retry-After")),
         )
 
--- a/pollenlb/request/trainer_api.py
+++ b/pollenlb/request/trainer_api.py
@@ -24,6 +24,7 @@
     SetTrainerVersion,
     SubmitStep,
 )
+from ..external_data import parse_count
 from ..ids import BatchNumber, JobName, ServiceName, StepNumber, WeightVersion
 from ..process.context import EntryContext
 from .api import (
@@ -170,11 +171,12 @@
 
 def _batch_number(request: web.Request) -> BatchNumber:
     text = request.match_info["number"]
-    if not text.isdigit() or int(text) < 1:
+    number = parse_count(text)
+    if not number:
         raise bad_request(
             f"batch number must be an integer above 0, not {text!r}", "number"
         )
-    return BatchNumber(int(text))
+    return BatchNumber(number)
 
 
 def _requested_wait_s(request: web.Request) -> float:
