Report JSON that cannot be read or stored as one kind of error

It happened here: the report of one engine, nested 10,000 deep, or with the weight version 10^30 after an order, ended the leading control instance, and each leader after it. Check-ins, configurations, releases and batch jobs of this kind were answered 500, 503 or 504, which asks for the same again elsewhere. Check-ins with 2^64 - 1 slots, negative versions, 900,000 characters of a failure domain or 40,000 models were acknowledged and went to every entry.

Cause: the JSON library raises RecursionError, which no reader caught, as it is none of the library's own errors; and integers of any size passed the checks, but have 64 bits in the log, so that the error came where a command is encoded.

Evidence: replica.failed with 'maximum recursion depth exceeded while deserializing an object' and 'Integer exceeds 64-bit range'.

Why it works: one decoder reads what other programs write and has one kind of error; the types of the messages bound integers, names and lists. A report that cannot be read counts as none; other bodies are answered 400.

--- a/pollenlb/connection/backend_api.py
+++ b/pollenlb/connection/backend_api.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
 from ..durable.configuration_commands import ServerState
+from ..external_data import COUNT_BOUNDS, Count, json_decoder
 from ..ids import BootId, WeightVersion
 
 PROBE_PATH = "/pollenlb/probe"
@@ -38,11 +40,11 @@
 
     boot: BootId
     state: ServerState
-    in_flight: int
-    version: WeightVersion | None = None
+    in_flight: Count
+    version: Annotated[WeightVersion, COUNT_BOUNDS] | None = None
 
 
-decode_probe = msgspec.json.Decoder(ProbeAnswer).decode
+decode_probe = json_decoder(ProbeAnswer)
 
 
 class ProcessCheck(Enum):
--- a/pollenlb/connection/engine_api.py
+++ b/pollenlb/connection/engine_api.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
+from ..external_data import COUNT_BOUNDS, Count, json_decoder
 from ..ids import BootId, RequestId, WeightVersion
 
 COMPLETIONS_PATH = "/v1/completions"
@@ -40,9 +41,9 @@
         Number of tokens in the event.
     """
 
-    version: WeightVersion
+    version: Annotated[WeightVersion, COUNT_BOUNDS]
     boot: BootId
-    tokens: int
+    tokens: Count
 
 
 class StreamChoice(msgspec.Struct, frozen=True):
@@ -70,7 +71,7 @@
     pollenlb: TokenOrigin
 
 
-decode_event = msgspec.json.Decoder(StreamEvent).decode
+decode_event = json_decoder(StreamEvent)
 
 
 def completion_body(
--- a/pollenlb/connection/trainer_messages.py
+++ b/pollenlb/connection/trainer_messages.py
@@ -6,12 +6,13 @@
 
 import msgspec
 
+from ..external_data import Count
 from ..ids import BatchNumber, JobName, RequestId, StepNumber, WeightVersion
 
 COMMAND_ID_HEADER = "Pollenlb-Command-Id"
 
 PositiveInt = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+NonNegativeInt = Count
 NameText = Annotated[str, msgspec.Meta(pattern="^[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?$")]
 
 
--- a/pollenlb/platform/announcements.py
+++ b/pollenlb/platform/announcements.py
@@ -18,6 +18,7 @@
     ServerState,
     WithdrawServer,
 )
+from ..external_data import MAX_INTEGER, Count, ExternalName, json_decoder
 from ..ids import (
     BackendServerName,
     BootId,
@@ -28,14 +29,16 @@
     WeightVersion,
 )
 
-_Count = Annotated[int, msgspec.Meta(ge=0)]
+# More than any server runs; beyond it, sums over servers would lose their meaning.
+_MAX_SLOTS = 1_000_000
+_MAX_MODELS = 1024
 
 
 class LoadedModel(msgspec.Struct):
     """A model that an engine has loaded, and its weight version."""
 
-    name: str
-    version: int
+    name: ExternalName
+    version: Count
 
 
 class _Heartbeat(msgspec.Struct):
@@ -57,15 +60,15 @@
         Whether the infrastructure may reclaim the server.
     """
 
-    service: str
+    service: ExternalName
     address: str
-    zone: str
-    version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    zone: ExternalName
+    version: ExternalName
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     state: Literal["ready", "draining"]
-    born: Annotated[int, msgspec.Meta(gt=0)]
-    seq: _Count
-    models: list[LoadedModel] = []
+    born: Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
+    seq: Count
+    models: Annotated[list[LoadedModel], msgspec.Meta(max_length=_MAX_MODELS)] = []
     spot: bool = False
 
 
@@ -79,11 +82,11 @@
         not reported.
     """
 
-    born: _Count = 0
+    born: Count = 0
 
 
-_decode_heartbeat = msgspec.json.Decoder(_Heartbeat).decode
-_decode_deregistration = msgspec.json.Decoder(_Deregistration).decode
+_decode_heartbeat = json_decoder(_Heartbeat)
+_decode_deregistration = json_decoder(_Deregistration)
 
 
 def parse_heartbeat(server: str, body: bytes) -> Result[AnnounceServer, str]:
--- a/pollenlb/platform/configuration.py
+++ b/pollenlb/platform/configuration.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from ..durable.configuration_commands import ReplaceConfiguration
+from ..external_data import Integer, json_decoder
 from ..ids import DocumentVersion
 from ..settings.cluster import digest_key
 
@@ -45,8 +46,8 @@
         Price of a server by failure domain.
     """
 
-    min: int = 0
-    max: int = 0
+    min: Integer = 0
+    max: Integer = 0
     boot_s: float = 10.0
     spot_price: float = 1.0
     zone_prices: dict[str, float] = {}
@@ -68,7 +69,7 @@
 
     name: str
     health_path: str = "/healthz"
-    max_conns: int = 100_000
+    max_conns: Integer = 100_000
     engine: _Engine | None = None
     scaling: _Scaling | None = None
 
@@ -117,8 +118,8 @@
     service: str | None = None
     traffic_split: list[_TrafficShare] = []
     target_latency_ms: float = 0.0
-    priority: int = 5
-    max_attempts: int = 1
+    priority: Integer = 5
+    max_attempts: Integer = 1
     max_queue_s: float = 600.0
     due_ms: float = 0.0
     single_version: bool = False
@@ -137,7 +138,7 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Integer | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -153,14 +154,14 @@
         Workspaces; None when callers need no key.
     """
 
-    version: int
+    version: Integer
     routes: list[_Route]
     services: list[_Service]
     limits: dict[str, Any] = {}
     tenants: list[_Tenant] | None = None
 
 
-_decode_configuration = msgspec.json.Decoder(_Configuration).decode
+_decode_configuration = json_decoder(_Configuration)
 
 
 def parse_configuration(body: bytes) -> Result[ReplaceConfiguration, str]:
--- a/pollenlb/platform/control.py
+++ b/pollenlb/platform/control.py
@@ -17,6 +17,7 @@
 from ..durable.commands import AnyCommand, AnyResult
 from ..durable.configuration_commands import ConfigurationInvalid, ReleaseVersion
 from ..exceptions import ControlError
+from ..external_data import Count, ExternalName, json_decoder
 from ..ids import CommandId, InstanceName, ModelName, WeightVersion, new_id
 from ..process.control_context import ControlContext
 from .announcements import parse_deregistration, parse_heartbeat
@@ -42,11 +43,11 @@
 class _ReleaseBody(msgspec.Struct):
     """Body of a release of a weight version."""
 
-    model: str
-    version: int
+    model: ExternalName
+    version: Count
 
 
-_decode_release = msgspec.json.Decoder(_ReleaseBody).decode
+_decode_release = json_decoder(_ReleaseBody)
 
 
 class ControlApi:
--- a/pollenlb/platform/orders.py
+++ b/pollenlb/platform/orders.py
@@ -7,6 +7,7 @@
 
 from ..connection.bodies import read_body
 from ..durable.configuration_commands import Announcement
+from ..external_data import Count, json_decoder
 from ..version.order_channel import (
     ORDER_ERRORS,
     EngineReport,
@@ -36,7 +37,7 @@
 
     models: list[LoadedModel]
     busy: bool
-    seq: int
+    seq: Count
 
 
 class _Order(msgspec.Struct):
@@ -61,7 +62,7 @@
     op: str = "version"
 
 
-_decode_report = msgspec.json.Decoder(_Report).decode
+_decode_report = json_decoder(_Report)
 
 
 class PlatformOrderChannel:
--- a/pollenlb/request/api.py
+++ b/pollenlb/request/api.py
@@ -13,6 +13,7 @@
 from ..durable.command_base import Refused
 from ..durable.commands import AnyCommand, AnyResult
 from ..exceptions import CommandInDoubtError, ControlError
+from ..external_data import json_decoder
 from ..ids import CommandId, new_id
 from ..process.context import EntryContext
 from .caller_request import request_id_of
@@ -71,7 +72,7 @@
         invalid field.
     """
     try:
-        return msgspec.json.decode(await request.read(), type=message)
+        return json_decoder(message)(await request.read())
     except msgspec.ValidationError as error:
         raise bad_request(
             f"the request body is invalid: {error}", _invalid_field(error)
--- a/pollenlb/request/completion.py
+++ b/pollenlb/request/completion.py
@@ -9,6 +9,7 @@
 
 from ..connection.backend_api import OUTCOME_HEADER, REQUEST_ID_HEADER
 from ..connection.engine_api import END_OF_STREAM_DATA, StreamEvent
+from ..external_data import json_decoder
 from ..process.context import EntryContext
 from .broken_answer import break_off
 from .caller_request import CallerRequest
@@ -57,7 +58,7 @@
 async def _read_body(caller: CallerRequest, context: EntryContext) -> dict[str, Any]:
     content = await caller.body.read_complete(context.settings.max_body_bytes)
     try:
-        body = msgspec.json.decode(content)
+        body = json_decoder(Any)(content)
     except msgspec.DecodeError as error:
         raise bad_request(
             f"the request body is not valid JSON: {error}", "body"
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -16,6 +16,7 @@
     SampleParameters,
     SavedOutput,
 )
+from ..external_data import json_decoder
 from ..ids import ItemId, RequestId, SoftwareVersion, WeightVersion, new_id
 from ..process.context import EntryContext
 from .attempt import AttemptFailure
@@ -34,7 +35,7 @@
 
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode_score = msgspec.json.Decoder(_ScoreAnswer).decode
+_decode_score = json_decoder(_ScoreAnswer)
 
 
 @dataclass
--- a/tests/platform/platform_system.py
+++ b/tests/platform/platform_system.py
@@ -295,19 +295,21 @@
     ) -> tuple:
         """Call an entry; return status, body and headers.
 
-        Underscores in the keyword arguments become hyphens in header names.
+        Underscores in the keyword arguments become hyphens in header names. A body of
+        bytes is sent as it is, any other as JSON.
         """
         request_headers = {
             "Host": HOST,
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
         url = f"http://{self.entries[number].context.identity.http}{path}"
+        content = {"data": body} if isinstance(body, bytes) else {"json": body}
         async with self.session.request(
-            method, url, json=body, headers=request_headers
+            method, url, headers=request_headers, **content
         ) as response:
             return response.status, await response.read(), response.headers
 
-    async def submit(self, number: int, name: str, body: dict) -> int:
+    async def submit(self, number: int, name: str, body: dict | bytes) -> int:
         """Submit a batch job and return the status."""
         status, _, _ = await self.call_entry(
             "POST",
--- a/tests/platform/test_unreadable_values.py
+++ b/tests/platform/test_unreadable_values.py
@@ -3,18 +3,101 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
 from fakes.cut_answer import CutAnswer
 from fakes.flood import REQUEST_ID
 
-from .platform_system import batch_job
+from ..local_system import wait_until
+from .platform_system import MODEL, batch_job, configuration
 
+_NESTED = b"[" * 10_000 + b"]" * 10_000
 _LARGE = 10**30
 _DIGITS = "9" * 400  # more than a float can hold
 
 
+def _report(**changes) -> bytes:
+    models = [{"name": MODEL, "version": 1, "adapters": []}]
+    return json.dumps({"models": models, "busy": False, "seq": 0, **changes}).encode()
+
+
+_REPORTS = {
+    "nested": _report()[:-1] + b',"more":' + _NESTED + b"}",
+    "large-version": _report(models=[{"name": MODEL, "version": _LARGE}]),
+    "negative-version": _report(models=[{"name": MODEL, "version": -1}]),
+    "large-count": _report(seq=_LARGE),
+    "digits": _report().replace(b'"seq": 0', b'"seq": ' + b"9" * 5000),
+}
+
+
+@pytest.mark.parametrize("report", _REPORTS.values(), ids=_REPORTS.keys())
+@pytest.mark.parametrize("is_ordered", [False, True], ids=["before", "after"])
+async def test_an_unreadable_report_ends_no_control_instance(
+    platform_system, report, is_ordered
+):
+    """Guards against one engine that ends the leader, and each one after it."""
+    system = await platform_system(engines=3)
+    odd = system.engines[0]
+    if is_ordered:
+        odd.swap_s = 4.0  # seconds in which its reports are asked for
+    else:
+        odd.report = report
+    release = {"model": MODEL, "version": 2}
+    assert (await system.call_control("POST", "/-/version-put", release))[0] == 200
+    if is_ordered:
+        await wait_until(lambda: bool(odd.orders))
+        odd.report = report
+    read_count = odd.report_count
+    await wait_until(lambda: odd.report_count > read_count + 2)
+    await wait_until(lambda: all(each.version == 2 for each in system.engines[1:]))
+    assert system.controls[0].replica.leadership is not None
+    odd.report = None
+    await wait_until(lambda: odd.version == 2)
+
+
+@pytest.mark.parametrize(
+    "path",
+    ["/-/Instances.Heartbeat/i-other", "/-/Config.Replace", "/-/version-put"],
+)
+async def test_a_body_nested_too_deeply_is_refused(platform_system, path):
+    """Guards against an error that asks the caller to send it again."""
+    system = await platform_system()
+    body = b'{"more":' + _NESTED + b"}"
+    status, problem = await system.call_control("POST", path, body)
+    assert (status, bool(problem)) == (400, True)
+
+
+async def test_a_configuration_with_a_number_too_large_is_refused(platform_system):
+    system = await platform_system()
+    for body in (
+        configuration(_LARGE),
+        configuration(2, max_attempts=_LARGE),
+        configuration(2, priority=-_LARGE),
+        {**configuration(2), "tenants": [{"name": "a", "priority": _LARGE}]},
+    ):
+        status, _ = await system.call_control("POST", "/-/Config.Replace", body)
+        assert status == 400
+    release = {"model": MODEL, "version": _LARGE}
+    assert (await system.call_control("POST", "/-/version-put", release))[0] == 400
+
+
+async def test_a_batch_job_that_cannot_be_stored_is_refused(platform_system):
+    system = await platform_system()
+    fields = ({"more": 0}, {"min_version": _LARGE}, {"group_count": _LARGE})
+    for changes in fields[1:]:
+        job = batch_job({"item": 1}, **changes)
+        assert await system.submit(0, "job", job) == 400
+    nested = json.dumps(batch_job({"item": 1}, **fields[0])).encode()
+    nested = nested.replace(b'"more": 0', b'"more": ' + _NESTED)
+    assert await system.submit(0, "job", nested) == 400
+    job = batch_job({"item": 1})
+    job["requests"][0]["headers"]["X-Length-Hint"] = "9" * 5000
+    assert await system.submit(0, "job", job) == 202
+    assert len(await system.read_all_results(0, "job")) == 1
+
+
 @pytest.mark.parametrize(
     "figures",
     [f"{_DIGITS},0,8,100", f"1,0,8,{_DIGITS}", "1,0,8,-100", "-5,0,8,100", "²,0,8,²"],
