Continue a stream only by its own next events

Callers saw: after a break at event 5 of 12, a resumption that was answered 200 without a body ended the stream, and completed an item, with events 0 to 4; one that began at event 6 left a gap. As a first answer, a 200 without a body completed an item without a text. A stream that its caller took up could begin too early or too late. Statuses 500, 503, 404, 302 and 204, cut heads and garbage did not get through.

Cause: the end of a stream is the end of its body, and nothing in it names the last event. The type of a 200 was not looked at, and of the numbers of events only that they increase, not against those that the caller already had.

Why it works: a 200 has to be an event stream; a run that continues another begins with the next event; one without events ends the output only if a second one agrees, as when only the end was lost.

--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -46,7 +46,8 @@
     is_busy : bool
         Whether a swap is in progress.
     abort_at_event : int or None
-        Number of the event in whose place the connection is aborted, once.
+        Number of the event in whose place the connection is aborted, once; the number
+        after the last event stands for the end.
     trickle_at_event : int or None
         Number of the event in whose place a byte is sent every 0.1 s, without end,
         once.
@@ -79,6 +80,8 @@
         Limit that its answers name.
     is_leaving : bool
         Whether its answers say that it leaves.
+    resumed_answer : RawAnswer or None
+        Written in place of the answer to the next request that resumes a stream.
     report : bytes or None
         Body of its reports; None for the true one.
     report_count : int
@@ -124,6 +127,7 @@
         self.floods: dict[str, RawAnswer] = {}
         self.request_limit_per_s: float | None = None
         self.is_leaving = False
+        self.resumed_answer: RawAnswer | None = None
         self.report: bytes | None = None
         self.report_count = 0
         self.load_report: str | None = None
@@ -259,6 +263,9 @@
         status = self.forced_statuses.get(request_id)
         if status is not None:
             return web.Response(status=status, headers={"X-Request-Id": request_id})
+        if self.resumed_answer is not None and "Last-Event-Id" in request.headers:
+            answer, self.resumed_answer = self.resumed_answer, None
+            return await answer.answer(request)
         body = await request.read()
         last_event_id = int(request.headers.get("Last-Event-Id", "-1"))
         self.received_runs.append((request_id, last_event_id))
@@ -289,10 +296,7 @@
         version = self.version
         for number in range(last_event_id + 1, int(body)):
             await asyncio.sleep(self.event_interval_s)
-            if self.abort_at_event == number:
-                self.abort_at_event = None
-                assert request.transport is not None
-                request.transport.abort()
+            if self._abort_if_due(request, number):
                 return response
             if self.trickle_at_event == number:
                 self.trickle_at_event = None
@@ -304,11 +308,22 @@
                 version = self.version
                 lines.insert(0, f"x-weight-versions: {version}")
             await response.write("\n".join(lines).encode() + b"\n\n")
+        if self._abort_if_due(request, int(body)):
+            return response
         await response.write_eof()
         if self.sends_late_copies and request.transport is not None:
             self._last_answers[request.transport] = _encode_answer(request, int(body))
         return response
 
+    def _abort_if_due(self, request: web.Request, number: int) -> bool:
+        """Abort the connection if that is due in place of this event or of the end."""
+        if self.abort_at_event != number:
+            return False
+        self.abort_at_event = None
+        assert request.transport is not None
+        request.transport.abort()
+        return True
+
 
 def _encode_answer(request: web.Request, length: int) -> bytes:
     """Return the bytes of a complete answer to a request."""
--- a/pollenlb/platform/dialect.py
+++ b/pollenlb/platform/dialect.py
@@ -292,7 +292,10 @@
         if LAST_EVENT_ID_HEADER not in request.headers:
             return None
         began_as = request.headers.get(RESUMES_HEADER)
-        return Resumption(RequestId(began_as) if began_as else None)
+        return Resumption(
+            RequestId(began_as) if began_as else None,
+            read_count(request.headers, LAST_EVENT_ID_HEADER),
+        )
 
     def read_numbered_event(self, block: bytes) -> NumberedEvent:
         """Return the event in a block of a stream.
--- a/pollenlb/request/dialect.py
+++ b/pollenlb/request/dialect.py
@@ -117,9 +117,12 @@
     ----------
     began_as : RequestId or None
         Request that brought the first event; None when the caller does not name it.
+    last_event : int or None
+        Number of the last event that the caller has; None if it is unreadable.
     """
 
     began_as: RequestId | None
+    last_event: int | None = None
 
 
 class Dialect(Protocol):
--- a/pollenlb/request/event_blocks.py
+++ b/pollenlb/request/event_blocks.py
@@ -14,6 +14,7 @@
 _MAX_EVENT_BYTES = 1_048_576
 _EVENT_END = b"\n\n"
 _DATA_FIELD = b"data:"
+_CONTENT_TYPE = "text/event-stream"
 
 
 class BrokenStreamError(ValueError):
@@ -24,6 +25,56 @@
     """A stream goes on beyond what was asked for, so that none of it is an answer."""
 
 
+def check_event_stream(response: aiohttp.ClientResponse) -> None:
+    """Raise ``BrokenStreamError`` if an answer with status 200 is no event stream."""
+    if response.content_type != _CONTENT_TYPE:
+        raise BrokenStreamError(
+            f"the answer is no event stream but {response.content_type}"
+        )
+
+
+class EventOrder:
+    """Order of the events of one output, over the runs that generate it."""
+
+    def __init__(self) -> None:
+        self._last_number: int | None = None
+        self._is_first_of_run = True
+        # Last event after which a run that continued the output had none to add.
+        self._ended_after: int | None = None
+
+    def begin_run(self, last_number: int | None) -> None:
+        """Begin a run that continues after an event; None for one from the start."""
+        self._last_number = last_number
+        self._is_first_of_run = True
+
+    def check_next(self, number: int) -> None:
+        """Raise ``BrokenStreamError`` if an event may not follow those before it.
+
+        Numbers increase. A run that continues another one begins with the next.
+        """
+        last = self._last_number
+        if last is not None and number <= last:
+            raise BrokenStreamError(f"event {number} came after event {last}")
+        if last is not None and self._is_first_of_run and number != last + 1:
+            raise BrokenStreamError(f"resumed at event {number} after event {last}")
+        self._last_number = number
+        self._is_first_of_run = False
+        self._ended_after = None
+
+    def check_end(self) -> None:
+        """Raise ``BrokenStreamError`` if the output may not end with this run.
+
+        A run that continues another one may have nothing to add, if the connection
+        was lost between the last event and the end. Two runs in a row have to agree
+        on that, since an empty answer is also one of a server in trouble.
+        """
+        if not self._is_first_of_run:
+            return
+        if self._last_number is None or self._ended_after != self._last_number:
+            self._ended_after = self._last_number
+            raise BrokenStreamError("the stream ended without an event")
+
+
 def iter_event_blocks(
     content: aiohttp.StreamReader,
     progress_timeout_s: float,
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -20,7 +20,13 @@
     send_attempt,
 )
 from .dialect import NumberedEvent
-from .event_blocks import MAX_OUTPUT_BYTES, StreamTooLongError, iter_event_blocks
+from .event_blocks import (
+    MAX_OUTPUT_BYTES,
+    EventOrder,
+    StreamTooLongError,
+    check_event_stream,
+    iter_event_blocks,
+)
 from .item_progress import ItemOutput, ItemProgress, RunEnd
 from .outcome import Outcome
 from .process_check import check_process
@@ -50,6 +56,8 @@
         Whether the last event has been received.
     score : str or None
         Score from the item's reward call; None before, or without such a call.
+    order : EventOrder
+        Checks the order of the events.
     """
 
     event_data: list[str] = field(default_factory=list)
@@ -58,6 +66,7 @@
     software: SoftwareVersion | None = None
     is_generated: bool = False
     score: str | None = None
+    order: EventOrder = field(default_factory=EventOrder)
 
     @property
     def events(self) -> int:
@@ -269,7 +278,10 @@
         answer.server.record_version(progress.spec.model, version)
     if not _is_version_allowed(progress, version):
         return RunEnd.TOO_OLD
+    check_event_stream(answer.response)
     output = _output_of(progress)
+    order = output.order
+    order.begin_run(output.last_event_number)
     async for block in iter_event_blocks(
         answer.response.content, _STALL_TIMEOUT_S, MAX_OUTPUT_BYTES
     ):
@@ -279,14 +291,7 @@
             answer.server.record_version(progress.spec.model, version)
         if not _is_version_allowed(progress, version):
             return RunEnd.TOO_OLD
-        if (
-            output.last_event_number is not None
-            and event.number <= output.last_event_number
-        ):
-            raise ValueError(
-                f"event {event.number} is out of order; the last event was number "
-                f"{output.last_event_number}"
-            )
+        order.check_next(event.number)
         if 0 < progress.item.tokens <= output.events:
             raise StreamTooLongError(
                 f"the engine sent more events than the {progress.item.tokens} tokens "
@@ -294,6 +299,7 @@
             )
         progress.record_event(answer.server)
         output.add(event, version, answer.server.software)
+    order.check_end()
     answer.server.record_answer(0.0)
     return RunEnd.COMPLETE
 
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -16,7 +16,12 @@
 from .broken_answer import break_off
 from .caller_request import CallerRequest
 from .dialect import Resumption
-from .event_blocks import MAX_OUTPUT_BYTES, iter_event_blocks
+from .event_blocks import (
+    MAX_OUTPUT_BYTES,
+    EventOrder,
+    check_event_stream,
+    iter_event_blocks,
+)
 from .outcome import Outcome, RefusedError, unavailable
 from .passthrough import answer_headers, request_headers
 from .process_check import check_process
@@ -42,6 +47,7 @@
         self._context = context
         self._response: web.StreamResponse | None = None
         self._last_event_number: int | None = None
+        self._order = EventOrder()
         self._software: SoftwareVersion | None = None
         self._usage = context.usage.start_request(caller.workspace)
         self._retries = Retries(
@@ -74,6 +80,7 @@
         """
         resumption = self._context.dialect.read_resumption(self._caller.http_request)
         if resumption is not None:
+            self._last_event_number = resumption.last_event
             self._continue_at(await self._find_origin(resumption))
         while True:
             try:
@@ -202,21 +209,21 @@
         if answer.response.status != 200:
             await self._forward_error(answer)
             return
+        check_event_stream(answer.response)
         response = await self._start_response(answer)
         content = answer.response.content
+        order = self._order
+        order.begin_run(self._last_event_number)
         async for block in iter_event_blocks(content, progress_timeout_s):
             event = self._context.dialect.read_numbered_event(block)
-            if (
-                self._last_event_number is not None
-                and event.number <= self._last_event_number
-            ):
-                raise ValueError(f"event {event.number} was received twice")
+            order.check_next(event.number)
             if self._software is None:
                 await self._record_origin(answer.server)
             await response.write(block + _EVENT_END)
             self._last_event_number = event.number
             if not remaining_time_s(self._caller.deadline):
                 raise TimeoutError("the deadline passed before the end of the stream")
+        order.check_end()
         await response.write_eof()
 
     async def _record_origin(self, server: BackendServer) -> None:
