Quote invalid values in bounded form, and refuse what cannot be stored

Callers saw: a change of one key to a value nested 940 deep got no answer and ended all control instances. Integers beyond 64 bits in a change or in a completion were not answered 400.

Cause: a problem quotes the refused value with repr, while the entry of the log is applied. A value that the entry's stack could decode is too deep for the stack of the control instance, whose RecursionError ends it.

Evidence: replica.failed with 'maximum recursion depth exceeded while getting the repr of an object'.

Why it works: problems quote a few levels and characters of a value, so that a recorded change does no harm; entries refuse values of more than 64 levels, keys of more than 16 parts and integers beyond 64 bits, before they reach the log.

--- a/pollenlb/external_data.py
+++ b/pollenlb/external_data.py
@@ -14,6 +14,9 @@
 
 # Integers beyond 64 bits cannot be stored, and ratios of larger ones are no floats.
 MIN_INTEGER, MAX_INTEGER = -(2**63), 2**63 - 1
+# Deeper values fail in whatever follows their parts, at a depth that depends on the
+# caller's stack.
+_MAX_NESTING = 64
 _COUNT_PATTERN = re.compile(r"[0-9]{1,15}")
 
 Integer = Annotated[int, msgspec.Meta(ge=MIN_INTEGER, le=MAX_INTEGER)]
@@ -62,3 +65,24 @@
 def read_count(headers: Mapping[str, str], name: str) -> int | None:
     """Return the count in a header; None without the header, or for another text."""
     return parse_count(headers.get(name, ""))
+
+
+def find_unstorable(value: Any, levels: int = _MAX_NESTING) -> str | None:
+    """Return why a decoded JSON value cannot be stored or sent on, or None.
+
+    Parameters
+    ----------
+    value : object
+        The value.
+    levels : int
+        Number of levels that may be nested in it.
+    """
+    if isinstance(value, int) and not MIN_INTEGER <= value <= MAX_INTEGER:
+        return "an integer has more than 64 bits"
+    if not isinstance(value, (dict, list)):
+        return None
+    if not levels:
+        return f"values are nested in more than {_MAX_NESTING} levels"
+    parts = value.values() if isinstance(value, dict) else value
+    problems = (find_unstorable(part, levels - 1) for part in parts)
+    return next((problem for problem in problems if problem is not None), None)
--- a/pollenlb/request/completion.py
+++ b/pollenlb/request/completion.py
@@ -9,7 +9,7 @@
 
 from ..connection.backend_api import OUTCOME_HEADER, REQUEST_ID_HEADER
 from ..connection.engine_api import END_OF_STREAM_DATA, StreamEvent
-from ..external_data import json_decoder
+from ..external_data import find_unstorable, json_decoder
 from ..process.context import EntryContext
 from .broken_answer import break_off
 from .caller_request import CallerRequest
@@ -65,6 +65,9 @@
         ) from error
     if not isinstance(body, dict):
         raise bad_request("the request body must be a JSON object", "body")
+    problem = find_unstorable(body)
+    if problem is not None:
+        raise bad_request(f"the request body is invalid: {problem}", "body")
     if not isinstance(body.get("prompt"), str):
         raise bad_request("prompt must be a string", "prompt")
     max_tokens = body.setdefault("max_tokens", 16)
--- a/pollenlb/request/operator_api.py
+++ b/pollenlb/request/operator_api.py
@@ -17,6 +17,7 @@
     ReleaseVersion,
 )
 from ..durable.crash_commands import Pardon
+from ..external_data import find_unstorable
 from ..ids import Fingerprint, ModelName, Revision, WeightVersion
 from ..process.context import EntryContext
 from .api import (
@@ -26,10 +27,11 @@
     read_json,
     with_refusal_responses,
 )
-from .outcome import Outcome, Refusal, RefusedError, unavailable
+from .outcome import Outcome, Refusal, RefusedError, bad_request, unavailable
 
 # Timeout for the status of each control instance.
 _STATUS_TIMEOUT_S = 0.7
+_MAX_KEY_PARTS = 16
 
 
 class ChangeBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -174,6 +176,9 @@
             When the body or a new value is invalid, or the command failed.
         """
         body = await read_json(request, ChangeBody)
+        problem = _find_problem(body.changes)
+        if problem is not None:
+            raise bad_request(problem, "changes")
         based_on = body.based_on
         if based_on is None:
             based_on = max(0, self._context.configuration.revision)
@@ -268,3 +273,10 @@
         answer.status is CallStatus.DONE
     )
     return summary
+
+
+def _find_problem(changes: dict[str, Any]) -> str | None:
+    """Return why changes cannot be proposed, whatever the configuration, or None."""
+    if any(key.count(".") >= _MAX_KEY_PARTS for key in changes):
+        return f"a key has more than {_MAX_KEY_PARTS} parts"
+    return find_unstorable(changes)
--- a/pollenlb/settings/options.py
+++ b/pollenlb/settings/options.py
@@ -4,6 +4,7 @@
 
 import difflib
 import re
+import reprlib
 import tomllib
 from pathlib import Path
 from typing import Any, ClassVar, Generic, TypeVar
@@ -17,6 +18,11 @@
 
 T = TypeVar("T")
 
+# Problems quote values that may be long or nested deeply.
+_repr = reprlib.Repr()
+_repr.maxstring = _repr.maxother = 200
+_quote = _repr.repr
+
 _NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?")
 _REQUIRED = object()
 _encode = msgspec.msgpack.Encoder().encode
@@ -102,7 +108,7 @@
     def check(self, value: Any) -> str:
         """Return the string."""
         if not isinstance(value, str) or not value:
-            raise ValueError(f"{value!r} must be a non-empty string")
+            raise ValueError(f"{_quote(value)} must be a non-empty string")
         return value
 
 
@@ -115,8 +121,8 @@
         """Return the name."""
         if not isinstance(value, str) or not _NAME_PATTERN.fullmatch(value):
             raise ValueError(
-                f"{value!r} must be 1 to 64 lower-case letters, digits and hyphens, "
-                "without a hyphen at either end"
+                f"{_quote(value)} must be 1 to 64 lower-case letters, digits and "
+                "hyphens, without a hyphen at either end"
             )
         return value
 
@@ -129,7 +135,7 @@
     def check(self, value: Any) -> str:
         """Return the path."""
         if not isinstance(value, str) or not value.startswith("/"):
-            raise ValueError(f"{value!r} must be a path that starts with /")
+            raise ValueError(f"{_quote(value)} must be a path that starts with /")
         return value
 
 
@@ -141,7 +147,7 @@
     def check(self, value: Any) -> str:
         """Return the address."""
         if not isinstance(value, str):
-            raise ValueError(f"{value!r} must be {self.allowed}")
+            raise ValueError(f"{_quote(value)} must be {self.allowed}")
         return parse_address(value)
 
 
@@ -163,7 +169,7 @@
     def check(self, value: Any) -> list[str]:
         """Return the names in the order in which they are given."""
         if not isinstance(value, str):
-            raise ValueError(f"{value!r} must be {self.allowed}")
+            raise ValueError(f"{_quote(value)} must be {self.allowed}")
         return [name.strip() for name in value.split(",") if name.strip()]
 
 
@@ -184,7 +190,7 @@
         """Return the integer."""
         is_integer = isinstance(value, int) and not isinstance(value, bool)
         if not is_integer or not self.minimum <= value <= self.maximum:
-            raise ValueError(f"{value!r} must be an {self.allowed}")
+            raise ValueError(f"{_quote(value)} must be an {self.allowed}")
         return value
 
 
@@ -207,7 +213,7 @@
         """Return the number as a float."""
         is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
         if not is_number or not self.minimum <= value <= self.maximum:
-            raise ValueError(f"{value!r} must be a {self.allowed}")
+            raise ValueError(f"{_quote(value)} must be a {self.allowed}")
         return float(value)
 
 
@@ -219,7 +225,7 @@
     def check(self, value: Any) -> bool:
         """Return the flag."""
         if not isinstance(value, bool):
-            raise ValueError(f"{value!r} must be true or false")
+            raise ValueError(f"{_quote(value)} must be true or false")
         return value
 
 
@@ -238,7 +244,7 @@
     def check(self, value: Any) -> str:
         """Return the string that was chosen."""
         if value not in self.choices:
-            raise ValueError(f"{value!r} must be {self.allowed}")
+            raise ValueError(f"{_quote(value)} must be {self.allowed}")
         return value
 
 
@@ -250,7 +256,7 @@
     def check(self, value: Any) -> Path:
         """Return the path."""
         if not isinstance(value, str) or not value:
-            raise ValueError(f"{value!r} must be the path of a folder")
+            raise ValueError(f"{_quote(value)} must be the path of a folder")
         return Path(value)
 
 
@@ -284,13 +290,15 @@
     def check(self, value: Any) -> dict[str, float]:
         """Return the weights as floats."""
         if not isinstance(value, dict):
-            raise ValueError(f"{value!r} must be a {self.allowed}")
+            raise ValueError(f"{_quote(value)} must be a {self.allowed}")
         for weight in value.values():
             is_number = isinstance(weight, (int, float)) and not isinstance(
                 weight, bool
             )
             if not is_number or not 0 <= weight < float("inf"):
-                raise ValueError(f"{weight!r} must be a finite weight of at least 0")
+                raise ValueError(
+                    f"{_quote(weight)} must be a finite weight of at least 0"
+                )
         if value and not sum(value.values()) > 0:
             raise ValueError(f"must be a {self.allowed}")
         return {str(name): float(weight) for name, weight in value.items()}
--- a/tests/settings/test_options.py
+++ b/tests/settings/test_options.py
@@ -233,3 +233,17 @@
     """Guards against an address that is taken here and cannot be read elsewhere."""
     with pytest.raises(ValueError, match="must be"):
         SocketAddress().check(text)
+
+
+def test_problem_of_a_deeply_nested_value_is_reported():
+    """Guards against a recorded change that ends each instance that applies it."""
+    nested: list = []
+    for _ in range(5000):
+        nested = [nested]
+    for option in EntrySettings.options().values():
+        try:
+            option.check(nested)
+        except ValueError as error:
+            assert len(str(error)) < 1000
+        except RecursionError:
+            pytest.fail(f"{option.allowed}: not reported", pytrace=False)
--- a/tests/system/test_bad_input.py
+++ b/tests/system/test_bad_input.py
@@ -111,3 +111,33 @@
     assert status == 422
     assert "timeout_s" in error["message"] and "colour" in error["message"]
     assert system.entries[0].context.configuration.revision == before
+
+
+@pytest.mark.parametrize("depth", [100, 920, 940, 960, 980, 100_000])
+async def test_change_nested_too_deeply_ends_no_control_instance(system, depth):
+    """Guards against a change in the log that ends each instance that applies it."""
+    url = "/pollenlb/v1/operator/configuration"
+    nested = b"[" * depth + b"]" * depth
+    body = b'{"changes":{"routes.shop.timeout_s":' + nested + b"}}"
+    status, error = await _post(system, url, data=body)
+    assert (status, error["outcome"]) == (400, "not-run")
+    change = {"changes": {"routes.shop.timeout_s": 7}}
+    async with system.session.post(system.url(0, url), json=change) as response:
+        assert response.status == 200
+
+
+async def test_change_that_cannot_be_stored_is_refused(system):
+    url = "/pollenlb/v1/operator/configuration"
+    for key, value in (
+        ("routes.shop.priority", 10**30),
+        ("routes.shop.timeout_s" + ".a" * 5000, 1),
+    ):
+        status, error = await _post(system, url, json={"changes": {key: value}})
+        assert (status, error["field"]) == (400, "changes")
+
+
+async def test_completion_with_a_number_too_large_is_refused(system):
+    for value in (10**30, [[10**30]]):
+        body = {"prompt": "x", "max_tokens": 4, "more": value}
+        status, error = await _post(system, "/v1/completions", json=body)
+        assert (status, error["field"]) == (400, "body")
