Ignore times of Retry-After that are no plausible time

Callers saw: a refusal whose server had sent Retry-After: inf, nan, 1e400 or -1 reached them with that time, so that they could not tell when to come back. The native protocol rounds the time up, which fails for the first three.

Cause: the header was read with float, which knows infinity and not-a-number.

Why it works: a time is from 0 to 86,400 s; without one, the entry's own estimate or default is sent.

--- a/pollenlb/request/outcome.py
+++ b/pollenlb/request/outcome.py
@@ -14,6 +14,7 @@
 VERSIONS_HEADER = "Pollenlb-Weight-Versions"
 CONDEMNED_STATUS = 422
 SERVER_HEADER = "Pollenlb-Backend-Server"
+_MAX_RETRY_AFTER_S = 86_400.0
 
 
 class Outcome(Enum):
@@ -88,11 +89,12 @@
 
 
 def parse_retry_after_s(text: str | None) -> float | None:
-    """Return the seconds of a ``Retry-After`` header; None if it is no number."""
+    """Return the seconds of a ``Retry-After`` header; None without a plausible time."""
     try:
-        return float(text) if text else None
+        after_s = float(text or "")
     except ValueError:
         return None
+    return after_s if 0 <= after_s <= _MAX_RETRY_AFTER_S else None
 
 
 def refusal_response(refusal: Refusal, request_id: RequestId) -> web.Response:
--- a/tests/platform/test_unreadable_values.py
+++ b/tests/platform/test_unreadable_values.py
@@ -120,6 +120,28 @@
     assert {result["state"] for result in results} == {"completed"}
 
 
+@pytest.mark.parametrize("text", ["inf", "nan", "1e400", "-1", "9" * 5000, "later"])
+async def test_a_refusal_with_an_unreadable_time_is_still_a_refusal(
+    platform_system, text
+):
+    """Guards against a request that has not run and whose caller is not told so."""
+    system = await platform_system()
+    answer = CutAnswer(
+        b"HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: " + REQUEST_ID + b"\r\n"
+        b"X-Not-Executed: 1\r\nContent-Length: 0\r\n"
+        b"Retry-After: " + text.encode() + b"\r\n\r\n",
+        is_reset=False,
+    )
+    for engine in system.engines:
+        engine.floods["/safe/"] = answer
+    status, _, headers = await system.call_entry(
+        "POST", 0, "/safe/1", 1, X_Request_Id="r", X_Deadline_Ms="4000"
+    )
+    assert answer.count
+    assert status == 503
+    assert 0 < float(headers["Retry-After"]) < 60
+
+
 @pytest.mark.parametrize(
     "event",
     [
