Refuse names of servers and items that no header can hold

Callers saw: after a check-in under the name %0a, a line feed, which was acknowledged, ordinary requests of the service ended with 500 (eight of eight in a trial with an address that accepts connections). A batch job with a line feed in the id or a header of an item was accepted.

Cause: requests name the server that is meant in a header. The HTTP library refuses control characters there, after the server was chosen, with an error that counts as none of an attempt.

Why it works: names of servers are visible ASCII characters, and the ids, hosts and headers of items have no control characters; others are answered 400.

--- a/pollenlb/external_data.py
+++ b/pollenlb/external_data.py
@@ -18,6 +18,7 @@
 # caller's stack.
 _MAX_NESTING = 64
 _COUNT_PATTERN = re.compile(r"[0-9]{1,15}")
+_VISIBLE_PATTERN = re.compile(r"[!-~]{1,256}")
 
 Integer = Annotated[int, msgspec.Meta(ge=MIN_INTEGER, le=MAX_INTEGER)]
 """An integer that can be stored."""
@@ -27,6 +28,9 @@
 Count = Annotated[int, COUNT_BOUNDS]
 """A number of things, or a version."""
 
+HeaderText = Annotated[str, msgspec.Meta(pattern=r"^[^\x00-\x1f\x7f]*\Z")]
+"""A text that may stand in a header."""
+
 ExternalName = Annotated[str, msgspec.Meta(max_length=256)]
 """A name that another program chose."""
 
@@ -56,6 +60,11 @@
     return decode_external
 
 
+def is_header_word(text: str) -> bool:
+    """Return whether a text is a short word that may stand in a header."""
+    return _VISIBLE_PATTERN.fullmatch(text) is not None
+
+
 def parse_count(text: str) -> int | None:
     """Return a count of at most 15 decimal digits; None for any other text."""
     text = text.strip(" ")
--- a/pollenlb/platform/announcements.py
+++ b/pollenlb/platform/announcements.py
@@ -18,7 +18,13 @@
     ServerState,
     WithdrawServer,
 )
-from ..external_data import MAX_INTEGER, Count, ExternalName, json_decoder
+from ..external_data import (
+    MAX_INTEGER,
+    Count,
+    ExternalName,
+    is_header_word,
+    json_decoder,
+)
 from ..ids import (
     BackendServerName,
     BootId,
@@ -104,6 +110,9 @@
         address = parse_address(heartbeat.address)
     except (msgspec.MsgspecError, ValueError) as error:
         return Err(f"check-in of backend server {server} is invalid: {error}")
+    if not is_header_word(server):
+        # Requests to the server name it in a header.
+        return Err("the name of the backend server is invalid")
     state = (
         ServerState.LEAVING if heartbeat.state == "draining" else ServerState.SERVING
     )
--- a/pollenlb/platform/batch_jobs.py
+++ b/pollenlb/platform/batch_jobs.py
@@ -16,7 +16,7 @@
     ItemResult,
     RewardCall,
 )
-from ..external_data import Integer, json_decoder, read_count
+from ..external_data import HeaderText, Integer, json_decoder, read_count
 from ..ids import (
     BatchJobId,
     GroupName,
@@ -34,8 +34,8 @@
 class _Scorer(msgspec.Struct):
     """Reward call of an item; its body is base64 in JSON."""
 
-    id: str
-    host: str
+    id: HeaderText
+    host: HeaderText
     path: str
     body: bytes = b""
 
@@ -55,10 +55,10 @@
         Reward call; None when the item is not scored.
     """
 
-    id: str
+    id: HeaderText
     path: str
     body: bytes
-    headers: dict[str, str] = {}
+    headers: dict[HeaderText, HeaderText] = {}
     tokens: Integer = 0
     group: str = ""
     scorer: _Scorer | None = None
--- a/tests/platform/test_unreadable_values.py
+++ b/tests/platform/test_unreadable_values.py
@@ -6,6 +6,7 @@
 import json
 
 import pytest
+from yarl import URL
 
 from fakes.cut_answer import CutAnswer
 from fakes.flood import REQUEST_ID
@@ -69,6 +70,53 @@
     assert (status, bool(problem)) == (400, True)
 
 
+@pytest.mark.parametrize("name", ["%0a", "%00", "%20", "%c3%a9", "i" * 300])
+async def test_a_server_whose_name_is_no_header_value_is_refused(platform_system, name):
+    """Guards against a server that no request can name, and that fails them all."""
+    system = await platform_system()
+    listener = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    check_in = {
+        "service": "engines",
+        "address": f"127.0.0.1:{port}",
+        "zone": "north",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "models": [{"name": MODEL, "version": 1}],
+        "seq": 1,
+        "born": 1_000,
+    }
+    url = f"{system.control_urls[0]}/-/Instances.Heartbeat/{name}"
+    async with system.session.post(URL(url, encoded=True), json=check_in) as response:
+        assert response.status == 400
+    answers = await asyncio.gather(
+        *(
+            system.call_entry("POST", 0, "/safe/1", 1, X_Request_Id=f"r-{number}")
+            for number in range(8)
+        )
+    )
+    assert {status for status, _, _ in answers} == {200}
+    listener.close()
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"headers": {"X-Model": "a\nb"}},
+        {"headers": {"X-Model\r": "a"}},
+        {"id": "item\n"},
+        {"scorer": {"id": "a\n", "host": "h", "path": "/"}},
+    ],
+)
+async def test_an_item_that_cannot_be_sent_is_refused(platform_system, changes):
+    """Guards against an item that is run again and again, and never arrives."""
+    system = await platform_system()
+    job = batch_job({"item": 1})
+    job["requests"][0] |= changes
+    assert await system.submit(0, "job", job) == 400
+
+
 async def test_a_configuration_with_a_number_too_large_is_refused(platform_system):
     system = await platform_system()
     for body in (
