Send the odd answer of a resumption exactly once in the tests

Cause, in the test: each engine held the odd answer, and the test took it from the others once it saw that it was sent. That answer is complete at once, so that the item could be at the next engine before, which sent it again. The engines share one list now, from which the answer is taken once, and the tests ask for a count of exactly one, where they asked for at least one.

--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -80,8 +80,9 @@
         Limit that its answers name.
     is_leaving : bool
         Whether its answers say that it leaves.
-    resumed_answer : RawAnswer or None
-        Written in place of the answer to the next request that resumes a stream.
+    resumed_answers : list of RawAnswer
+        Written in place of the answers to the next requests that resume a stream, the
+        last one first. Engines that share the list write each answer once in all.
     report : bytes or None
         Body of its reports; None for the true one.
     report_count : int
@@ -127,7 +128,7 @@
         self.floods: dict[str, RawAnswer] = {}
         self.request_limit_per_s: float | None = None
         self.is_leaving = False
-        self.resumed_answer: RawAnswer | None = None
+        self.resumed_answers: list[RawAnswer] = []
         self.report: bytes | None = None
         self.report_count = 0
         self.load_report: str | None = None
@@ -263,9 +264,8 @@
         status = self.forced_statuses.get(request_id)
         if status is not None:
             return web.Response(status=status, headers={"X-Request-Id": request_id})
-        if self.resumed_answer is not None and "Last-Event-Id" in request.headers:
-            answer, self.resumed_answer = self.resumed_answer, None
-            return await answer.answer(request)
+        if self.resumed_answers and "Last-Event-Id" in request.headers:
+            return await self.resumed_answers.pop().answer(request)
         body = await request.read()
         last_event_id = int(request.headers.get("Last-Event-Id", "-1"))
         self.received_runs.append((request_id, last_event_id))
--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -65,26 +65,19 @@
     }
     await system.call_control("POST", "/-/Config.Replace", changed)
     answer = CutAnswer(content, is_reset=False)
+    odd_answers = [answer]
     for engine in system.engines:
         engine.abort_at_event = _BREAK
-        engine.resumed_answer = answer
+        engine.resumed_answers = odd_answers
     return system, answer
 
 
-async def _break_once(system, answer: CutAnswer) -> None:
-    """Return when an engine has broken off, and the odd answer was sent, once each."""
+async def _break_once(system) -> None:
+    """Return when an engine has broken off; the others do not any more."""
     engines = system.engines
     await wait_until(lambda: any(each.abort_at_event is None for each in engines))
     for engine in engines:
         engine.abort_at_event = None
-    await _answer_once(system, answer)
-
-
-async def _answer_once(system, answer: CutAnswer) -> None:
-    """Return when the odd answer was sent; it is not sent again."""
-    await wait_until(lambda: answer.count)
-    for engine in system.engines:
-        engine.resumed_answer = None
 
 
 @_odd
@@ -94,8 +87,8 @@
     call = system.call_entry(
         "POST", 0, "/safe/1", _EVENT_COUNT, X_Request_Id="r", X_Deadline_Ms="9000"
     )
-    (status, body, _), _ = await asyncio.gather(call, _break_once(system, answer))
-    assert answer.count
+    (status, body, _), _ = await asyncio.gather(call, _break_once(system))
+    assert answer.count == 1
     assert (status, body) == (200, _events(*range(_EVENT_COUNT)))
 
 
@@ -104,9 +97,9 @@
     """Guards against a result that is completed with a part of its text."""
     system, answer = await _start_breaking_system(platform_system, content)
     assert await system.submit(0, "job", batch_job({"item": _EVENT_COUNT})) == 202
-    await _break_once(system, answer)
+    await _break_once(system)
     (result,) = await system.read_all_results(1, "job")
-    assert answer.count
+    assert answer.count == 1
     assert result["state"] == "completed"
     assert result["text"].split("\n") == [f"{n}.1" for n in range(_EVENT_COUNT)]
 
@@ -123,7 +116,7 @@
         "POST", 0, "/safe/1", 1, X_Request_Id="first", X_Deadline_Ms="9000"
     )
     assert status == 200
-    call = system.call_entry(
+    status, body, _ = await system.call_entry(
         "POST",
         0,
         "/safe/1",
@@ -133,7 +126,7 @@
         Last_Event_Id=str(_BREAK - 1),
         X_Deadline_Ms="9000",
     )
-    (status, body, _), _ = await asyncio.gather(call, _answer_once(system, answer))
+    assert answer.count == 1
     assert (status, body) == (200, _events(*range(_BREAK, _EVENT_COUNT)))
 
 
