--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -239,7 +239,9 @@
             )
         self._latest_members_index = LogIndex(self._replica.storage.last_index + 1)
         self._replica.events.record(
-            "members.change", members=[member.replica for member in members]
+            "members.change",
+            members=[member.replica for member in members],
+            voters=[member.replica for member in members if member.is_voter],
         )
         await self.propose(EntryKind.MEMBERS, encode_members(members))
 
--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -25,6 +25,7 @@
     Term,
     new_id,
 )
+from ..memory import peak_memory_mb
 from ..settings.control import ControlSettings
 from .election import hold_election
 from .leadership import Leadership
@@ -450,7 +451,9 @@
     def _restore(self) -> None:
         snapshot = self._storage.snapshot
         if snapshot.index:
+            started_at = now()
             self._machine.restore(snapshot.state)
+            self._record_snapshot("snapshot.restored", snapshot, started_at)
         self._commit_index = snapshot.index
         self._applied_index = snapshot.index
 
@@ -472,9 +475,11 @@
         self.spawn(self._save_snapshot(snapshot))
 
     async def _save_snapshot(self, snapshot: Snapshot) -> None:
+        started_at = now()
         try:
             async with self._lock:
                 await self._storage.save_snapshot(snapshot)
+            self._record_snapshot("snapshot.saved", snapshot, started_at)
         except DiskFullError as error:
             self.record_full_disk(error)
             # A snapshot is due again at once, and would be serialized in vain.
@@ -482,6 +487,17 @@
         finally:
             self._is_saving_snapshot = False
 
+    def _record_snapshot(
+        self, kind: str, snapshot: Snapshot, started_at: float
+    ) -> None:
+        self._events.record(
+            kind,
+            index=snapshot.index,
+            bytes=len(snapshot.state),
+            seconds=round(now() - started_at, 3),
+            peak_memory_mb=peak_memory_mb(),
+        )
+
     def record_full_disk(self, error: DiskFullError) -> None:
         """Record as an event that a write found no room, at most once a second."""
         if now() >= self._full_disk_recorded_until:
