--- a/pollenlb/durable/batch_jobs.py
+++ b/pollenlb/durable/batch_jobs.py
@@ -77,6 +77,16 @@
         """Wall time until which results can be read, milliseconds since the epoch."""
         return self.at_ms + 1000 * self.spec.kept_s + RETENTION_MARGIN_MS
 
+    def capture(self) -> BatchJob:
+        """Return a copy that later commands do not change; its contents are shared."""
+        return msgspec.structs.replace(
+            self,
+            results=list(self.results),
+            listed=set(self.listed),
+            saved=dict(self.saved),
+            failed_runs=dict(self.failed_runs),
+        )
+
     def find_item(self, item: ItemId) -> BatchItem | None:
         """Return the request of an item, or None when the job has no such item."""
         for batch_item in self.spec.items:
--- a/pollenlb/durable/files.py
+++ b/pollenlb/durable/files.py
@@ -10,6 +10,7 @@
 import zlib
 from collections.abc import Callable, Iterator
 from pathlib import Path
+from typing import BinaryIO
 
 from ..exceptions import StorageDamagedError, StorageError
 
@@ -23,6 +24,32 @@
     return _HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload)) + payload
 
 
+def write_frame(file: BinaryIO, payload: bytes) -> None:
+    """Write a frame with a payload to a file, without a copy of the payload."""
+    file.write(_HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload)))
+    file.write(payload)
+
+
+def read_file_frames(path: Path) -> Iterator[bytes]:
+    """Yield the payloads of the frames of a file, one in memory at a time.
+
+    Raises
+    ------
+    FileNotFoundError
+        When there is no such file.
+    StorageDamagedError
+        When a frame is incomplete or does not match its checksum.
+    """
+    with path.open("rb") as file:
+        while header := file.read(_HEADER.size):
+            payload = _read_payload(file, header)
+            if payload is None:
+                raise StorageDamagedError(
+                    f"{path} is damaged: it does not match its checksum"
+                )
+            yield payload
+
+
 def read_frames(data: bytes, path: Path) -> Iterator[tuple[int, bytes]]:
     """Yield the end offset and the payload of each frame in the content of a file.
 
@@ -64,9 +91,7 @@
     temporary = path.with_suffix(".new")
     try:
         with temporary.open("wb") as file:
-            # Header and payload apart: a snapshot may be large.
-            file.write(_HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload)))
-            file.write(payload)
+            write_frame(file, payload)
             file.flush()
             sync_file(file.fileno(), os.fsync)
         os.replace(temporary, path)
@@ -130,6 +155,16 @@
         os.close(descriptor)
 
 
+def _read_payload(file: BinaryIO, header: bytes) -> bytes | None:
+    if len(header) < _HEADER.size:
+        return None
+    magic, length, checksum = _HEADER.unpack(header)
+    if magic != _MAGIC or length > MAX_FRAME_BYTES:
+        return None
+    payload = file.read(length)
+    return payload if zlib.crc32(payload) == checksum else None
+
+
 def _payload_at(data: bytes, offset: int) -> bytes | None:
     if offset + _HEADER.size > len(data):
         return None
--- a/pollenlb/durable/follower.py
+++ b/pollenlb/durable/follower.py
@@ -13,14 +13,14 @@
 from ..ids import Address, LogIndex, Term
 from .records import (
     APPEND,
-    SNAPSHOT_PART,
+    SNAPSHOT_BLOCK,
     AppendAnswer,
     AppendRequest,
     Member,
-    SnapshotPartRequest,
+    SnapshotBlockRequest,
 )
 from .replica_interface import ReplicaInterface
-from .snapshot_transfer import OutgoingSnapshot
+from .snapshot_transfer import SnapshotSender
 
 _MAX_ENTRIES_PER_MESSAGE = 256
 _MAX_ENTRY_BYTES_PER_MESSAGE = 4 * 1024 * 1024
@@ -70,7 +70,7 @@
         self._created_at = now()
         self._last_contact_at = float("-inf")
         self._reported_member = member
-        self._outgoing: OutgoingSnapshot | None = None
+        self._sender: SnapshotSender | None = None
         self.member = member
         self.wake = asyncio.Event()
         self.task: asyncio.Task | None = None
@@ -114,14 +114,17 @@
         a heartbeat interval.
         """
         heartbeat_s = self._replica.settings.heartbeat_s
-        while self._is_term_current():
-            self.wake.clear()
-            if await self._send_next():
-                is_behind = self._next_index <= self._replica.storage.last_index
-                if not is_behind and not self.wake.is_set():
-                    await self._wait_for_wake(heartbeat_s)
-            else:
-                await sleep_until(deadline_in(heartbeat_s))
+        try:
+            while self._is_term_current():
+                self.wake.clear()
+                if await self._send_next():
+                    is_behind = self._next_index <= self._replica.storage.last_index
+                    if not is_behind and not self.wake.is_set():
+                        await self._wait_for_wake(heartbeat_s)
+                else:
+                    await sleep_until(deadline_in(heartbeat_s))
+        finally:
+            self._close_sender()
 
     def _is_term_current(self) -> bool:
         leadership = self._replica.leadership
@@ -130,8 +133,8 @@
     async def _send_next(self) -> bool:
         sent_at = now()
         if self._next_index <= self._replica.storage.snapshot.index:
-            request: Any = self._snapshot_part_request()
-            method: Any = SNAPSHOT_PART
+            request: Any = self._snapshot_block_request()
+            method: Any = SNAPSHOT_BLOCK
             timeout_s = _SNAPSHOT_TIMEOUT_S
         else:
             request = self._append_request()
@@ -145,19 +148,28 @@
                 return False
         return False
 
-    def _snapshot_part_request(self) -> SnapshotPartRequest:
+    def _snapshot_block_request(self) -> SnapshotBlockRequest:
         state = self._replica.storage.hard_state
-        if self._outgoing is None:
-            self._outgoing = OutgoingSnapshot(self._replica.storage.snapshot)
-        return SnapshotPartRequest(
+        if self._sender is None:
+            self._sender = SnapshotSender(self._replica.storage)
+        block = self._sender.next_block()
+        return SnapshotBlockRequest(
             cluster=state.cluster,
             sender=state.replica,
             receiver=self.member.replica,
             term=self._term,
             leader_address=Address(self._replica.settings.listen),
-            part=self._outgoing.next_part(),
+            head=self._sender.head,
+            offset=block.offset,
+            total_bytes=self._sender.total_bytes,
+            data=block.data,
         )
 
+    def _close_sender(self) -> None:
+        if self._sender is not None:
+            self._sender.close()
+            self._sender = None
+
     def _append_request(self) -> AppendRequest:
         storage = self._replica.storage
         previous_index = LogIndex(self._next_index - 1)
@@ -191,10 +203,10 @@
             instance=answer.instance or self.member.instance,
             failure_domain=answer.failure_domain,
         )
-        if answer.received_bytes is not None and self._outgoing is not None:
-            self._outgoing.record_received(answer.received_bytes)
+        if answer.received_bytes is not None and self._sender is not None:
+            self._sender.record_received(answer.received_bytes)
         elif answer.is_matching:
-            self._outgoing = None
+            self._close_sender()
             match_index = max(self._match_index, answer.last_index)
             self._match_index = LogIndex(match_index)
             self._next_index = LogIndex(match_index + 1)
--- a/pollenlb/durable/records.py
+++ b/pollenlb/durable/records.py
@@ -96,7 +96,7 @@
     members : list of Member
         Members at that index.
     state : bytes
-        The state machine in serialized form.
+        The state machine in serialized form; empty where it is stored or sent apart.
     """
 
     term: Term
@@ -212,7 +212,7 @@
 
 
 class SnapshotPartRequest(msgspec.Struct, frozen=True):
-    """Part of a snapshot for a replica whose next log entries were dropped."""
+    """Part of a snapshot, as replicas of earlier releases send it."""
 
     cluster: ClusterId
     sender: ReplicaId
@@ -222,6 +222,32 @@
     part: SnapshotPart
 
 
+class SnapshotBlockRequest(msgspec.Struct, frozen=True):
+    """Block of a snapshot file for a replica whose next log entries were dropped.
+
+    Attributes
+    ----------
+    head : Snapshot
+        The snapshot without its state.
+    offset : int
+        Bytes of the file before the block.
+    total_bytes : int
+        Size of the file.
+    data : bytes
+        The block.
+    """
+
+    cluster: ClusterId
+    sender: ReplicaId
+    receiver: ReplicaId
+    term: Term
+    leader_address: Address
+    head: Snapshot
+    offset: int
+    total_bytes: int
+    data: bytes
+
+
 class JoinRequest(msgspec.Struct, frozen=True):
     """Request of a replica with an empty data folder to become a learner."""
 
@@ -253,6 +279,7 @@
 APPEND = Method(_SERVICE, "Append", AppendRequest, AppendAnswer)
 SNAPSHOT = Method(_SERVICE, "Snapshot", SnapshotRequest, AppendAnswer)
 SNAPSHOT_PART = Method(_SERVICE, "SnapshotPart", SnapshotPartRequest, AppendAnswer)
+SNAPSHOT_BLOCK = Method(_SERVICE, "SnapshotBlock", SnapshotBlockRequest, AppendAnswer)
 JOIN = Method(_SERVICE, "Join", JoinRequest, JoinAnswer)
 
 _encode = msgspec.msgpack.Encoder().encode
--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Collection, Coroutine
+from collections.abc import Callable, Collection, Coroutine, Iterable
 from enum import Enum
 from typing import Any, Protocol
 
@@ -82,10 +82,14 @@
             The command, as it was proposed.
         """
 
-    def snapshot(self) -> bytes:
-        """Return the complete state in serialized form."""
+    def snapshot(self) -> Iterable[bytes]:
+        """Return the complete state at the time of the call, in serialized pieces.
 
-    def restore(self, state: bytes) -> None:
+        The pieces are taken one after the other in another thread, while further
+        commands are applied.
+        """
+
+    def restore(self, pieces: Iterable[bytes]) -> None:
         """Replace the complete state by one that ``snapshot`` returned."""
 
 
@@ -363,6 +367,19 @@
         self._restore()
         self._events.record("snapshot.received", index=snapshot.index)
 
+    @uninterrupted
+    async def install_received_snapshot(self, head: Snapshot) -> None:
+        """Replace the state by the received file; the caller holds the lock.
+
+        Parameters
+        ----------
+        head : Snapshot
+            The snapshot in the file, without its state; ahead of the commit index.
+        """
+        await self._storage.adopt_snapshot(head, is_received=True)
+        self._restore()
+        self._events.record("snapshot.received", index=head.index)
+
     async def observe_term(self, term: Term) -> None:
         """Adopt the term of an answer if it is later; takes the lock."""
         if term > self.term:
@@ -452,7 +469,7 @@
         snapshot = self._storage.snapshot
         if snapshot.index:
             started_at = now()
-            self._machine.restore(snapshot.state)
+            self._machine.restore(self._storage.snapshot_pieces())
             self._record_snapshot("snapshot.restored", snapshot, started_at)
         self._commit_index = snapshot.index
         self._applied_index = snapshot.index
@@ -471,15 +488,16 @@
         term = self._storage.term_at(index)
         assert term is not None
         members = self._storage.members_at(index)
-        snapshot = Snapshot(term, index, members, self._machine.snapshot())
-        self.spawn(self._save_snapshot(snapshot))
+        head = Snapshot(term, index, members, b"")
+        self.spawn(self._save_snapshot(head, self._machine.snapshot()))
 
-    async def _save_snapshot(self, snapshot: Snapshot) -> None:
+    async def _save_snapshot(self, head: Snapshot, pieces: Iterable[bytes]) -> None:
         started_at = now()
         try:
+            await self._storage.write_snapshot(head, pieces)
             async with self._lock:
-                await self._storage.save_snapshot(snapshot)
-            self._record_snapshot("snapshot.saved", snapshot, started_at)
+                await self._storage.adopt_snapshot(head)
+            self._record_snapshot("snapshot.saved", head, started_at)
         except DiskFullError as error:
             self.record_full_disk(error)
             # A snapshot is due again at once, and would be serialized in vain.
@@ -493,7 +511,7 @@
         self._events.record(
             kind,
             index=snapshot.index,
-            bytes=len(snapshot.state),
+            bytes=self._storage.snapshot_path.stat().st_size,
             seconds=round(now() - started_at, 3),
             peak_memory_mb=peak_memory_mb(),
         )
--- a/pollenlb/durable/replica_interface.py
+++ b/pollenlb/durable/replica_interface.py
@@ -111,3 +111,6 @@
 
     async def install_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the state by a snapshot; the caller holds the lock."""
+
+    async def install_received_snapshot(self, head: Snapshot) -> None:
+        """Replace the state by the received file; the caller holds the lock."""
--- a/pollenlb/durable/rpc_handlers.py
+++ b/pollenlb/durable/rpc_handlers.py
@@ -22,6 +22,7 @@
     APPEND,
     JOIN,
     SNAPSHOT,
+    SNAPSHOT_BLOCK,
     SNAPSHOT_PART,
     VOTE,
     AppendAnswer,
@@ -29,13 +30,14 @@
     JoinAnswer,
     JoinRequest,
     LogEntry,
+    SnapshotBlockRequest,
     SnapshotPartRequest,
     SnapshotRequest,
     VoteAnswer,
     VoteRequest,
 )
 from .replica_interface import ReplicaInterface
-from .snapshot_transfer import IncomingSnapshot
+from .snapshot_transfer import IncomingSnapshot, SnapshotReceiver
 
 Q = TypeVar("Q")
 A = TypeVar("A")
@@ -56,6 +58,7 @@
     def __init__(self, replica: ReplicaInterface) -> None:
         self._replica = replica
         self._incoming = IncomingSnapshot()
+        self._receiver = SnapshotReceiver(replica.storage)
 
     def register(self, server: RpcServer) -> None:
         """Register all handlers on a server."""
@@ -65,6 +68,9 @@
         server.register(
             SNAPSHOT_PART, self._fail_replica_on_error(self.handle_snapshot_part)
         )
+        server.register(
+            SNAPSHOT_BLOCK, self._fail_replica_on_error(self.handle_snapshot_block)
+        )
         server.register(JOIN, self._fail_replica_on_error(self.handle_join))
 
     async def handle_vote(self, request: VoteRequest) -> VoteAnswer:
@@ -133,6 +139,27 @@
             await replica.install_snapshot(snapshot)
             return self._append_answer(True, snapshot.index)
 
+    async def handle_snapshot_block(
+        self, request: SnapshotBlockRequest
+    ) -> AppendAnswer:
+        """Write a block of a snapshot file, and install the file when it is complete.
+
+        A snapshot of what is committed here already is not taken.
+        """
+        replica = self._replica
+        async with replica.lock:
+            refusal = await self._refuse_or_accept_leader(request)
+            if refusal is not None:
+                return refusal
+            if request.head.index <= replica.commit_index:
+                return self._append_answer(True, request.head.index)
+            if not await self._receiver.add(request):
+                answer = self._append_answer(False, replica.storage.last_index)
+                received_bytes = self._receiver.received_bytes
+                return msgspec.structs.replace(answer, received_bytes=received_bytes)
+            await replica.install_received_snapshot(request.head)
+            return self._append_answer(True, request.head.index)
+
     async def handle_join(self, request: JoinRequest) -> JoinAnswer:
         """Add a replica with an empty data folder as a learner, if this one leads."""
         replica = self._replica
@@ -182,7 +209,10 @@
         return True
 
     async def _refuse_or_accept_leader(
-        self, request: AppendRequest | SnapshotRequest | SnapshotPartRequest
+        self,
+        request: (
+            AppendRequest | SnapshotRequest | SnapshotPartRequest | SnapshotBlockRequest
+        ),
     ) -> AppendAnswer | None:
         replica = self._replica
         if not self._is_addressed(request.cluster, request.receiver):
--- a/pollenlb/durable/snapshot_transfer.py
+++ b/pollenlb/durable/snapshot_transfer.py
@@ -1,53 +1,130 @@
-"""Snapshots in parts, so that a message stays small however large the state is."""
+"""Transfer of snapshot files in blocks, from disk to disk.
+
+Neither a message nor what a process keeps in memory grows with the state.
+"""
 
 from __future__ import annotations
 
+import os
 import zlib
+from dataclasses import dataclass
 
 import msgspec
 
-from .records import Snapshot, SnapshotPart
+from .records import Snapshot, SnapshotBlockRequest, SnapshotPart
+from .storage import Storage
+
+# A block is sent within a heartbeat on the slowest links that instances have.
+BLOCK_BYTES = 1024 * 1024
+
 
-# A part is sent within a heartbeat on the slowest links that instances have.
-PART_BYTES = 1024 * 1024
+@dataclass(frozen=True)
+class SnapshotBlock:
+    """A block of a snapshot file.
 
+    Attributes
+    ----------
+    offset : int
+        Bytes of the file before the block.
+    data : bytes
+        The block.
+    """
 
-class OutgoingSnapshot:
-    """A snapshot on its way to one follower.
+    offset: int
+    data: bytes
+
+
+class SnapshotSender:
+    """The stored snapshot on its way to one follower.
 
     It stays the same while it is sent, even when the leader stores a newer one.
 
     Parameters
     ----------
-    snapshot : Snapshot
-        The snapshot to send.
+    storage : Storage
+        Storage of the leader.
     """
 
-    def __init__(self, snapshot: Snapshot) -> None:
-        self._snapshot = snapshot
-        self._checksum = zlib.crc32(snapshot.state)
+    def __init__(self, storage: Storage) -> None:
+        self._head = storage.snapshot
+        self._file = storage.snapshot_path.open("rb")
+        self._total_bytes = os.fstat(self._file.fileno()).st_size
         self._sent_bytes = 0
 
-    def next_part(self) -> SnapshotPart:
-        """Return the part that follows what the follower has received."""
-        state = self._snapshot.state
-        end = self._sent_bytes + PART_BYTES
-        return SnapshotPart(
-            snapshot=msgspec.structs.replace(
-                self._snapshot, state=state[self._sent_bytes : end]
-            ),
-            offset=self._sent_bytes,
-            total_bytes=len(state),
-            checksum=self._checksum,
-        )
+    @property
+    def head(self) -> Snapshot:
+        """The snapshot without its state."""
+        return self._head
+
+    @property
+    def total_bytes(self) -> int:
+        """Size of the file."""
+        return self._total_bytes
+
+    def next_block(self) -> SnapshotBlock:
+        """Return the block that follows what the follower has received."""
+        data = os.pread(self._file.fileno(), BLOCK_BYTES, self._sent_bytes)
+        return SnapshotBlock(self._sent_bytes, data)
 
     def record_received(self, received_bytes: int) -> None:
-        """Record how much of the state the follower has received in all."""
-        self._sent_bytes = min(received_bytes, len(self._snapshot.state))
+        """Record how much of the file the follower has received in all."""
+        self._sent_bytes = min(received_bytes, self._total_bytes)
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
+class SnapshotReceiver:
+    """Writes the blocks of one snapshot file to the disk; another one starts over.
+
+    Parameters
+    ----------
+    storage : Storage
+        Storage of the follower.
+    """
+
+    def __init__(self, storage: Storage) -> None:
+        self._storage = storage
+        self._identity: tuple | None = None
+        self._received_bytes = 0
+
+    @property
+    def received_bytes(self) -> int:
+        """Bytes of the file that were received without a gap."""
+        return self._received_bytes
+
+    async def add(self, request: SnapshotBlockRequest) -> bool:
+        """Write a block, and return whether the file is complete and intact.
+
+        A block that was received before, or that follows a gap, has no effect. A file
+        that is damaged starts over.
+        """
+        head = request.head
+        identity = (request.sender, head.term, head.index, request.total_bytes)
+        if identity != self._identity:
+            self._identity = identity
+            self._received_bytes = 0
+        if request.offset == self._received_bytes:
+            try:
+                await self._storage.write_received(request.offset, request.data)
+            except BaseException:
+                # The file is not there any more after an error.
+                self._received_bytes = 0
+                raise
+            self._received_bytes += len(request.data)
+        if self._received_bytes < request.total_bytes:
+            return False
+        self._identity = None
+        self._received_bytes = 0
+        return await self._storage.check_received()
 
 
 class IncomingSnapshot:
-    """Collects the parts of one snapshot; a part of another one starts over."""
+    """Collects the parts of one snapshot, as replicas of earlier releases send them.
+
+    A part of another snapshot starts over.
+    """
 
     def __init__(self) -> None:
         self._identity: tuple | None = None
--- a/pollenlb/durable/state_machine.py
+++ b/pollenlb/durable/state_machine.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
+from collections.abc import Iterable, Iterator
 from functools import singledispatch
 from typing import Any
 
 import msgspec
 
-from ..ids import InstanceName, LogIndex
+from ..ids import BatchJobId, InstanceName, LogIndex
 from .batch_job_commands import (
     AssignBatchJobs,
     CommitItems,
@@ -16,7 +18,7 @@
     SaveOutputs,
     SubmitBatchJob,
 )
-from .batch_jobs import BatchJobTable
+from .batch_jobs import BatchJob, BatchJobTable
 from .command_base import Done
 from .commands import AnyResult, Proposal
 from .configuration import ConfigurationTable
@@ -111,6 +113,8 @@
 _encode = msgspec.msgpack.Encoder().encode
 _decode_proposal = msgspec.msgpack.Decoder(Proposal).decode
 _decode_state = msgspec.msgpack.Decoder(State).decode
+_decode_head = msgspec.msgpack.Decoder(tuple[dict[str, int], bytes]).decode
+_decode_batch_job = msgspec.msgpack.Decoder(tuple[BatchJobId, BatchJob]).decode
 
 
 class ControlStateMachine:
@@ -168,23 +172,37 @@
             self._table_versions[table] = index
         return result
 
-    def snapshot(self) -> bytes:
-        """Return the complete state in encoded form."""
-        return _encode((self._table_versions, _encode(self._state)))
+    def snapshot(self) -> Iterable[bytes]:
+        """Return the complete state at the time of the call, in encoded pieces.
 
-    def restore(self, state: bytes) -> None:
+        The first piece has all tables but the batch jobs. Each batch job is a piece
+        that is encoded when it is taken: together they are nearly all of the state.
+        """
+        table = self._state.batch_jobs
+        rest = msgspec.structs.replace(
+            self._state, batch_jobs=BatchJobTable(changed_at=table.changed_at)
+        )
+        first = _encode((self._table_versions, _encode(rest)))
+        batch_jobs = [(name, job.capture()) for name, job in table.batch_jobs.items()]
+        return itertools.chain([first], _encode_each(batch_jobs))
+
+    def restore(self, pieces: Iterable[bytes]) -> None:
         """Replace the complete state by that of a snapshot.
 
         Parameters
         ----------
-        state : bytes
-            Return value of ``snapshot``.
+        pieces : iterable of bytes
+            What ``snapshot`` returned; in earlier releases a single piece.
         """
-        versions, encoded = msgspec.msgpack.decode(
-            state, type=tuple[dict[str, int], bytes]
-        )
-        self._table_versions = versions
+        # What is replaced is not needed any more, and as large as the new state.
+        self._state = State()
+        remaining = iter(pieces)
+        self._table_versions, encoded = _decode_head(next(remaining))
         self._state = _decode_state(encoded)
+        batch_jobs = self._state.batch_jobs.batch_jobs
+        for piece in remaining:
+            name, batch_job = _decode_batch_job(piece)
+            batch_jobs[name] = batch_job
 
     def _changed_tables(self, command: Any) -> tuple[str, ...]:
         """Return the tables with a view that a command may change."""
@@ -197,6 +215,11 @@
         return _CHANGED_TABLES.get(type(command), ())
 
 
+def _encode_each(batch_jobs: list[tuple[BatchJobId, BatchJob]]) -> Iterator[bytes]:
+    for batch_job in batch_jobs:
+        yield _encode(batch_job)
+
+
 def encode_proposal(proposal: Proposal) -> bytes:
     """Return a proposed command in the form that it has in the replicated log."""
     return _encode(proposal)
--- a/pollenlb/durable/storage.py
+++ b/pollenlb/durable/storage.py
@@ -6,7 +6,7 @@
 import errno
 import math
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import TypeVar
@@ -25,6 +25,7 @@
     sync_folder,
 )
 from .records import EntryKind, HardState, LogEntry, Member, Snapshot, decode_members
+from .snapshot_file import read_snapshot_file, write_snapshot_file
 from .uninterrupted import uninterrupted
 
 T = TypeVar("T")
@@ -32,19 +33,28 @@
 _LOG_FILE = "log"
 _HARD_STATE_FILE = "replica"
 _SNAPSHOT_FILE = "snapshot"
+_NEW_SNAPSHOT_FILE = "snapshot.new"
+_RECEIVED_SNAPSHOT_FILE = "snapshot.received"
+# A crash may leave them behind.
+_TEMPORARY_FILES = (
+    "log.new",
+    "replica.new",
+    _NEW_SNAPSHOT_FILE,
+    _RECEIVED_SNAPSHOT_FILE,
+)
 
 _DISK_FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode_entries = msgspec.msgpack.Decoder(list[LogEntry]).decode
 _decode_hard_state = msgspec.msgpack.Decoder(HardState).decode
-_decode_snapshot = msgspec.msgpack.Decoder(Snapshot).decode
 
 
 class Storage:
     """Hard state, snapshot and log entries of one replica.
 
-    Every write returns only after a sync, also to a caller that is cancelled.
+    Every write returns only after a sync, also to a caller that is cancelled. The state
+    in a snapshot is only on the disk, not in memory.
 
     A write that finds no room raises ``DiskFullError``. It has no effect, in memory or
     on the disk, and later writes are tried again. After any other failed write or
@@ -65,6 +75,10 @@
         self._folder = folder
         self._sync = sync
         self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="disk")
+        # Log entries are written while a snapshot is, which takes longer.
+        self._snapshot_executor = ThreadPoolExecutor(
+            max_workers=1, thread_name_prefix="snapshot"
+        )
         self._hard_state: HardState | None = None
         self._snapshot = Snapshot(Term(0), LogIndex(0), [], b"")
         self._entries: list[LogEntry] = []
@@ -89,9 +103,14 @@
 
     @property
     def snapshot(self) -> Snapshot:
-        """The latest snapshot; its index is 0 when there is none."""
+        """The latest snapshot without its state; its index is 0 when there is none."""
         return self._snapshot
 
+    @property
+    def snapshot_path(self) -> Path:
+        """File of the latest snapshot, which a newer one replaces."""
+        return self._folder / _SNAPSHOT_FILE
+
     @property
     def first_index(self) -> LogIndex:
         """Index of the first log entry after the snapshot."""
@@ -119,7 +138,10 @@
 
     @property
     def oldest_write_age_s(self) -> float:
-        """Age of the oldest pending write in seconds; 0 when none is pending."""
+        """Age of the oldest pending write in seconds; 0 when none is pending.
+
+        Snapshots that are written beside the stored one do not count.
+        """
         return (
             now() - min(self._write_started_at.values())
             if self._write_started_at
@@ -147,6 +169,8 @@
         """
         try:
             self._folder.mkdir(parents=True, exist_ok=True)
+            for name in _TEMPORARY_FILES:
+                (self._folder / name).unlink(missing_ok=True)
             self._read_hard_state()
             self._read_snapshot()
             self._read_log()
@@ -233,23 +257,91 @@
         await self._rewrite_log(self._entries[:position])
         self._update_members()
 
+    def snapshot_pieces(self) -> Iterator[bytes]:
+        """Return the state in the latest snapshot, in pieces.
+
+        Raises
+        ------
+        StorageDamagedError
+            When the file is damaged; also while the pieces are read.
+        """
+        return read_snapshot_file(self.snapshot_path)[1]
+
     @uninterrupted
     async def save_snapshot(self, snapshot: Snapshot) -> None:
-        """Store a snapshot and drop the log entries that it covers.
+        """Store a snapshot whose state is at hand, as ``adopt_snapshot`` does."""
+        if snapshot.index <= self._snapshot.index:
+            return
+        head = msgspec.structs.replace(snapshot, state=b"")
+        path = self._folder / _RECEIVED_SNAPSHOT_FILE
+        await self._run_write(
+            lambda: write_snapshot_file(path, head, [snapshot.state]),
+            self._snapshot_executor,
+        )
+        await self._adopt(head, path)
+
+    async def write_snapshot(self, head: Snapshot, pieces: Iterable[bytes]) -> None:
+        """Write a snapshot beside the stored one, until ``adopt_snapshot``.
+
+        Other writes go on meanwhile.
+
+        Parameters
+        ----------
+        head : Snapshot
+            The snapshot without its state.
+        pieces : iterable of bytes
+            The state, taken piece by piece in another thread.
+        """
+        path = self._folder / _NEW_SNAPSHOT_FILE
+        await self._run_write(
+            lambda: write_snapshot_file(path, head, pieces), self._snapshot_executor
+        )
+
+    async def write_received(self, offset: int, data: bytes) -> None:
+        """Write a block of a snapshot file that another replica sends.
+
+        Parameters
+        ----------
+        offset : int
+            Bytes before the block; at 0, a new file replaces one received before.
+        data : bytes
+            The block.
+        """
+        await self._run_write(
+            lambda: self._write_block(offset, data), self._snapshot_executor
+        )
+
+    async def check_received(self) -> bool:
+        """Sync the received file, and return whether it is a complete snapshot."""
+        return await self._run_write(self._sync_and_check, self._snapshot_executor)
+
+    @uninterrupted
+    async def adopt_snapshot(self, head: Snapshot, is_received: bool = False) -> None:
+        """Replace the stored snapshot, and drop the log entries that it covers.
 
         When the log has a different entry, or none, at the index of the snapshot, all
         log entries are dropped. A snapshot that is not newer has no effect.
+
+        Parameters
+        ----------
+        head : Snapshot
+            The snapshot without its state.
+        is_received : bool
+            Whether it is the received one, and not the one that was written last.
         """
-        if snapshot.index <= self._snapshot.index:
+        name = _RECEIVED_SNAPSHOT_FILE if is_received else _NEW_SNAPSHOT_FILE
+        await self._adopt(head, self._folder / name)
+
+    async def _adopt(self, head: Snapshot, path: Path) -> None:
+        if head.index <= self._snapshot.index:
+            await self._run_write(lambda: path.unlink(missing_ok=True))
             return
-        is_in_log = self.term_at(snapshot.index) == snapshot.term
+        is_in_log = self.term_at(head.index) == head.term
         retained: list[LogEntry] = []
         if is_in_log:
-            retained = self._entries[snapshot.index - self._snapshot.index :]
-        payload = _encode(snapshot)
-        path = self._folder / _SNAPSHOT_FILE
-        await self._run_write(lambda: replace_file(path, payload))
-        self._snapshot = snapshot
+            retained = self._entries[head.index - self._snapshot.index :]
+        await self._run_write(lambda: self._replace_snapshot(path))
+        self._snapshot = head
         self._entries = retained
         self._frame_ends = self._frame_ends[len(self._frame_ends) - len(retained) :]
         self._update_members()
@@ -269,6 +361,7 @@
 
     def close(self) -> None:
         """Wait for pending writes and close the log file."""
+        self._snapshot_executor.shutdown(wait=True)
         self._executor.shutdown(wait=True)
         if self._descriptor >= 0:
             os.close(self._descriptor)
@@ -280,9 +373,13 @@
             self._hard_state = _decode_hard_state(payload)
 
     def _read_snapshot(self) -> None:
-        payload = read_file(self._folder / _SNAPSHOT_FILE)
-        if payload is not None:
-            self._snapshot = _decode_snapshot(payload)
+        try:
+            head, pieces = read_snapshot_file(self.snapshot_path)
+        except FileNotFoundError:
+            return
+        for _ in pieces:  # raises an error when a piece is damaged
+            pass
+        self._snapshot = head
 
     def _read_log(self) -> None:
         path = self._folder / _LOG_FILE
@@ -354,17 +451,51 @@
         self._descriptor = descriptor
         self._has_stale_frames = False
 
+    def _replace_snapshot(self, path: Path) -> None:
+        os.replace(path, self.snapshot_path)
+        sync_folder(self._folder)
+
+    def _write_block(self, offset: int, data: bytes) -> None:
+        path = self._folder / _RECEIVED_SNAPSHOT_FILE
+        flags = os.O_RDWR | os.O_CREAT | (0 if offset else os.O_TRUNC)
+        descriptor = os.open(path, flags, 0o644)
+        try:
+            _write_all(descriptor, data, offset)
+        except OSError:
+            path.unlink(missing_ok=True)
+            raise
+        finally:
+            os.close(descriptor)
+
+    def _sync_and_check(self) -> bool:
+        path = self._folder / _RECEIVED_SNAPSHOT_FILE
+        try:
+            for _ in read_snapshot_file(path)[1]:
+                pass
+        except (StorageDamagedError, FileNotFoundError, msgspec.MsgspecError):
+            return False
+        descriptor = os.open(path, os.O_RDONLY)
+        try:
+            sync_file(descriptor, os.fsync)
+        finally:
+            os.close(descriptor)
+        return True
+
     def _update_members(self) -> None:
         self._members = self.members_at(self.last_index)
 
-    async def _run_write(self, write: Callable[[], T]) -> T:
+    async def _run_write(
+        self, write: Callable[[], T], executor: ThreadPoolExecutor | None = None
+    ) -> T:
+        """Run a write in the thread of an executor, by default that of the log."""
         if self._failure is not None:
             raise self._failure
         loop = asyncio.get_running_loop()
         write_id = object()
-        self._write_started_at[write_id] = now()
+        if executor is None:
+            self._write_started_at[write_id] = now()
         try:
-            future = loop.run_in_executor(self._executor, write)
+            future = loop.run_in_executor(executor or self._executor, write)
             future.add_done_callback(
                 lambda _: self._write_started_at.pop(write_id, None)
             )
--- a/tests/durable/full_disk.py
+++ b/tests/durable/full_disk.py
@@ -37,10 +37,11 @@
 @contextmanager
 def full_disk(storage: Storage, after_writes: int = 0) -> Iterator[None]:
     """Leave room for only a few writes on the disk of a storage in the context."""
-    executor, full = storage._executor, _FullExecutor(after_writes)
-    storage._executor = full
+    executors = storage._executor, storage._snapshot_executor
+    full = _FullExecutor(after_writes)
+    storage._executor = storage._snapshot_executor = full
     try:
         yield
     finally:
         full.shutdown()
-        storage._executor = executor
+        storage._executor, storage._snapshot_executor = executors
--- a/tests/durable/gated_disk.py
+++ b/tests/durable/gated_disk.py
@@ -32,8 +32,9 @@
 
 async def cancel_at_write(storage: Storage, change: Coroutine, write: int) -> None:
     """Cancel a change of a storage while it waits for its n-th write to the disk."""
-    executor, storage._executor = storage._executor, _GatedExecutor()
-    gated = storage._executor
+    executors = storage._executor, storage._snapshot_executor
+    gated = _GatedExecutor()
+    storage._executor = storage._snapshot_executor = gated
     task = asyncio.ensure_future(change)
     while gated.submitted < write and not task.done():
         await asyncio.sleep(0)
@@ -47,4 +48,4 @@
     with suppress(asyncio.CancelledError):
         await task
     gated.shutdown()
-    storage._executor = executor
+    storage._executor, storage._snapshot_executor = executors
--- a/tests/durable/replica_set.py
+++ b/tests/durable/replica_set.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import shutil
+from collections.abc import Iterable
 from pathlib import Path
 
 import msgspec
@@ -47,13 +48,15 @@
         self.values[write.key] = write.value
         return True
 
-    def snapshot(self) -> bytes:
-        """Return all values."""
-        return msgspec.msgpack.encode(self.values)
+    def snapshot(self) -> list[bytes]:
+        """Return all values, one in a piece."""
+        return [msgspec.msgpack.encode({key: self.values[key]}) for key in self.values]
 
-    def restore(self, state: bytes) -> None:
+    def restore(self, pieces: Iterable[bytes]) -> None:
         """Replace all values."""
-        self.values = msgspec.msgpack.decode(state, type=dict[str, int])
+        self.values = {}
+        for piece in pieces:
+            self.values |= msgspec.msgpack.decode(piece, type=dict[str, int])
 
 
 class RelayedReplica(Replica):
--- a/tests/durable/test_joining.py
+++ b/tests/durable/test_joining.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from pollenlb.connection.rpc import RpcServer
 from pollenlb.durable.records import JOIN, JoinAnswer, JoinRequest
 from pollenlb.durable.replica import Replica
@@ -55,9 +57,9 @@
     def apply(self, index: int, payload: bytes) -> None:
         """Do nothing."""
 
-    def snapshot(self) -> bytes:
+    def snapshot(self) -> list[bytes]:
         """Return an empty snapshot."""
-        return b""
+        return []
 
-    def restore(self, state: bytes) -> None:
+    def restore(self, pieces: Iterable[bytes]) -> None:
         """Do nothing."""
--- a/tests/durable/test_replica.py
+++ b/tests/durable/test_replica.py
@@ -235,20 +235,22 @@
 
 
 # Guards against a state that lags behind the snapshot in the log's place.
-async def test_cancelled_installation_of_a_snapshot_takes_effect(tmp_path):
+@pytest.mark.parametrize("write", [1, 2, 3])
+async def test_cancelled_installation_of_a_snapshot_takes_effect(tmp_path, write):
     async with ReplicaSet(tmp_path, seed=9) as replicas:
         leader = await replicas.write("x", 1)
         follower = _others(replicas, leader)[0]
         replicas.isolate(follower)
         replica = follower.replica
-        snapshot = Snapshot(replica.term, 500, [], Registers().snapshot())
+        snapshot = Snapshot(replica.term, 500, [], b"\x81\xa1x\x07")
 
         async def install() -> None:
             async with replica.lock:
                 await replica.install_snapshot(snapshot)
 
-        await cancel_at_write(replica.storage, install(), 2)
+        await cancel_at_write(replica.storage, install(), write)
         assert replica.storage.snapshot.index == 500
+        assert follower.registers.values == {"x": 7}
         assert replica.applied_index == replica.commit_index == 500
 
 
--- a/tests/durable/test_storage.py
+++ b/tests/durable/test_storage.py
@@ -6,6 +6,7 @@
 import os
 import shutil
 import tempfile
+import threading
 from contextlib import suppress
 from pathlib import Path
 
@@ -115,11 +116,11 @@
     "truncate": (lambda storage: storage.truncate_from(2), 1),
     "snapshot of the log": (
         lambda storage: storage.save_snapshot(Snapshot(1, 2, [], b"state")),
-        2,
+        3,
     ),
     "snapshot of a leader": (
         lambda storage: storage.save_snapshot(Snapshot(2, 9, [], b"state")),
-        2,
+        3,
     ),
     "hard state": (
         lambda storage: storage.save_hard_state(first_hard_state("b", "c")),
@@ -225,7 +226,7 @@
         del self.entries[retained:]
         self.term += 1
 
-    @rule(ahead=st.integers(1, 5), write=st.integers(1, 2))
+    @rule(ahead=st.integers(1, 5), write=st.integers(1, 3))
     def cancelled_install_snapshot(self, ahead: int, write: int) -> None:
         index = self.base + len(self.entries) + ahead
         change = self.storage.save_snapshot(Snapshot(self.term, index, [], b"received"))
@@ -295,7 +296,7 @@
     reopened.close()
 
 
-@pytest.mark.parametrize("write", range(2))
+@pytest.mark.parametrize("write", range(3))
 @pytest.mark.parametrize("change", ["truncate", "hard state", "snapshot", "foreign"])
 async def test_change_that_a_full_disk_refuses_leaves_memory_and_disk_alike(
     tmp_path, change, write
@@ -327,4 +328,75 @@
     reopened.open()
     found = reopened.entries_from(reopened.first_index, 10)
     assert (reopened.hard_state, reopened.snapshot, found) == known
+    if known[1].index:
+        assert list(reopened.snapshot_pieces()) == [b"s"]
     reopened.close()
+
+
+def _file_names(folder: Path) -> set[str]:
+    return {path.name for path in folder.iterdir()}
+
+
+async def test_log_entries_are_written_while_a_snapshot_is(tmp_path):
+    """Guards against a leader that cannot append during a long write."""
+    storage = _open_storage(tmp_path)
+    await storage.append([_entry(1, 1), _entry(1, 2)])
+    is_taken, may_end = threading.Event(), threading.Event()
+
+    def pieces():
+        yield b"first"
+        is_taken.set()
+        may_end.wait(20)
+        yield b"second"
+
+    head = Snapshot(1, 2, [], b"")
+    written = asyncio.ensure_future(storage.write_snapshot(head, pieces()))
+    await asyncio.to_thread(is_taken.wait, 20)
+    await storage.append([_entry(1, 3)])
+    assert storage.oldest_write_age_s == 0
+    assert storage.snapshot.index == 0
+    may_end.set()
+    await written
+    await storage.adopt_snapshot(head)
+    storage.close()
+    reopened = _open_storage(tmp_path)
+    assert reopened.snapshot == head
+    assert list(reopened.snapshot_pieces()) == [b"first", b"second"]
+    assert reopened.entries_from(3, 10) == [_entry(1, 3)]
+    reopened.close()
+
+
+async def test_written_snapshot_that_a_newer_one_overtook_is_dropped(tmp_path):
+    """Guards against a state that goes back to an older snapshot."""
+    storage = _open_storage(tmp_path)
+    await storage.append([_entry(1, 1)])
+    older = Snapshot(1, 1, [], b"")
+    await storage.write_snapshot(older, [b"older"])
+    await storage.save_snapshot(Snapshot(2, 9, [], b"newer"))
+    await storage.adopt_snapshot(older)
+    assert storage.snapshot.index == 9
+    assert list(storage.snapshot_pieces()) == [b"newer"]
+    assert _file_names(tmp_path) == {"log", "snapshot"}
+    storage.close()
+
+
+@pytest.mark.parametrize("cut", range(1, 13))
+def test_snapshot_file_without_its_end_is_damaged(tmp_path, cut):
+    """Guards against a state of which the last batch jobs are missing."""
+    storage = _open_storage(tmp_path)
+    asyncio.run(storage.write_snapshot(Snapshot(1, 1, [], b""), [b"a", b"b"]))
+    asyncio.run(storage.adopt_snapshot(Snapshot(1, 1, [], b"")))
+    storage.close()
+    path = tmp_path / "snapshot"
+    path.write_bytes(path.read_bytes()[:-cut])
+    with pytest.raises(StorageDamagedError, match="snapshot"):
+        _open_storage(tmp_path)
+
+
+def test_files_that_a_crash_left_behind_are_removed(tmp_path):
+    """Guards against a disk that fills with incomplete snapshots."""
+    _write_log(tmp_path, [1])
+    for name in ("snapshot.new", "snapshot.received", "log.new", "replica.new"):
+        (tmp_path / name).write_bytes(b"incomplete")
+    _open_storage(tmp_path).close()
+    assert _file_names(tmp_path) == {"log"}
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -189,6 +189,7 @@
     APPEND,
     JOIN,
     SNAPSHOT,
+    SNAPSHOT_BLOCK,
     SNAPSHOT_PART,
     VOTE,
     AppendAnswer,
@@ -200,6 +201,7 @@
     LogEntry,
     Member,
     Snapshot,
+    SnapshotBlockRequest,
     SnapshotPart,
     SnapshotPartRequest,
     SnapshotRequest,
@@ -427,6 +429,7 @@
     ("member", Member, MSGPACK),
     ("member", Member, JSON),
     ("snapshot", Snapshot, MSGPACK),
+    ("snapshot_block_request", SnapshotBlockRequest, MSGPACK),
     ("snapshot_part", SnapshotPart, MSGPACK),
     ("snapshot_part_request", SnapshotPartRequest, MSGPACK),
     ("snapshot_request", SnapshotRequest, MSGPACK),
@@ -578,6 +581,12 @@
         SnapshotPartRequest,
         AppendAnswer,
     ),
+    (
+        SNAPSHOT_BLOCK,
+        "/pollenlb.Replication/SnapshotBlock",
+        SnapshotBlockRequest,
+        AppendAnswer,
+    ),
     (JOIN, "/pollenlb.Replication/Join", JoinRequest, JoinAnswer),
     (PROPOSE, "/pollenlb.Control/Propose", ProposeRequest, ProposeAnswer),
     (RENEW, "/pollenlb.Control/Renew", RenewRequest, RenewAnswer),
@@ -881,11 +890,18 @@
         "612d32"
     ),
     "snapshot": (
-        "504c42314f0000008d85d82b84a47465726d01a5696e64657801a76d656d626572739195"
+        "504c42314a000000e5ebab5684a47465726d01a5696e64657801a76d656d626572739195"
         "a97265706c6963612d31a9636f6e74726f6c2d31ab3132372e302e302e313a31c3a8646f"
-        "6d61696e2d31a57374617465c4057374617465"
+        "6d61696e2d31a57374617465c400504c423105000000fbd293a37374617465504c423100"
+        "00000000000000"
     ),
 }
+# The snapshot as earlier releases wrote it.
+_FORMER_SNAPSHOT_FILE = (
+    "504c42314f0000008d85d82b84a47465726d01a5696e64657801a76d656d626572739195"
+    "a97265706c6963612d31a9636f6e74726f6c2d31ab3132372e302e302e313a31c3a8646f"
+    "6d61696e2d31a57374617465c4057374617465"
+)
 
 
 def _modules() -> Iterator[Any]:
@@ -1062,22 +1078,33 @@
 
 
 def test_a_snapshot_of_the_state_keeps_its_bytes() -> None:
-    snapshot = bytes.fromhex(_SAMPLES["snapshot_of_the_state"])
+    pieces = [bytes.fromhex(piece) for piece in _SAMPLES["pieces_of_the_state"]]
     machine = ControlStateMachine()
-    machine.restore(snapshot)
-    assert machine.snapshot() == snapshot
+    machine.restore(pieces)
+    assert list(machine.snapshot()) == pieces
     # An empty table would not show its names.
     for name in State.__struct_fields__:
         assert getattr(machine.state, name) != getattr(State(), name), name
 
 
+def test_a_snapshot_of_an_earlier_release_gives_the_same_state() -> None:
+    former = ControlStateMachine()
+    former.restore([bytes.fromhex(_SAMPLES["snapshot_of_the_state"])])
+    pieces = [bytes.fromhex(piece) for piece in _SAMPLES["pieces_of_the_state"]]
+    machine = ControlStateMachine()
+    machine.restore(pieces)
+    assert machine.state == former.state
+    assert list(former.snapshot()) == pieces
+
+
 def test_a_snapshot_keeps_the_names_of_the_versions() -> None:
     machine = ControlStateMachine()
     for index, payload in enumerate(_encoded("proposal", MSGPACK), 1):
         proposal = msgspec.msgpack.decode(payload, type=Proposal)
         fresh = msgspec.structs.replace(proposal, command_id=None)
         machine.apply(index, encode_proposal(fresh))
-    versions, _ = msgspec.msgpack.decode(machine.snapshot())
+    first, *_ = machine.snapshot()
+    versions, _ = msgspec.msgpack.decode(first)
     tables = {"configuration", "directory", "ledger", "quarantine", "loads"}
     assert set(versions) == tables
 
@@ -1102,6 +1129,16 @@
     assert written == _FILES
 
 
+def test_a_data_folder_of_an_earlier_release_is_read(tmp_path: Path) -> None:
+    for name, content in {**_FILES, "snapshot": _FORMER_SNAPSHOT_FILE}.items():
+        (tmp_path / name).write_bytes(bytes.fromhex(content))
+    storage = Storage(tmp_path)
+    storage.open()
+    assert (storage.snapshot.index, storage.last_index) == (1, 3)
+    assert list(storage.snapshot_pieces()) == [b"state"]
+    storage.close()
+
+
 def test_an_event_file_keeps_its_keys(tmp_path: Path) -> None:
     events = EventLog("entry-1", tmp_path)
     events.record("noun.verb", field=1)
