Retain no request of an item that has a result

The state of a control instance grew by the requests of all items of the last 150 s, though a request is not sent again once its item has a result, and its body is only promised until then. It is replaced by a digest of body and reward call, by which a later batch job still finds the result. Steps of rollout jobs keep their prompts, as their results may be dropped.

--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -426,7 +426,7 @@
 
 
 class ItemRead(msgspec.Struct, frozen=True):
-    """Body of an item; None when there is no such item."""
+    """Body of an item; None when there is none, or when the item has a result."""
 
     status: CallStatus
     leader: Address = Address("")
--- a/pollenlb/durable/batch_job_commands.py
+++ b/pollenlb/durable/batch_job_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import zlib
 from enum import Enum
 
@@ -27,6 +28,7 @@
 
 # zlib level; higher levels cost an entry process more time than they save.
 _COMPRESSION_LEVEL = 1
+_DIGEST_BYTES = 16
 
 
 class RewardCall(msgspec.Struct, frozen=True):
@@ -82,6 +84,16 @@
     group: GroupName = GroupName("")
     reward: RewardCall | None = None
 
+    @property
+    def digest(self) -> bytes:
+        """Digest of what determines the result: the body and the reward call."""
+        content = msgspec.msgpack.encode((self.body, self.reward))
+        return hashlib.blake2b(content, digest_size=_DIGEST_BYTES).digest()
+
+    def without_request(self) -> BatchItem:
+        """Return the item without what only its run needs."""
+        return msgspec.structs.replace(self, path="", headers={}, body=b"", reward=None)
+
 
 class SampleParameters(msgspec.Struct, frozen=True):
     """Parameters that all samples of a step share.
--- a/pollenlb/durable/batch_jobs.py
+++ b/pollenlb/durable/batch_jobs.py
@@ -55,6 +55,9 @@
         Saved output of items without a result, by item.
     failed_runs : dict
         Number of runs that engines ended with an error, by item without a result.
+    digests : dict
+        Digest of the request of each item with a result, whose request is not
+        retained; empty for a step of a rollout job, whose results may be dropped.
     """
 
     spec: BatchJobSpec
@@ -66,6 +69,7 @@
     changed_at: LogIndex = LogIndex(0)
     saved: dict[ItemId, SavedOutput] = {}
     failed_runs: dict[ItemId, int] = {}
+    digests: dict[ItemId, bytes] = {}
 
     @property
     def is_open(self) -> bool:
@@ -85,8 +89,31 @@
             listed=set(self.listed),
             saved=dict(self.saved),
             failed_runs=dict(self.failed_runs),
+            digests=dict(self.digests),
         )
 
+    def discard_requests(self) -> None:
+        """Keep only a digest of the request of each item that has a result.
+
+        The items of a step are retained: results that are too old are dropped.
+        """
+        if self.spec.sample is not None:
+            return
+        items = []
+        for item in self.spec.items:
+            if item.item in self.listed and item.item not in self.digests:
+                self.digests[item.item] = item.digest
+                item = item.without_request()
+            items.append(item)
+        self.spec = msgspec.structs.replace(self.spec, items=items)
+
+    def has_same_work(self, item: BatchItem) -> bool:
+        """Return whether an item of this id here has the same body and reward call."""
+        own = self.find_item(item.item)
+        if own is None:
+            return False
+        return self.digests.get(item.item, own.digest) == item.digest
+
     def find_item(self, item: ItemId) -> BatchItem | None:
         """Return the request of an item, or None when the job has no such item."""
         for batch_item in self.spec.items:
@@ -135,6 +162,7 @@
         for result in self._find_reusable_results(spec):
             batch_job.results.append(result)
             batch_job.listed.add(result.item)
+        batch_job.discard_requests()
         self._move_saved_outputs(batch_job)
         self.batch_jobs[spec.batch_job] = batch_job
         self._record_owner_change(command.owner, index)
@@ -160,6 +188,7 @@
             batch_job.listed.add(result.item)
             batch_job.saved.pop(result.item, None)
             batch_job.failed_runs.pop(result.item, None)
+        batch_job.discard_requests()
         if not batch_job.is_open and batch_job.owner is not None:
             self._record_owner_change(batch_job.owner, index)
         return ItemsCommitted(len(batch_job.listed) - count_before, stale_count)
@@ -313,8 +342,7 @@
                 item = requested.get(result.item)
                 if item is None or not _is_reusable(result, spec):
                     continue
-                earlier_item = earlier.find_item(result.item)
-                if earlier_item is not None and _is_same_work(earlier_item, item):
+                if earlier.has_same_work(item):
                     reusable[result.item] = result
         return list(reusable.values())
 
@@ -345,10 +373,6 @@
             del self.batch_jobs[name]
 
 
-def _is_same_work(earlier: BatchItem, item: BatchItem) -> bool:
-    return earlier.body == item.body and earlier.reward == item.reward
-
-
 def _is_reusable(result: ItemResult, spec: BatchJobSpec) -> bool:
     if result.state is not ItemState.COMPLETED or not result.versions:
         return False
--- a/pollenlb/process/batch_job_service.py
+++ b/pollenlb/process/batch_job_service.py
@@ -61,13 +61,15 @@
             )
 
     async def read_item(self, request: ReadItem) -> ItemRead:
-        """Return the body of an item, or none when the item does not exist."""
+        """Return the body of an item; none if it does not exist or has a result."""
         try:
             self._context.check_read_lease()
         except NotLeaderError as error:
             return ItemRead(CallStatus.NOT_LEADER, Address(error.leader))
         batch_job = self._find_batch_job(request.batch_job)
-        item = batch_job.find_item(request.item) if batch_job is not None else None
+        if batch_job is None or request.item in batch_job.digests:
+            return ItemRead(CallStatus.DONE)
+        item = batch_job.find_item(request.item)
         body = item.body if item is not None else None
         return ItemRead(CallStatus.DONE, Address(""), body)
 
--- a/pollenlb/request/batch_job.py
+++ b/pollenlb/request/batch_job.py
@@ -198,7 +198,7 @@
     Raises
     ------
     RefusedError
-        When the item does not exist, or when the leader did not answer.
+        When the item does not exist or has a result, or the leader did not answer.
     """
     try:
         read = await context.control.read_item(
@@ -207,7 +207,8 @@
     except ControlError as error:
         raise unavailable(str(error), _RETRY_AFTER_S) from error
     if read.body is None:
-        raise bad_request(f"item {item} does not exist", None, 404)
+        reason = f"item {item} does not exist, or has a result already"
+        raise bad_request(reason, None, 404)
     return read.body
 
 
--- a/tests/durable/large_state.py
+++ b/tests/durable/large_state.py
@@ -31,8 +31,9 @@
 from pollenlb.memory import peak_memory_mb
 from pollenlb.settings.control import ControlSettings
 
-# The batch jobs of a scale day of 80 s: sizes as on kitami-roll-grown.
-_JOB_COUNT = 94
+# The batch jobs of the 150 s for which results are retained, on a scale day of
+# kitami-roll-grown.
+_JOB_COUNT = 176
 _ITEMS_PER_JOB = 96
 _BODY_BYTES = 600
 _RESULT_BYTES = 4_000
--- a/tests/durable/test_batch_jobs.py
+++ b/tests/durable/test_batch_jobs.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from hypothesis import given, strategies as st
+from msgspec.msgpack import encode
+from msgspec.structs import replace
 
 from pollenlb.durable.batch_job_commands import (
     AssignBatchJobs,
@@ -12,6 +14,8 @@
     CommitItems,
     EndBatchJob,
     ItemResult,
+    RewardCall,
+    SampleParameters,
     SavedOutput,
     SaveOutputs,
     SubmitBatchJob,
@@ -114,6 +118,44 @@
     assert table.batch_jobs["later"].results == []
 
 
+# Guards against a state that grows by requests that are never sent again.
+def test_the_request_of_an_item_with_a_result_is_not_retained():
+    table = _table()
+    table.commit(CommitItems("job", [_result(0)]), 2)
+    first, second, *_ = table.batch_jobs["job"].spec.items
+    assert (first.item, first.path, first.body) == ("item-0", "", b"")
+    assert (second.path, second.body) == ("/path", b"body 1")
+
+
+def test_a_result_is_reused_after_its_request_was_discarded():
+    reward = RewardCall("reward-1", "host", "/score", b"")
+    for call, reused in ((None, 1), (reward, 0)):
+        table = _table()
+        table.commit(CommitItems("job", [_result(0)]), 2)
+        later = _spec("later", items=1)
+        items = [replace(later.items[0], reward=call)]
+        later = replace(later, items=items)
+        table.submit(SubmitBatchJob(later, "owner"), 3, _AT_MS)
+        assert len(table.batch_jobs["later"].results) == reused
+
+
+def test_the_prompts_of_a_step_are_retained_with_their_samples():
+    table = _table(sample=SampleParameters("job", 1, 10))
+    table.commit(CommitItems("job", [_result(0)]), 2)
+    assert table.batch_jobs["job"].spec.items[0].body == b"body 0"
+
+
+def test_a_captured_batch_job_does_not_change():
+    """Guards against a snapshot with results that were committed after it."""
+    table = _table()
+    captured = table.batch_jobs["job"].capture()
+    before = encode(captured)
+    table.commit(CommitItems("job", [_result(0)]), 2)
+    table.save_outputs(SaveOutputs("job", "first", [], {"item-1": 1}))
+    table.end(EndBatchJob("job"), 3)
+    assert encode(captured) == before
+
+
 def test_a_result_of_several_versions_is_not_reused_by_a_single_version_job():
     table = _table()
     table.commit(CommitItems("job", [_result(0, versions=(3, 4))]), 2)
--- a/tests/platform/test_batch_jobs.py
+++ b/tests/platform/test_batch_jobs.py
@@ -266,6 +266,15 @@
     assert (await system.call_entry("DELETE", 1, "/-/lots/none"))[0] == 404
 
 
+async def test_the_body_of_an_item_with_a_result_is_not_given(platform_system):
+    """Guards against a body that was discarded, told as an empty one."""
+    system = await platform_system()
+    await system.submit(0, "job", batch_job({"item": 3}))
+    await system.read_all_results(0, "job")
+    status, _, _ = await system.call_entry("GET", 1, "/-/items/job?id=item")
+    assert status == 404
+
+
 async def test_an_entry_that_cannot_reach_control_answers_503(platform_system):
     system = await platform_system()
     await system.submit(0, "job", batch_job({"item": 3}))
