Send an owner its batch jobs in several answers

The leader put all batch jobs of a new owner into one answer to its renewal. Above 64 MiB gRPC refuses it, and on a link of 30 Mbit/s 4.5 MB take longer than the renewal waits, so the answer failed each time, while the lease was extended.

An answer now holds about 1 MB of batch jobs that the entry lacks, at least one, and says that others were left out; the next renewal asks for them at once. An entry of an earlier release gets all of them, as before.

--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -236,11 +236,15 @@
         assigned to another entry process.
     added : list of BatchWork
         Those that were not assigned to the entry before.
+    is_partial : bool
+        Whether more of them were left out, as the message would be too large. The
+        next renewal asks for them.
     """
 
     version: int
     owned: list[BatchJobId]
     added: list[BatchWork]
+    is_partial: bool = False
 
 
 class LimitReport(msgspec.Struct, frozen=True):
@@ -321,6 +325,9 @@
     loads : int
         Version of the planned loads that the entry has; -1 if it does not use
         them.
+    lacks_work : bool or None
+        Whether batch jobs were left out of the last view of them; None for an entry
+        process that takes only complete views.
     """
 
     entry: EntryInfo
@@ -340,6 +347,7 @@
     usage_number: int = 0
     usage_at_s: float = 0.0
     loads: int = -1
+    lacks_work: bool | None = None
 
 
 class RenewAnswer(msgspec.Struct, frozen=True):
--- a/pollenlb/process/batch_job_service.py
+++ b/pollenlb/process/batch_job_service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import msgspec
 
 from ..clock import deadline_in, now, remaining_time_s
@@ -22,6 +24,10 @@
 from .control_context import ControlContext, LeaderState
 
 MAX_ANSWER_BYTES = 600_000  # leaves a margin below the 1 MB limit of an answer
+# Batch jobs in one answer to a renewal, which is given up after about a second.
+MAX_WORK_BYTES = 1_000_000
+# What an item takes beside its body: id, path, headers.
+_ITEM_BYTES = 300
 
 
 class BatchJobService:
@@ -156,6 +162,20 @@
     return BatchWork(spec, set(batch_job.listed), age_s, saved, failed_runs)
 
 
+def count_jobs_in_one_answer(batch_jobs: Sequence[BatchJob]) -> int:
+    """Return how many of the first batch jobs an answer to their owner may hold.
+
+    At least one. The answer has to arrive before a renewal of the lease is given up.
+    """
+    size = 0
+    for count, batch_job in enumerate(batch_jobs):
+        size += sum(len(item.body) + _ITEM_BYTES for item in batch_job.spec.items)
+        size += sum(len(output.packed) for output in batch_job.saved.values())
+        if size > MAX_WORK_BYTES and count:
+            return count
+    return len(batch_jobs)
+
+
 def _limit_to_one_answer(results: list[ItemResult]) -> list[ItemResult]:
     """Return as many of the first results as fit into one answer, at least one.
 
--- a/pollenlb/process/lease_service.py
+++ b/pollenlb/process/lease_service.py
@@ -29,7 +29,7 @@
 )
 from ..exceptions import NotLeaderError
 from ..ids import Address, UsageWindow
-from .batch_job_service import build_batch_work
+from .batch_job_service import build_batch_work, count_jobs_in_one_answer
 from .control_context import VERSIONS_PER_TERM, ControlContext, LeaderState
 
 
@@ -122,6 +122,7 @@
             or request.entries < self._entries_version
             or self._lacks_loads(request)
             or request.work < self._work_version(request)
+            or bool(request.lacks_work)
             or request.limits_version != limits.version
             or bool(request.limits)
             and limits.is_share_outdated(
@@ -249,20 +250,26 @@
 
     def _work_view(self, request: RenewRequest) -> WorkView | None:
         version = self._work_version(request)
-        if request.work >= version:
+        if request.work >= version and not request.lacks_work:
             return None
         owned = self._context.machine.state.batch_jobs.open_jobs_owned_by(
             request.entry.boot
         )
+        held = set(request.health.batch_jobs)
+        missing = [job for job in owned if job.spec.batch_job not in held]
+        changed = [
+            job
+            for job in owned
+            if job.spec.batch_job in held and job.changed_at > request.work
+        ]
+        sent = missing
+        if request.lacks_work is not None:
+            sent = missing[: count_jobs_in_one_answer(missing)]
         return WorkView(
             version,
-            [batch_job.spec.batch_job for batch_job in owned],
-            [
-                build_batch_work(batch_job, self._context)
-                for batch_job in owned
-                if batch_job.spec.batch_job not in request.health.batch_jobs
-                or batch_job.changed_at > request.work
-            ],
+            [job.spec.batch_job for job in owned],
+            [build_batch_work(job, self._context) for job in (*changed, *sent)],
+            is_partial=len(sent) < len(missing),
         )
 
 
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -48,6 +48,7 @@
         self._was_leased = False
         self._limits_version = 0
         self._needs_load = False
+        self._lacks_work = False
         self._interruptions = (
             batch_runner.engine_became_idle,
             context.directory.limit_shares.changed,
@@ -127,7 +128,7 @@
             quarantine=context.quarantine.version,
             entries=context.live_entries.version,
             announced=sorted(context.announced_servers),
-            wait_s=_LONG_POLL_S if is_leased else 0.0,
+            wait_s=_LONG_POLL_S if is_leased and not self._lacks_work else 0.0,
             work=context.batch_jobs_version,
             health=EntryHealth(
                 context.is_draining,
@@ -143,6 +144,7 @@
             usage_number=usage_number if context.usage.is_enabled else 0,
             usage_at_s=time.time() if context.usage.is_enabled else 0.0,
             loads=self._batch_runner.loads_version,
+            lacks_work=self._lacks_work,
         )
 
     def _in_flight(self) -> dict[BackendServerName, int]:
@@ -172,6 +174,7 @@
         if answer.loads is not None:
             self._batch_runner.apply_loads(answer.loads)
         if answer.work is not None:
+            self._lacks_work = answer.work.is_partial
             self._batch_runner.apply(answer.work)
         leased_until = Deadline(sent_at + answer.lease_s)
         context.configuration.extend_lease(leased_until)
--- a/tests/platform/test_batch_jobs.py
+++ b/tests/platform/test_batch_jobs.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import json
 
 import pytest
 
 from fakes.cut_answer import CutAnswer
 from fakes.flood import REQUEST_ID
+from pollenlb.connection import rpc
 from pollenlb.process import batch_runner, output_saver
 from pollenlb.process.batch_runner import BatchRunner
 from pollenlb.process.renewals import LeaseRenewer
@@ -472,3 +474,38 @@
     (result,) = await system.read_all_results(0, "later")
     assert result["text"] == _expected_text(30, 2)
     assert result["versions"] == [2]
+
+
+def _padded_batch_job(item: str, body_bytes: int) -> dict:
+    body = batch_job({item: _LONG_EVENT_COUNT})
+    text = (b"%d" % _LONG_EVENT_COUNT).ljust(body_bytes)
+    body["requests"][0]["body"] = base64.b64encode(text).decode()
+    return body
+
+
+async def test_batch_jobs_larger_than_a_message_together_go_to_another_entry(
+    platform_system, monkeypatch
+):
+    """Guards against a new owner that never gets what it has to run."""
+    for name in ("_CHANNEL_OPTIONS", "_SERVER_OPTIONS"):
+        options = [
+            (option, 2_000_000 if "message_length" in option else value)
+            for option, value in getattr(rpc, name)
+        ]
+        monkeypatch.setattr(rpc, name, options)
+    system = await platform_system(entries=3)
+    names = [f"job-{number}" for number in range(8)]
+    for name in names:
+        body = _padded_batch_job(f"item-{name}", 500_000)
+        assert await system.submit(0, name, body) == 202
+    owner = next(entry for entry in system.entries if entry._batch_runner.batch_jobs)
+    assert len(owner._batch_runner.batch_jobs) >= 5
+    system.entries.remove(owner)
+    await owner._lease_renewer.stop()
+    owner._settings.values["shutdown_grace_s"] = 0.0
+    await owner.stop()
+    expected = ("completed", _expected_text(_LONG_EVENT_COUNT))
+    async with asyncio.timeout(30):
+        for name in names:
+            (result,) = await system.read_all_results(0, name)
+            assert (result["state"], result["text"]) == expected
