--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -27,6 +27,7 @@
 from ..scheduling.choice import ChoicePolicy, choose_server
 from ..scheduling.item_placement import PlacementPolicy, place_items
 from ..scheduling.long_slots import allocate_long_slots
+from ..scheduling.reachability import Reachability
 from ..settings.entry import EntrySettings
 from ..version.configuration import AppliedConfiguration
 from .caller_queue import CallerQueue
@@ -107,6 +108,8 @@
         Counts of the requests of workspaces.
     caller_queues : dict
         Requests that wait for their turn, by service; empty without workspaces.
+    reachability : Reachability
+        Whether this entry reaches any backend server.
     """
 
     settings: EntrySettings
@@ -143,6 +146,7 @@
         default_factory=dict
     )
     caller_queues: dict[ServiceName, CallerQueue] = field(default_factory=dict)
+    reachability: Reachability = field(default_factory=Reachability)
 
     @property
     def accepts_requests(self) -> bool:
