Tell control and other entries that an entry reaches no server

An entry that is cut off from all backend servers renews its lease as before, so control and the other entries took it for sound: nothing told them that it can serve nothing.

Runs of items now feed its Reachability. An attempt without an answer, a refused connection and a stream that broke or fell silent are failures; the head of an answer, an event and a refusal are contacts. A renewal reports EntryHealth.is_stranded. It is sent at once when the state changes, after the output of running items was saved, and the leader sends EntriesView.stranded with a new version of the view.

The answer to a renewal wrote the health of its request into the lease again after its wait. A later renewal may have reported another one in the meantime; the answer now leaves it as it is.

Messages of earlier releases are read.

--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -198,10 +198,17 @@
 
 
 class EntriesView(msgspec.Struct, frozen=True):
-    """The entry processes with a live lease."""
+    """The entry processes with a live lease.
+
+    Attributes
+    ----------
+    stranded : list of BootId
+        Those that reported that they reach no backend server.
+    """
 
     version: int
     entries: list[EntryInfo]
+    stranded: list[BootId] = []
 
 
 class BatchWork(msgspec.Struct, frozen=True):
--- a/pollenlb/durable/leases.py
+++ b/pollenlb/durable/leases.py
@@ -98,6 +98,8 @@
     in_flight : dict of BackendServerName to int
         Number of all requests of the process in flight, by backend server; only if
         the leader asks for it.
+    is_stranded : bool
+        Whether it is taken to reach no backend server.
     """
 
     is_draining: bool = False
@@ -106,6 +108,7 @@
     running: dict[BackendServerName, int] = {}
     waiting: dict[ModelName, int] = {}
     in_flight: dict[BackendServerName, int] = {}
+    is_stranded: bool = False
 
 
 class Lease(msgspec.Struct):
@@ -172,7 +175,7 @@
         entry: EntryInfo,
         in_force: AppliedVersions,
         last_quorum_contact_at: float,
-        health: EntryHealth = EntryHealth(),
+        health: EntryHealth | None = None,
     ) -> float:
         """Grant or extend the lease of an entry process.
 
@@ -186,8 +189,8 @@
             Versions that it has applied.
         last_quorum_contact_at : float
             Monotonic time in seconds at which a quorum last followed this leader.
-        health : EntryHealth
-            Health that it reported.
+        health : EntryHealth or None
+            Health that it reported; None to keep what it reported last.
 
         Returns
         -------
@@ -201,6 +204,8 @@
         expires_at = Deadline(last_quorum_contact_at + self._guarded_lease_s)
         known = self._leases.get(entry.boot)
         since = known.since if known is not None else now()
+        if health is None:
+            health = known.health if known is not None else EntryHealth()
         self._leases[entry.boot] = Lease(entry, expires_at, in_force, since, health)
         self._expire_earlier_boots(entry)
         async with self._changed:
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -88,6 +88,9 @@
     engine_became_idle : asyncio.Event
         Set when an engine has run out of items while a batch job is still open,
         so that the lease is renewed at once and control learns of it.
+    contact_changed : asyncio.Event
+        Set, for the same reason, when this entry reaches no backend server any more,
+        once its output is saved, or reaches one again.
     """
 
     def __init__(self, context: EntryContext) -> None:
@@ -104,7 +107,9 @@
         self._loads_version = 0
         self._run_s = _DEFAULT_RUN_S
         self._assigned: dict[BackendServerName, ModelName] = {}
+        self._was_stranded = False
         self.engine_became_idle = asyncio.Event()
+        self.contact_changed = asyncio.Event()
 
     @property
     def context(self) -> EntryContext:
@@ -288,6 +293,7 @@
             except TimeoutError:
                 pass
             self._changed.clear()
+            self._watch_contact()
             self._discard_expired_partials()
             self._availability.forget_unlisted(self._context.directory.servers)
             self._start_reward_calls()
@@ -301,6 +307,18 @@
                         "items.not_placed", model=model, reason=repr(error)
                     )
 
+    def _watch_contact(self) -> None:
+        is_stranded = self._context.reachability.is_stranded
+        if is_stranded != self._was_stranded:
+            self._was_stranded = is_stranded
+            self._spawn(self._report_contact(is_stranded))
+
+    async def _report_contact(self, is_stranded: bool) -> None:
+        self._context.events.record("entry.contact_changed", is_stranded=is_stranded)
+        if is_stranded:  # another owner can go on from the output
+            await self._saver.save()
+        self.contact_changed.set()
+
     def _discard_expired_partials(self) -> None:
         for item, (_, retained_until) in list(self._partials.items()):
             if not remaining_time_s(retained_until):
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -29,6 +29,7 @@
 from ..settings.entry import EntrySettings
 from ..version.configuration import AppliedConfiguration
 from .batch_runner import BatchRunner
+from .contact_probes import ContactProbes
 from .context import EntryContext
 from .drain import Drain
 from .failure_domains import FailureDomains
@@ -86,6 +87,7 @@
         self._batch_runner = BatchRunner(self._context)
         self._lease_renewer = LeaseRenewer(self._context, self._batch_runner)
         self._leaving_reports = LeavingReports(self._context)
+        self._contact_probes = ContactProbes(self._context)
         self._http = HttpServer(
             self._application(),
             settings.listen,
@@ -117,6 +119,7 @@
         self._context.events.record("entry.started", boot=self._context.identity.boot)
         self._lease_renewer.start()
         self._leaving_reports.start()
+        self._contact_probes.start()
         self._batch_runner.start()
         await self._http.start()
         if self._ready_http is not None:
@@ -153,6 +156,7 @@
         await self._http.stop()
         if self._ready_http is not None:
             await self._ready_http.stop()
+        await self._contact_probes.stop()
         await self._leaving_reports.stop()
         await self._lease_renewer.stop()
         await context.directory.close()
--- a/pollenlb/process/lease_service.py
+++ b/pollenlb/process/lease_service.py
@@ -64,7 +64,8 @@
     async def notify_entries_changed(self, leader_state: LeaderState) -> None:
         """Raise the version of the view of entries, and wake waiting renewals.
 
-        Called when an entry has joined or its lease has expired.
+        Called when an entry has joined, its lease has expired, or it has lost or
+        found the contact with backend servers.
         """
         first_of_term = leader_state.term * VERSIONS_PER_TERM
         self._entries_version = max(self._entries_version + 1, first_of_term)
@@ -82,7 +83,11 @@
         self, leader_state: LeaderState, request: RenewRequest
     ) -> None:
         context = self._context
-        known_entries = {lease.entry for lease in leader_state.leases.live_leases()}
+        leases = leader_state.leases.live_leases()
+        known_entries = {lease.entry for lease in leases}
+        was_stranded = any(
+            lease.health.is_stranded for lease in leases if lease.entry == request.entry
+        )
         contact_at = leader_state.leadership.last_quorum_contact_at
         await leader_state.leases.renew(
             request.entry, applied_versions_of(request), contact_at, request.health
@@ -91,10 +96,12 @@
             leader_state.usage.record(request, context.events)
         for server in request.announced:
             leader_state.announced_at[server] = now()
+        is_stranded = request.health.is_stranded
         if request.entry not in known_entries:
             self._context.events.record(
                 "entry.joined", entry=request.entry.instance, boot=request.entry.boot
             )
+        if request.entry not in known_entries or is_stranded != was_stranded:
             await self.notify_entries_changed(leader_state)
         if leader_state.limits.record_reports(request.entry.boot, request.limits):
             async with self._context.views_changed:
@@ -145,8 +152,9 @@
         if replica.leadership is not leader_state.leadership:
             return RenewAnswer(CallStatus.NOT_LEADER, replica.leader_address)
         contact_at = leader_state.leadership.last_quorum_contact_at
+        # A later request may have reported another health during the wait.
         lease_s = await leader_state.leases.renew(
-            request.entry, applied_versions_of(request), contact_at, request.health
+            request.entry, applied_versions_of(request), contact_at
         )
         answer = RenewAnswer(
             CallStatus.DONE,
@@ -244,8 +252,12 @@
         return 0 < changed_at <= request.revision
 
     def _entries_view(self, leader_state: LeaderState) -> EntriesView:
-        entries = [lease.entry for lease in leader_state.leases.live_leases()]
-        return EntriesView(self._entries_version, entries)
+        leases = leader_state.leases.live_leases()
+        return EntriesView(
+            self._entries_version,
+            [lease.entry for lease in leases],
+            [lease.entry.boot for lease in leases if lease.health.is_stranded],
+        )
 
     def _work_view(self, request: RenewRequest) -> WorkView | None:
         version = self._work_version(request)
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -50,6 +50,7 @@
         self._needs_load = False
         self._interruptions = (
             batch_runner.engine_became_idle,
+            batch_runner.contact_changed,
             context.directory.limit_shares.changed,
         )
 
@@ -85,6 +86,7 @@
             announced = set(self._context.announced_servers)
             sent_at = now()
             self._batch_runner.engine_became_idle.clear()
+            self._batch_runner.contact_changed.clear()
             answer = await self._renew_until_interrupted()
             if answer is None and self._is_interrupted:
                 continue
@@ -100,8 +102,9 @@
         """Send a renewal and return its answer.
 
         Return None when no leader answers in time, and when an engine runs out of
-        items or a limit changes first: the renewal is then cancelled, so that the
-        next one reports this at once.
+        items, a limit changes, or this entry loses or finds the contact with backend
+        servers first: the renewal is then cancelled, so that the next one reports
+        this at once.
         """
         renewal = asyncio.create_task(
             self._context.control.renew_lease(self._request(), _RENEWAL_TIMEOUT_S)
@@ -136,6 +139,7 @@
                 dict(self._batch_runner.running_items_by_server()),
                 dict(self._batch_runner.waiting_items_by_model()),
                 self._in_flight() if self._needs_load else {},
+                context.reachability.is_stranded,
             ),
             limits=context.directory.report_limits(),
             limits_version=self._limits_version,
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -16,6 +16,7 @@
     SEND_ERRORS,
     Answer,
     Attempt,
+    AttemptFailure,
     release_short_answer,
     send_attempt,
 )
@@ -151,9 +152,11 @@
         has_same_weights = progress.required_version in (None, version)
         if not has_same_weights or not context.may_continue(output.software, server):
             output.start_over()
+        asked_at = now()
         failure = await check_process(server, output.software is not None, context)
         if failure is not None:
             server.record_failure()
+            _record_reachability(failure, server, asked_at, context)
             context.events.record(
                 "item.not_started",
                 item=item.item,
@@ -211,6 +214,19 @@
         return score is not None
 
 
+def _record_reachability(
+    failure: AttemptFailure,
+    server: BackendServer,
+    started_at: float,
+    context: EntryContext,
+) -> None:
+    """Record what an attempt without a usable answer tells of the network."""
+    if failure.is_connection_lost or failure.is_timeout:
+        context.reachability.record_failure(server.name, started_at)
+    else:
+        context.reachability.record_contact(now())
+
+
 def _output_of(progress: ItemProgress) -> EventOutput:
     return cast(EventOutput, progress.output)
 
@@ -221,7 +237,8 @@
     server: BackendServer,
     context: EntryContext,
 ) -> RunEnd:
-    head_deadline = Deadline(min(attempt.deadline, now() + _STALL_TIMEOUT_S))
+    started_at = now()
+    head_deadline = Deadline(min(attempt.deadline, started_at + _STALL_TIMEOUT_S))
     sent = await send_attempt(
         attempt,
         server,
@@ -239,18 +256,23 @@
             outcome=failure.outcome.value,
             reason=failure.reason,
         )
+        _record_reachability(failure, server, started_at, context)
         if failure.is_other_server or failure.is_connection_lost or failure.is_timeout:
             server.record_failure()
         if failure.outcome is Outcome.NOT_RUN:
             return RunEnd.NOT_RUN
         return RunEnd.SILENT if failure.is_timeout else RunEnd.BROKEN
     answer = sent.ok_value
+    context.reachability.record_contact(now())
     try:
         return await _read_answer(progress, answer, context)
     except (*SEND_ERRORS, ValueError) as error:
         is_silent = isinstance(error, TimeoutError)
         if isinstance(error, StreamTooLongError):
             progress.output.start_over()
+        if isinstance(error, SEND_ERRORS):
+            silent_since = max(progress.last_event_at, started_at)
+            context.reachability.record_failure(server.name, silent_since)
         context.events.record(
             "item.broken",
             item=attempt.request_id,
@@ -298,6 +320,7 @@
                 "that the item may have"
             )
         progress.record_event(answer.server)
+        context.reachability.record_contact(progress.last_event_at)
         output.add(event, version, answer.server.software)
     order.check_end()
     answer.server.record_answer(0.0)
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -1031,6 +1031,23 @@
         assert msgspec.msgpack.decode(stored, type=Announcement).software == ""
 
 
+@pytest.mark.parametrize(
+    "key, type_, field, default",
+    [
+        ("entry_health", EntryHealth, "is_stranded", False),
+        ("entries_view", EntriesView, "stranded", []),
+    ],
+)
+def test_a_message_sent_before_stranded_entries_were_told_is_read(
+    key: str, type_: type[msgspec.Struct], field: str, default: object
+) -> None:
+    for sample in _encoded(key, MSGPACK):
+        fields = msgspec.msgpack.decode(sample)
+        del fields[field]
+        sent = msgspec.msgpack.encode(fields)
+        assert getattr(msgspec.msgpack.decode(sent, type=type_), field) == default
+
+
 def test_an_order_stored_before_planned_loads_is_read() -> None:
     sample, *_ = _encoded("order_record", MSGPACK)
     fields = msgspec.msgpack.decode(sample)
