Hand batch jobs of an entry that reaches no server to another

Callers saw the items of a batch job stand still for as long as its owner was cut off from all engines, while control, callers and other entries still reached it. Only the end of the owner's lease moved its jobs, and the lease lived on.

The leader now also hands over open jobs of owners that reported that they reach no backend server, if an entry can take them over that reaches one and does not drain. choose_owner passes over stranded entries unless all are, for new jobs too. A moved job stays where it is: only the loss of contact of its owner moves it again.

--- a/pollenlb/process/batch_job_service.py
+++ b/pollenlb/process/batch_job_service.py
@@ -84,29 +84,39 @@
         return msgspec.structs.replace(command, owner=owner)
 
     async def reassign_orphaned_jobs(self, leader_state: LeaderState) -> None:
-        """Reassign the batch jobs of entry processes that have no lease any more.
+        """Reassign batch jobs of entry processes that are lost or reach no server.
 
-        Does nothing until leases that an earlier leader may have granted have
-        expired.
+        Those of an entry process that reaches no backend server stay there while no
+        other one can take them over. Does nothing until leases that an earlier leader
+        may have granted have expired.
         """
         self._context.forget_submission_times()
         if now() < leader_state.leases.earlier_leases_expire_at:
             return
         table = self._context.machine.state.batch_jobs
-        live = {lease.entry.boot for lease in leader_state.leases.live_leases()}
-        ended = table.open_job_owners() - live
+        owning = table.open_job_owners()
         candidates = self._candidates(leader_state)
-        if not ended or not candidates:
+        ended = owning - {candidate.boot for candidate in candidates}
+        stranded: set[BootId] = set()
+        if any(candidate.can_take_over for candidate in candidates):
+            stranded = owning & {
+                candidate.boot for candidate in candidates if candidate.is_stranded
+            }
+        left = ended | stranded
+        if not left or not candidates:
             return
         owners: dict[BatchJobId, BootId] = {}
-        for boot in ended:
+        for boot in left:
             for batch_job in table.open_jobs_owned_by(boot):
                 service = batch_job.spec.service
                 owner = choose_owner(candidates, self._recent_owners(service))
                 if owner is not None:
                     owners[batch_job.spec.batch_job] = owner
         self._context.events.record(
-            "batch_jobs.assigned", ended=sorted(ended), owners=owners
+            "batch_jobs.assigned",
+            ended=sorted(ended),
+            stranded=sorted(stranded),
+            owners=owners,
         )
         await self._context.execute(AssignBatchJobs(owners))
 
@@ -140,6 +150,7 @@
                     len(batch_job.spec.items) - len(batch_job.results)
                     for batch_job in table.open_jobs_owned_by(lease.entry.boot)
                 ),
+                lease.health.is_stranded,
             )
             for lease in leader_state.leases.live_leases()
         ]
--- a/pollenlb/scheduling/assignment.py
+++ b/pollenlb/scheduling/assignment.py
@@ -27,12 +27,20 @@
         Whether it is shutting down.
     open_items : int
         Number of items of its batch jobs that have no result.
+    is_stranded : bool
+        Whether it is taken to reach no backend server.
     """
 
     boot: BootId
     lag_s: float
     is_draining: bool
     open_items: int
+    is_stranded: bool = False
+
+    @property
+    def can_take_over(self) -> bool:
+        """Whether it may run batch jobs of another one that reaches no server."""
+        return not (self.is_draining or self.is_stranded)
 
 
 def choose_owner(
@@ -46,8 +54,8 @@
     owners both took to be free.
 
     The step goes to another entry process when the owner's event loop lags
-    because its machine is slow, when it runs as many items as it can, or when
-    it shuts down.
+    because its machine is slow, when it runs as many items as it can, when it
+    reaches no backend server, or when it shuts down.
 
     Parameters
     ----------
@@ -57,8 +65,10 @@
         Entry processes that run batch jobs of the service, the latest first.
     """
     accepting = [candidate for candidate in candidates if not candidate.is_draining]
+    in_contact = [candidate for candidate in accepting if candidate.can_take_over]
+    preferred = in_contact or accepting
     responsive = [
-        candidate for candidate in accepting if candidate.lag_s < MAX_EVENT_LOOP_LAG_S
+        candidate for candidate in preferred if candidate.lag_s < MAX_EVENT_LOOP_LAG_S
     ]
     with_capacity = {
         candidate.boot
@@ -68,7 +78,7 @@
     for boot in owners:
         if boot in with_capacity:
             return boot
-    pool = responsive or accepting or list(candidates)
+    pool = responsive or preferred or list(candidates)
     chosen = min(
         pool,
         key=lambda candidate: (candidate.open_items, candidate.boot),
--- a/tests/scheduling/test_assignment.py
+++ b/tests/scheduling/test_assignment.py
@@ -35,3 +35,27 @@
 def test_first_step_goes_to_the_entry_with_the_fewest_open_items():
     assert choose_owner(_candidates(a=3, b=1), []) == "b"
     assert choose_owner([], []) is None
+
+
+def _stranded(name: str, open_items: int = 0) -> Candidate:
+    return Candidate(name, 0.0, False, open_items, is_stranded=True)
+
+
+def test_next_step_passes_over_entries_that_reach_no_server():
+    assert choose_owner([_stranded("a"), *_candidates(b=5)], ["a"]) == "b"
+    lagging = Candidate("b", 2 * MAX_EVENT_LOOP_LAG_S, False, 0)
+    assert choose_owner([_stranded("a"), lagging], ["a"]) == "b"
+    full = _candidates(b=MAX_OPEN_ITEM_COUNT)
+    assert choose_owner([_stranded("a"), *full], ["a"]) == "b"
+
+
+def test_step_goes_to_an_entry_that_reaches_no_server_if_all_others_drain():
+    draining = Candidate("b", 0.0, True, 0)
+    assert choose_owner([_stranded("a"), draining], []) == "a"
+    assert not draining.can_take_over
+
+
+def test_owner_is_chosen_as_usual_when_no_entry_reaches_a_server():
+    candidates = [_stranded("a", 3), _stranded("b", 1)]
+    assert choose_owner(candidates, ["a"]) == "a"
+    assert choose_owner(candidates, []) == "b"
