--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from .entry_links import EntryLinks
 from .platform_system import PlatformSystem, configuration
 
 
@@ -30,3 +31,23 @@
     yield start
     for system in started:
         await system.stop()
+
+
+@pytest.fixture
+async def linked_system(platform_system):
+    """Return a function that starts a system, and the links of each of its entries.
+
+    There are two entries and three engines.
+    """
+    started: list[EntryLinks] = []
+
+    async def start() -> tuple[PlatformSystem, list[EntryLinks]]:
+        system = await platform_system(entries=2, engines=3)
+        for entry in system.entries:
+            started.append(EntryLinks(system, entry))
+            await started[-1].start()
+        return system, started
+
+    yield start
+    for links in started:
+        await links.stop()
--- a/tests/platform/test_stranded_owners.py
+++ b/tests/platform/test_stranded_owners.py
@@ -4,12 +4,9 @@
 
 import asyncio
 
-import msgspec
 import pytest
 
-from fakes.relay import LinkState, Relay
-from pollenlb.connection.control_api import DirectoryView
-from pollenlb.process.entry import EntryProcess
+from fakes.relay import LinkState
 
 from ..local_system import wait_until
 from .platform_system import PlatformSystem, batch_job
@@ -20,76 +17,6 @@
 _LENGTHS = {f"item-{number}": _LONG_EVENT_COUNT for number in range(4)}
 
 
-class _Links:
-    """Links from one entry to all engines, which can be cut."""
-
-    def __init__(self, system: PlatformSystem, entry: EntryProcess) -> None:
-        self._system = system
-        self._entry = entry
-        self._relays: dict[str, Relay] = {}
-
-    async def start(self) -> None:
-        """Let the entry reach the engines through relays from now on."""
-        for engine in self._system.engines:
-            relay = Relay(engine.port)
-            await relay.start()
-            self._relays[f"127.0.0.1:{engine.port}"] = relay
-        directory = self._entry.context.directory
-        apply = directory.apply
-
-        def apply_with_relays(view: DirectoryView) -> None:
-            servers = [
-                msgspec.structs.replace(
-                    server,
-                    address=f"127.0.0.1:{self._relays[server.address].port}",
-                )
-                for server in view.servers
-            ]
-            apply(msgspec.structs.replace(view, servers=servers))
-
-        directory.apply = apply_with_relays
-        directory._version = 0
-        ports = {f"127.0.0.1:{relay.port}" for relay in self._relays.values()}
-        await wait_until(
-            lambda: {
-                server.announcement.address for server in directory.servers.values()
-            }
-            == ports
-        )
-
-    def cut(self, link: LinkState) -> None:
-        """Cut the links to all engines."""
-        for relay in self._relays.values():
-            relay.interrupt(link)
-
-    def restore(self) -> None:
-        """End the cut."""
-        for relay in self._relays.values():
-            relay.restore()
-
-    async def stop(self) -> None:
-        """Close all connections."""
-        for relay in self._relays.values():
-            await relay.stop()
-
-
-@pytest.fixture
-async def links(platform_system):
-    """Return a function that starts a system, and the links of each of its entries."""
-    started: list[_Links] = []
-
-    async def start() -> tuple[PlatformSystem, list[_Links]]:
-        system = await platform_system(entries=2, engines=3)
-        for entry in system.entries:
-            started.append(_Links(system, entry))
-            await started[-1].start()
-        return system, started
-
-    yield start
-    for each in started:
-        await each.stop()
-
-
 async def _start_job(system: PlatformSystem) -> int:
     """Submit a batch job, wait until its items run, return its owner's number."""
     assert await system.submit(0, "job", batch_job(_LENGTHS)) == 202
@@ -119,8 +46,10 @@
 
 # Guards against batch jobs that stand still while their owner reaches no engine.
 @pytest.mark.parametrize("link", [LinkState.SILENT, LinkState.CLOSED])
-async def test_an_entry_in_contact_finishes_the_job_of_a_stranded_one(links, link):
-    system, entry_links = await links()
+async def test_an_entry_in_contact_finishes_the_job_of_a_stranded_one(
+    linked_system, link
+):
+    system, entry_links = await linked_system()
     owner = await _start_job(system)
     entry_links[owner].cut(link)
     async with asyncio.timeout(_FINISHED_WITHIN_S):
@@ -132,8 +61,8 @@
 
 
 # Guards against items that run at two servers, or again, when the cut ends.
-async def test_a_moved_job_stays_with_its_new_owner_when_the_cut_ends(links):
-    system, entry_links = await links()
+async def test_a_moved_job_stays_with_its_new_owner_when_the_cut_ends(linked_system):
+    system, entry_links = await linked_system()
     owner = await _start_job(system)
     entry_links[owner].cut(LinkState.CLOSED)
     await wait_until(lambda: _owner(system) != owner)
@@ -152,9 +81,9 @@
 # Guards against an entry without work that is taken for stranded after the cut.
 @pytest.mark.parametrize("link", [LinkState.SILENT, LinkState.CLOSED])
 async def test_other_entries_learn_when_one_is_stranded_and_in_contact_again(
-    links, link
+    linked_system, link
 ):
-    system, entry_links = await links()
+    system, entry_links = await linked_system()
     owner = await _start_job(system)
     stranded = system.entries[owner].context.identity.boot
     other = system.entries[1 - owner].context.live_entries
@@ -168,8 +97,8 @@
 
 
 # Guards against jobs that go to and fro between entries that reach no engine.
-async def test_no_job_moves_while_all_entries_are_stranded(links):
-    system, entry_links = await links()
+async def test_no_job_moves_while_all_entries_are_stranded(linked_system):
+    system, entry_links = await linked_system()
     await _start_job(system)
     for each in entry_links:
         each.cut(LinkState.CLOSED)
