--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -51,6 +51,7 @@
         self._lacks_work = False
         self._interruptions = (
             batch_runner.engine_became_idle,
+            batch_runner.contact_changed,
             context.directory.limit_shares.changed,
         )
 
@@ -86,6 +87,7 @@
             announced = set(self._context.announced_servers)
             sent_at = now()
             self._batch_runner.engine_became_idle.clear()
+            self._batch_runner.contact_changed.clear()
             answer = await self._renew_until_interrupted()
             if answer is None and self._is_interrupted:
                 continue
@@ -101,8 +103,9 @@
         """Send a renewal and return its answer.
 
         Return None when no leader answers in time, and when an engine runs out of
-        items or a limit changes first: the renewal is then cancelled, so that the
-        next one reports this at once.
+        items, a limit changes, or this entry loses or finds the contact with backend
+        servers first: the renewal is then cancelled, so that the next one reports
+        this at once.
         """
         renewal = asyncio.create_task(
             self._context.control.renew_lease(self._request(), _RENEWAL_TIMEOUT_S)
@@ -137,6 +140,7 @@
                 dict(self._batch_runner.running_items_by_server()),
                 dict(self._batch_runner.waiting_items_by_model()),
                 self._in_flight() if self._needs_load else {},
+                context.reachability.is_stranded,
             ),
             limits=context.directory.report_limits(),
             limits_version=self._limits_version,
