Answer 503 to a request that certainly reached no server

Callers got 504 or 502 for requests of which no byte had been sent: after a timeout of every connect (a cut network that hangs), when the deadline passed while connecting, and with a body too large to buffer. They could not tell that these may be sent again without harm.

Cause: the status followed the kind of the failure and not whether the request may have run; a timeout before the connection stood counted as one after it; and a body counted as consumed once an attempt was prepared, not once it was read.

The trace hook of the headers runs before the first byte is written, so that without it a request can't have run, whatever timeout ended the attempt.

--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -269,8 +269,8 @@
 ) -> AttemptFailure:
     """Return the failure of an attempt that ended in a connection error.
 
-    The request certainly did not run only when connecting failed and no byte
-    of it may have been sent.
+    The request certainly did not run only when connecting failed, or took until the
+    deadline, and no byte of it may have been sent.
 
     Parameters
     ----------
@@ -281,9 +281,7 @@
     operation : str
         What failed, for the reason.
     """
-    is_connect = isinstance(
-        error, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
-    )
+    is_connect = isinstance(error, (aiohttp.ClientConnectorError, TimeoutError))
     outcome = Outcome.UNKNOWN
     if is_connect and not tracker.may_have_been_sent:
         outcome = Outcome.NOT_RUN
--- a/pollenlb/request/caller_request.py
+++ b/pollenlb/request/caller_request.py
@@ -115,15 +115,15 @@
     def stream(self) -> bytes | AsyncIterator[bytes]:
         """Return the complete body, or its chunks as they arrive from the caller.
 
-        Chunks can be consumed only once. Their iterator raises
-        ``BodyTooLargeError`` when the body exceeds its limit.
+        Chunks can be consumed only once, from the start of their iteration on. Their
+        iterator raises ``BodyTooLargeError`` when the body exceeds its limit.
         """
         if self._is_complete:
             return self._buffered
-        self._is_consumed = True
         return self._stream_rest()
 
     async def _stream_rest(self) -> AsyncIterator[bytes]:
+        self._is_consumed = True
         yield self._buffered
         sent_bytes = len(self._buffered)
         async for chunk in self._request.content.iter_chunked(_MAX_CHUNK_BYTES):
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -472,9 +472,9 @@
         self._context.metrics.retries.labels(self._service).inc()
 
     def _failure_status(self, failure: AttemptFailure) -> int:
-        if failure.is_timeout:
-            return 504
-        return 502 if self._may_have_run else 503
+        if not self._may_have_run:
+            return 503
+        return 504 if failure.is_timeout else 502
 
     def _no_server_error(self) -> RefusedError:
         """Return the refusal without a server; an attempt before it tells why."""
@@ -484,7 +484,7 @@
         failure = self._last_failure
         if failure is None:
             return self._refused_error(503, reason)
-        status = self._failure_status(failure) if self._may_have_run else 503
+        status = self._failure_status(failure)
         return self._refused_error(status, f"{failure.reason}; then {reason}")
 
     def _record_failed_attempt(
