Relay requests through another entry while no backend server is reached

Callers of entries that the network had cut from all backend servers got 502, 503 and 504 for seconds, although other entries served all the while. Every request went to servers that could not be reached, one attempt after the other, and a caller that keeps to its entry had no other way.

An entry that reaches no server now sends requests to plain services and streams to another entry's relay_listen, at the start of the request or after an attempt that failed at the level of connections without any contact since. The peer handles them as a caller's own and never relays them again. Attempts that may have run keep counting (Pollenlb-Attempts-Left), and such a request is never called not run. A peer that can't take a request says so, and another is tried. Without one, the entry goes on as before. While stranded, it asks three servers each half second over new connections; any answer ends the state.

EntryInfo leaves out its defaults, so that earlier bytes stay the same.

--- a/fakes/relay.py
+++ b/fakes/relay.py
@@ -47,9 +47,9 @@
         self._silenced_tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
-        """Start to listen on a free port."""
+        """Start to listen on a free port, or again on the one before."""
         self._server = await asyncio.start_server(
-            self._forward_connection, "127.0.0.1", 0
+            self._forward_connection, "127.0.0.1", self.port
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -61,6 +61,11 @@
             for task in self._connection_tasks:
                 task.cancel()
 
+    def stop_listening(self) -> None:
+        """Free the port, so that new connections are refused; open ones go on."""
+        assert self._server is not None
+        self._server.close()
+
     def silence_open_connections(self) -> None:
         """Stop forwarding on the connections that are open now; new ones work."""
         self._silenced_tasks |= self._connection_tasks
--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -21,6 +21,7 @@
     SoftwareVersion,
     WeightVersion,
 )
+from ..scheduling.reachability import Reachability
 from ..settings.entry import EntrySettings
 from .backend_api import ProbeAnswer
 from .load import ServerLoad
@@ -81,6 +82,8 @@
         leaves.
     observer : ServerObserver or None
         Receives observations; None to record none.
+    reachability : Reachability or None
+        Learns which servers this entry reaches; None to record nothing.
     """
 
     def __init__(
@@ -93,8 +96,10 @@
         limit_shares: LimitShares,
         report_leaving: Callable[[Announcement], None],
         observer: ServerObserver | None = None,
+        reachability: Reachability | None = None,
     ) -> None:
         self._observer = observer
+        self._reachability = reachability
         self._report_leaving = report_leaving
         self._send_probe = send_probe
         self._announcement = announcement
@@ -290,6 +295,22 @@
         if self._observer is not None:
             self._observer.record_traffic(self, attempts, body_bytes)
 
+    def record_contact(self) -> None:
+        """Record that bytes of the backend server arrived, even of a refusal."""
+        if self._reachability is not None:
+            self._reachability.record_contact(now())
+
+    def record_no_contact(self, started_at: float) -> None:
+        """Record that connecting failed, the connection broke or no byte arrived.
+
+        Parameters
+        ----------
+        started_at : float
+            Monotonic time in seconds at which the attempt began.
+        """
+        if self._reachability is not None:
+            self._reachability.record_failure(self.name, started_at)
+
     def record_version(self, model: ModelName, version: WeightVersion) -> None:
         """Record the weight version that an answer named.
 
--- a/pollenlb/connection/backend_api.py
+++ b/pollenlb/connection/backend_api.py
@@ -20,6 +20,10 @@
 # Workspace of the caller.
 WORKSPACE_HEADER = "Pollenlb-Workspace"
 IN_FLIGHT_HEADER = "Pollenlb-In-Flight"
+# Between entries only: attempts that a relayed request has left, of which earlier ones
+# may have run, and that an entry itself cannot take a relayed request.
+ATTEMPTS_LEFT_HEADER = "Pollenlb-Attempts-Left"
+RELAY_REFUSED_HEADER = "Pollenlb-Relay-Refused"
 
 
 class ProbeAnswer(msgspec.Struct, frozen=True):
--- a/pollenlb/connection/directory.py
+++ b/pollenlb/connection/directory.py
@@ -19,6 +19,7 @@
     SoftwareVersion,
     WeightVersion,
 )
+from ..scheduling.reachability import Reachability
 from ..settings.entry import EntrySettings
 from .backend import BackendServer, SendProbe, ServerObserver
 from .control_api import DirectoryView, LimitGrant, LimitReport
@@ -45,6 +46,8 @@
         Sends a probe to a backend server.
     observer : ServerObserver or None
         Receives what is observed of backend servers.
+    reachability : Reachability or None
+        Learns which backend servers this entry reaches.
     """
 
     def __init__(
@@ -54,8 +57,10 @@
         events: EventLog,
         send_probe: SendProbe,
         observer: ServerObserver | None = None,
+        reachability: Reachability | None = None,
     ) -> None:
         self._observer = observer
+        self._reachability = reachability
         self._send_probe = send_probe
         self._settings = settings
         self._session = session
@@ -126,6 +131,7 @@
                 self._limit_shares,
                 self._found_leaving.put_nowait,
                 self._observer,
+                self._reachability,
             )
             if announcement.boot in self._left_boots:
                 server.record_leaving(announcement.boot)
--- a/pollenlb/durable/leases.py
+++ b/pollenlb/durable/leases.py
@@ -21,7 +21,7 @@
 from .key_commands import Claimant
 
 
-class EntryInfo(msgspec.Struct, frozen=True):
+class EntryInfo(msgspec.Struct, frozen=True, omit_defaults=True):
     """Identity and location of one entry process, as it reports them.
 
     Attributes
@@ -34,12 +34,15 @@
         HTTP address for callers and operators.
     failure_domain : FailureDomain
         Failure domain of the instance.
+    relay : Address
+        HTTP address for requests that other entries relay; empty without one.
     """
 
     instance: InstanceName
     boot: BootId
     http: Address
     failure_domain: FailureDomain
+    relay: Address = Address("")
 
     @property
     def claimant(self) -> Claimant:
--- a/pollenlb/platform/dialect.py
+++ b/pollenlb/platform/dialect.py
@@ -17,7 +17,7 @@
 from ..external_data import Integer, json_decoder, parse_count, read_count
 from ..ids import BackendServerName, RequestId, WeightVersion
 from ..request.attempt import Attempt
-from ..request.caller_request import RequestClass, read_authorization
+from ..request.caller_request import CallerRequest, RequestClass, read_authorization
 from ..request.dialect import (
     AnswerHead,
     CallerParameters,
@@ -168,6 +168,14 @@
             headers[WORKSPACE_HEADER] = attempt.workspace
         return headers
 
+    def relay_headers(self, caller: CallerRequest) -> dict[str, str]:
+        """Return the headers that differ from the caller's in a relayed request."""
+        remaining_ms = max(1, int(remaining_time_s(caller.deadline) * _MS_PER_S))
+        return {
+            REQUEST_ID_HEADER: caller.request_id,
+            DEADLINE_MS_HEADER: str(remaining_ms),
+        }
+
     def read_head(
         self, request_id: RequestId, status: int, headers: Mapping[str, str]
     ) -> AnswerHead:
--- /dev/null
+++ b/pollenlb/process/contact_check.py
@@ -0,0 +1,85 @@
+"""Finds out when an entry that reached no backend server reaches one again."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..clock import Deadline, deadline_in, now, sleep_until
+from ..connection.backend import BackendServer
+from ..connection.backend_api import ProcessCheck
+from .context import EntryContext
+
+_POLL_INTERVAL_S = 0.1
+_CHECK_INTERVAL_S = 0.5
+_CHECK_TIMEOUT_S = 0.5
+# Servers that are asked at a time, as some may have crashed.
+_ASKED_SERVERS = 3
+
+
+class ContactCheck:
+    """Asks a few backend servers at intervals, but only while none is reached.
+
+    Requests go through other entries meanwhile, and so do not find out.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Parts of the entry process.
+    """
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Start the task that checks."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """Cancel the task and wait for its end."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        context = self._context
+        while True:
+            await sleep_until(deadline_in(_POLL_INTERVAL_S))
+            if not context.reachability.is_stranded:
+                continue
+            context.events.record("entry.stranded")
+            stranded_at = now()
+            while context.reachability.is_stranded:
+                check_at = deadline_in(_CHECK_INTERVAL_S)
+                servers = list(context.directory.servers.values())
+                asked = context.rng.sample(servers, min(_ASKED_SERVERS, len(servers)))
+                await asyncio.gather(*map(self._ask, asked))
+                while context.reachability.is_stranded and now() < check_at:
+                    pause_until = min(check_at, deadline_in(_POLL_INTERVAL_S))
+                    await sleep_until(Deadline(pause_until))
+            context.events.record(
+                "entry.in_contact", after_s=round(now() - stranded_at, 3)
+            )
+            # The others need not wait until they are tried again.
+            await asyncio.gather(
+                *(
+                    self._ask(server)
+                    for server in list(context.directory.servers.values())
+                    if not server.is_usable and server.is_eligible
+                )
+            )
+
+    async def _ask(self, server: BackendServer) -> None:
+        """Ask a server over a new connection; any answer shows that it is reached."""
+        context = self._context
+        started_at = now()
+        server.request_limit.spend()
+        check = await context.dialect.check_process(
+            context.after_timeout_session, server.announcement, _CHECK_TIMEOUT_S
+        )
+        if check is ProcessCheck.SILENT:
+            server.record_no_contact(started_at)
+            return
+        server.record_contact()
+        if check in (ProcessCheck.SAME, ProcessCheck.UNKNOWN):
+            server.record_answer()
--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -18,7 +18,7 @@
 from ..connection.stream_origins import StreamOrigins
 from ..durable.leases import EntryInfo
 from ..events import EventLog
-from ..ids import BackendServerName, ServiceName, SoftwareVersion
+from ..ids import BackendServerName, BootId, ServiceName, SoftwareVersion
 from ..request.caller_request import RequestClass
 from ..request.dialect import Dialect
 from ..request.item_progress import ItemRunner
@@ -110,6 +110,9 @@
         Requests that wait for their turn, by service; empty without workspaces.
     reachability : Reachability
         Whether this entry reaches any backend server.
+    peer_failures : dict
+        When other entries could not take a relayed request, in seconds of the monotonic
+        clock.
     """
 
     settings: EntrySettings
@@ -147,6 +150,7 @@
     )
     caller_queues: dict[ServiceName, CallerQueue] = field(default_factory=dict)
     reachability: Reachability = field(default_factory=Reachability)
+    peer_failures: dict[BootId, float] = field(default_factory=dict)
 
     @property
     def accepts_requests(self) -> bool:
--- a/pollenlb/process/drain.py
+++ b/pollenlb/process/drain.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Sequence
 from weakref import WeakKeyDictionary
 
 from aiohttp import web
@@ -49,19 +50,22 @@
         application.middlewares.append(self._follow)
         application.on_response_prepare.append(self._announce_close)
 
-    async def run(self, server: HttpServer, deadline: Deadline) -> None:
+    async def run(self, servers: Sequence[HttpServer], deadline: Deadline) -> None:
         """Return when no connection is left, or the last requests have been answered.
 
         Parameters
         ----------
-        server : HttpServer
-            Server that has stopped to listen.
+        servers : sequence of HttpServer
+            Servers that have stopped to listen.
         deadline : Deadline
             When requests that still run are answered with an error.
         """
         answer_at = Deadline(deadline - _ANSWER_TIME_S)
-        while server.connections and remaining_time_s(answer_at):
-            self._close_idle(server)
+        while remaining_time_s(answer_at) and any(
+            server.connections for server in servers
+        ):
+            for server in servers:
+                self._close_idle(server)
             await sleep_until(Deadline(min(answer_at, deadline_in(_POLL_INTERVAL_S))))
         self._ended = set(self._running)
         for task in self._ended:
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -26,9 +26,11 @@
 from ..request.dialect import Dialect
 from ..request.handler import RequestHandler
 from ..request.item_progress import ItemRunner
+from ..scheduling.reachability import Reachability
 from ..settings.entry import EntrySettings
 from ..version.configuration import AppliedConfiguration
 from .batch_runner import BatchRunner
+from .contact_check import ContactCheck
 from .context import EntryContext
 from .drain import Drain
 from .failure_domains import FailureDomains
@@ -97,6 +99,20 @@
             max_field_size=settings.max_header_bytes,
             handler_cancellation=True,
         )
+        self._contact_check = ContactCheck(self._context)
+        self._relay_http: HttpServer | None = None
+        if settings.relay_listen:
+            self._relay_http = HttpServer(
+                self._relay_application(),
+                settings.relay_listen,
+                settings,
+                self._context.events,
+                self._count_closed,
+                shutdown_timeout=_MIN_SHUTDOWN_TIMEOUT_S,
+                max_line_size=settings.max_header_bytes,
+                max_field_size=settings.max_header_bytes,
+                handler_cancellation=True,
+            )
         self._ready_http: HttpServer | None = None
         if settings.ready_listen:
             self._ready_http = HttpServer(
@@ -118,7 +134,10 @@
         self._lease_renewer.start()
         self._leaving_reports.start()
         self._batch_runner.start()
+        self._contact_check.start()
         await self._http.start()
+        if self._relay_http is not None:
+            await self._relay_http.start()
         if self._ready_http is not None:
             await self._ready_http.start()
 
@@ -145,14 +164,20 @@
         context.events.record("entry.draining", grace_s=grace_s)
         listens_until = deadline_in(self._settings.balancer_delay_s)
         await sleep_until(Deadline(min(deadline, listens_until)))
-        await self._http.stop_listening()
+        servers = [self._http]
+        if self._relay_http is not None:
+            servers.append(self._relay_http)
+        for server in servers:
+            await server.stop_listening()
         await asyncio.gather(
             self._batch_runner.drain(remaining_time_s(deadline)),
-            self._drain.run(self._http, deadline),
+            self._drain.run(servers, deadline),
         )
-        await self._http.stop()
+        for server in servers:
+            await server.stop()
         if self._ready_http is not None:
             await self._ready_http.stop()
+        await self._contact_check.stop()
         await self._leaving_reports.stop()
         await self._lease_renewer.stop()
         await context.directory.close()
@@ -177,6 +202,16 @@
         application.router.add_route("*", "/{path:.*}", handler.handle)
         return application
 
+    def _relay_application(self) -> web.Application:
+        application = web.Application(
+            client_max_size=self._settings.max_body_bytes,
+            handler_args={"auto_decompress": False},
+        )
+        self._drain.add_to(application)
+        handler = RequestHandler(self._context, is_relayed=True)
+        application.router.add_route("*", "/{path:.*}", handler.handle)
+        return application
+
     def _ready_application(self) -> web.Application:
         application = web.Application()
         self._add_health_routes(application.router)
@@ -214,6 +249,7 @@
         BootId(new_id(settings.name)),
         Address(settings.listen),
         FailureDomain(settings.failure_domain),
+        Address(settings.relay_listen),
     )
     metrics = Metrics()
     table = ConnectionTable(metrics.record_connection)
@@ -222,6 +258,7 @@
     failure_domains = FailureDomains(identity.failure_domain, metrics, rng)
     configuration = AppliedConfiguration()
     control = ControlConnection(settings.control_addresses, events)
+    reachability = Reachability()
 
     async def probe(
         session: aiohttp.ClientSession, server: Announcement, timeout_s: float
@@ -247,7 +284,9 @@
         control=control,
         stream_origins=StreamOrigins(control, events),
         configuration=configuration,
-        directory=BackendDirectory(settings, session, events, probe, failure_domains),
+        directory=BackendDirectory(
+            settings, session, events, probe, failure_domains, reachability
+        ),
         failure_domains=failure_domains,
         live_entries=LiveEntries(),
         item_runner=protocol.item_runner,
@@ -257,4 +296,5 @@
         latencies={},
         announced_servers=set(),
         usage=UsageMeter(events, metrics),
+        reachability=reachability,
     )
--- a/pollenlb/process/metrics.py
+++ b/pollenlb/process/metrics.py
@@ -94,6 +94,9 @@
         self.closed_connections = self._counter(
             "closed_connections", "Connections closed at a limit", "reason"
         )
+        self.relayed = self._counter(
+            "relayed", "Requests sent to another entry by result", "result"
+        )
         self.in_flight = Gauge(
             "pollenlb_in_flight", "Requests in flight", registry=self._registry
         )
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -27,7 +27,7 @@
 # Visible ASCII characters.
 _ALLOWED_TARGET = re.compile(r"/[!-~]*")
 # Headers that aiohttp would add to those of the caller.
-_AUTOMATIC_HEADERS = ("User-Agent", "Accept-Encoding", "Accept")
+AUTOMATIC_HEADERS = ("User-Agent", "Accept-Encoding", "Accept")
 # Reading what is left of an unused answer must not delay the next attempt.
 _REST_TIMEOUT_S = 0.02
 _MAX_REST_BYTES = 65_536
@@ -157,19 +157,30 @@
         async with asyncio.timeout(head_s):
             response = await session.request(
                 attempt.method,
-                _request_url(server, attempt.target),
+                request_url(server.announcement.address, attempt.target),
                 headers=headers,
                 data=attempt.body,
                 allow_redirects=False,
-                timeout=_client_timeout(attempt, settings),
-                skip_auto_headers=_AUTOMATIC_HEADERS,
+                timeout=client_timeout(attempt.deadline, settings),
+                skip_auto_headers=AUTOMATIC_HEADERS,
                 trace_request_ctx=tracker,
             )
+    except aiohttp.ClientResponseError as error:
+        server.record_contact()
+        operation = f"request to {server.name}"
+        return Err(classify_send_error(error, tracker, operation))
+    except asyncio.CancelledError:
+        # The caller gave up on a silent server; a hedge that is soon left says nothing.
+        if now() >= sent_at + settings.connect_timeout_s:
+            server.record_no_contact(sent_at)
+        raise
     except SEND_ERRORS as error:
+        server.record_no_contact(sent_at)
         operation = f"request to {server.name} (timeout {head_s:.3f} s)"
         return Err(classify_send_error(error, tracker, operation))
     finally:
         server.record_traffic(1, tracker.sent_bytes)
+    server.record_contact()
     content = response.content
     content.on_eof(lambda: server.record_traffic(0, content.total_bytes))
     head = dialect.read_head(attempt.request_id, response.status, response.headers)
@@ -243,22 +254,31 @@
         response.release()
 
 
-def _request_url(server: BackendServer, target: str) -> URL:
-    """Return the URL of a target at a server, without a change to its escapes.
+def request_url(address: str, target: str) -> URL:
+    """Return the URL of a target at an address, without a change to its escapes.
 
     A target that HTTP does not allow, as an item may bring, is quoted.
     """
     if not _ALLOWED_TARGET.fullmatch(target):
-        return URL(server.url + target)
-    return URL.build(
-        scheme="http", authority=server.announcement.address, path=target, encoded=True
-    )
+        return URL(f"http://{address}{target}")
+    return URL.build(scheme="http", authority=address, path=target, encoded=True)
 
 
-def _client_timeout(attempt: Attempt, settings: EntrySettings) -> aiohttp.ClientTimeout:
+def client_timeout(
+    deadline: Deadline, settings: EntrySettings
+) -> aiohttp.ClientTimeout:
+    """Return the timeouts of a request that is sent on.
+
+    Parameters
+    ----------
+    deadline : Deadline
+        Deadline of the caller's request.
+    settings : EntrySettings
+        Source of the connect timeout.
+    """
     return aiohttp.ClientTimeout(
         # aiohttp takes a total of 0 for no timeout.
-        total=max(0.001, remaining_time_s(attempt.deadline)),
+        total=max(0.001, remaining_time_s(deadline)),
         sock_connect=settings.connect_timeout_s,
         sock_read=None,
     )
--- a/pollenlb/request/caller_request.py
+++ b/pollenlb/request/caller_request.py
@@ -165,6 +165,10 @@
         Priority of the workspace, or else of the route; lower numbers go first.
     hides_credentials : bool
         Whether headers that name a key or a workspace are not forwarded.
+    is_relayed : bool
+        Whether another entry relayed the request; it is not relayed again.
+    attempts_left : int or None
+        Attempts left of a relayed request that may have run before; else None.
     """
 
     request_id: RequestId
@@ -181,6 +185,15 @@
     workspace: WorkspaceName | None = None
     priority: int = 0
     hides_credentials: bool = False
+    is_relayed: bool = False
+    attempts_left: int | None = None
+
+    @property
+    def max_attempts(self) -> int:
+        """Attempts that the request may have at this entry, hedges included."""
+        if self.attempts_left is None:
+            return self.route.max_attempts
+        return min(self.attempts_left, self.route.max_attempts)
 
     @property
     def target(self) -> str:
--- a/pollenlb/request/dialect.py
+++ b/pollenlb/request/dialect.py
@@ -26,7 +26,7 @@
 
 if TYPE_CHECKING:
     from .attempt import Attempt
-    from .caller_request import RequestClass
+    from .caller_request import CallerRequest, RequestClass
 
 
 @dataclass(frozen=True)
@@ -174,6 +174,12 @@
     def attempt_headers(self, attempt: Attempt, server: Announcement) -> dict[str, str]:
         """Return the headers that the entry adds to the request of an attempt."""
 
+    def relay_headers(self, caller: CallerRequest) -> dict[str, str]:
+        """Return the headers that differ from the caller's in a relayed request.
+
+        They name the request and the time that is left of its deadline.
+        """
+
     def read_head(
         self, request_id: RequestId, status: int, headers: Mapping[str, str]
     ) -> AnswerHead:
--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -4,11 +4,14 @@
 
 import asyncio
 
+import msgspec
 from aiohttp import web
 
 from ..clock import Deadline, deadline_in, now
+from ..connection.backend_api import ATTEMPTS_LEFT_HEADER, RELAY_REFUSED_HEADER
 from ..connection.engine_api import COMPLETIONS_PATH
-from ..ids import RequestKey, ServiceName, WorkspaceName
+from ..external_data import read_count
+from ..ids import RequestId, RequestKey, ServiceName, WorkspaceName
 from ..process.context import EntryContext
 from ..settings.cluster import RouteSettings
 from .at_most_once import run_at_most_once
@@ -44,10 +47,13 @@
     ----------
     context : EntryContext
         Parts of the entry process.
+    is_relayed : bool
+        Whether the requests are those that other entries relay.
     """
 
-    def __init__(self, context: EntryContext) -> None:
+    def __init__(self, context: EntryContext, is_relayed: bool = False) -> None:
         self._context = context
+        self._is_relayed = is_relayed
 
     @property
     def _last_end(self) -> Deadline:
@@ -85,6 +91,8 @@
             outcome = error.refusal.outcome
             status = error.refusal.status
             reason = error.refusal.reason
+            if self._is_relayed:
+                return self._refuse_relayed(request, error.refusal, request_id)
             return self._context.dialect.refusal_response(error.refusal, request_id)
         except asyncio.CancelledError:
             outcome = Outcome.UNKNOWN
@@ -154,10 +162,36 @@
             workspace=workspace,
             priority=cluster.priority_of(route, workspace),
             hides_credentials=cluster.requires_keys,
+            is_relayed=self._is_relayed,
+            attempts_left=self._attempts_left(request),
         )
         await body.read_replayable_start()
         return caller
 
+    def _attempts_left(self, request: web.Request) -> int | None:
+        if not self._is_relayed:
+            return None
+        return read_count(request.headers, ATTEMPTS_LEFT_HEADER)
+
+    def _refuse_relayed(
+        self, request: web.Request, refusal: Refusal, request_id: RequestId
+    ) -> web.Response:
+        """Return a refusal that tells whether another entry may do better."""
+        context = self._context
+        is_own = (
+            context.reachability.is_stranded
+            or context.is_draining
+            or not context.accepts_requests
+        )
+        is_refused_here = is_own and refusal.outcome is Outcome.NOT_RUN
+        if self._attempts_left(request) is not None:
+            # An attempt of the entry that relays the request may have run.
+            refusal = msgspec.structs.replace(refusal, outcome=Outcome.UNKNOWN)
+        response = context.dialect.refusal_response(refusal, request_id)
+        if is_refused_here:
+            response.headers[RELAY_REFUSED_HEADER] = "yes"
+        return response
+
     def _choose_service(self, route: RouteSettings) -> ServiceName:
         names, weights = zip(*route.service_weights.items())
         return ServiceName(self._context.rng.choices(names, weights)[0])
@@ -166,6 +200,8 @@
         if not self._context.accepts_requests:
             reason = "no valid lease or configuration from the control instances"
             raise unavailable(reason, _CONTROL_RETRY_AFTER_S)
+        if self._is_relayed and self._context.reachability.is_stranded:
+            raise unavailable("this instance reaches no backend server, either")
 
     def _check_can_end(self, service: ServiceName, request_class: RequestClass) -> None:
         """Refuse a request that is not expected to end before a planned stop."""
--- a/pollenlb/request/native_dialect.py
+++ b/pollenlb/request/native_dialect.py
@@ -30,6 +30,7 @@
     CLASS_HEADER,
     REPEATABLE_HEADER,
     TIMEOUT_HEADER,
+    CallerRequest,
     RequestClass,
     read_authorization,
     read_class,
@@ -125,6 +126,14 @@
             headers[WORKSPACE_HEADER] = attempt.workspace
         return headers
 
+    def relay_headers(self, caller: CallerRequest) -> dict[str, str]:
+        """Return the headers that differ from the caller's in a relayed request."""
+        remaining_s = max(0.001, remaining_time_s(caller.deadline))
+        return {
+            REQUEST_ID_HEADER: caller.request_id,
+            TIMEOUT_HEADER: f"{remaining_s:.3f}",
+        }
+
     def read_head(
         self, request_id: RequestId, status: int, headers: Mapping[str, str]
     ) -> AnswerHead:
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 from result import Err, Ok, Result
 
-from ..clock import Deadline, deadline_in, now, remaining_time_s
+from ..clock import Deadline, deadline_in, now
 from ..connection.backend import BackendServer
 from ..ids import BackendServerName
 from ..process.context import EntryContext
@@ -26,25 +26,13 @@
 from .broken_answer import break_off
 from .caller_request import CallerRequest, RequestClass
 from .dialect import Dialect
+from .forwarding import HOP_BY_HOP, INNER_HEADERS, copy_body, forwarded_headers
 from .hedging import may_hedge, send_hedged
 from .outcome import Outcome, Refusal, RefusedError
+from .relay import RequestRelay
 from .retries import Retries, RetryPolicy
 from .turns import queue_request
 
-_HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "expect",
-    )
-)
-
 
 class CompleteAnswer(msgspec.Struct, frozen=True):
     """An answer whose body was received completely.
@@ -68,30 +56,37 @@
 ) -> web.StreamResponse:
     """Forward a request to a backend server and its answer to the caller.
 
-    If a streamed answer fails after its head was sent, the caller's connection
-    is closed.
+    It goes to another entry instead while this one reaches no backend server. If a
+    streamed answer fails after its head was sent, the caller's connection is closed.
 
     Raises
     ------
     RefusedError
         When the request fails before the head of the answer was sent.
     """
-    result = await run_request(caller, context)
+    relay = RequestRelay(caller, context)
+    relayed = await relay.answer_at_start()
+    if relayed is not None:
+        return relayed
+    result = await run_request(caller, context, relay)
+    if isinstance(result, web.StreamResponse):
+        return result
     if isinstance(result, CompleteAnswer):
         return complete_response(caller, result, context.dialect)
     return await _stream_answer(caller, result, context)
 
 
 async def run_request(
-    caller: CallerRequest, context: EntryContext
-) -> CompleteAnswer | Answer:
+    caller: CallerRequest, context: EntryContext, relay: RequestRelay | None = None
+) -> CompleteAnswer | Answer | web.StreamResponse:
     """Run a request at a backend server, with retries and hedges.
 
     Returns
     -------
-    CompleteAnswer or Answer
+    CompleteAnswer or Answer or StreamResponse
         The complete answer if it is small or the request has a key; otherwise
-        its head, with the body still to be streamed.
+        its head, with the body still to be streamed. The response if another entry
+        answered through ``relay``.
 
     Raises
     ------
@@ -103,7 +98,7 @@
         caller.request_class,
         caller.is_repeatable,
         retry_share=caller.route.retry_share,
-        max_attempts=caller.route.max_attempts,
+        max_attempts=caller.max_attempts,
         queued=queue_request(caller, context),
     )
     retries = Retries(
@@ -112,6 +107,7 @@
     usage = context.usage.start_request(caller.workspace)
     while True:
         server = await retries.next_server()
+        started_at = now()
 
         def send_to(target: BackendServer):
             head_deadline = _head_deadline(caller, retries, context)
@@ -132,8 +128,20 @@
                 return answer
             case Err(failure):
                 _check_body_size(caller)
-                await retries.handle_failure(server, failure)
-                _check_replayable(caller, failure)
+                refused: RefusedError | None = None
+                try:
+                    await retries.handle_failure(server, failure)
+                    _check_replayable(caller, failure)
+                except RefusedError as error:
+                    refused = error
+                if relay is not None:
+                    relayed = await relay.answer_after(
+                        failure, retries, started_at, refused
+                    )
+                    if relayed is not None:
+                        return relayed
+                if refused is not None:
+                    raise refused
 
 
 def complete_response(
@@ -251,7 +259,7 @@
     is_long = caller.request_class is RequestClass.LONG
     try:
         with answer.server.load.track_request(is_long):
-            await _copy_body(answer.response, response, caller.deadline)
+            await copy_body(answer.response, response, caller.deadline)
         await response.write_eof()
     except SEND_ERRORS as error:
         reason = (
@@ -268,58 +276,22 @@
     return response
 
 
-async def _copy_body(
-    source: aiohttp.ClientResponse,
-    target: web.StreamResponse,
-    deadline: Deadline,
-) -> None:
-    """Forward the body of an answer as it arrives.
-
-    The answer cannot be had from another server any more, so that a silent one has
-    until the deadline.
-
-    Raises
-    ------
-    TimeoutError
-        When the deadline passes, even if the caller reads slowly.
-    """
-    while remaining_time_s(deadline):
-        async with asyncio.timeout(remaining_time_s(deadline)):
-            chunk = await source.content.readany()
-        if not chunk:
-            return
-        async with asyncio.timeout(remaining_time_s(deadline)):
-            await target.write(chunk)
-    raise TimeoutError("the deadline passed before the end of the body")
-
-
 def request_headers(caller: CallerRequest, dialect: Dialect) -> CIMultiDict[str]:
     """Return the caller's headers that are forwarded to a backend server.
 
     A header that the caller sent several times stays several headers.
     """
-    dropped = _HOP_BY_HOP | dialect.private_headers
+    dropped = HOP_BY_HOP | INNER_HEADERS | dialect.private_headers
     if caller.hides_credentials:
         dropped = dropped | dialect.workspace_headers
-    listed = caller.http_request.headers.get("Connection", "")
-    dropped = dropped | {name.strip().lower() for name in listed.split(",")}
-    headers: CIMultiDict[str] = CIMultiDict()
-    for name, value in caller.http_request.headers.items():
-        if name.lower() not in dropped and name.lower() != "content-length":
-            headers.add(name, value)
-    if (
-        caller.body.buffered_bytes is None
-        and caller.http_request.content_length is not None
-    ):
-        headers["Content-Length"] = str(caller.http_request.content_length)
-    return headers
+    return forwarded_headers(caller, dropped)
 
 
 def answer_headers(
     response: aiohttp.ClientResponse, dialect: Dialect
 ) -> list[tuple[str, str]]:
     """Return the headers of an answer that are forwarded to the caller."""
-    dropped = _HOP_BY_HOP | dialect.private_headers
+    dropped = HOP_BY_HOP | dialect.private_headers
     return [
         (str(name), value)
         for name, value in response.headers.items()
--- a/pollenlb/request/process_check.py
+++ b/pollenlb/request/process_check.py
@@ -42,6 +42,10 @@
     asked_at = now()
     boot = server.boot
     check = await _ask(server, context)
+    if check is ProcessCheck.SILENT:
+        server.record_no_contact(asked_at)
+    else:
+        server.record_contact()
     if check in (ProcessCheck.SAME, ProcessCheck.UNKNOWN):
         server.record_confirmation(asked_at)
         return None
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -105,6 +105,8 @@
         self._timed_out_servers: set[BackendServerName] = set()
         self._attempts = 0
         self._may_have_run = False
+        self._sent_attempts = 0
+        self._is_failure_settled = False
         self._last_failure: AttemptFailure | None = None
         self._exhausted_limits: list[RequestLimit] = []
         self._software: SoftwareVersion | None = None
@@ -116,6 +118,30 @@
         """Number of attempts so far, hedges included."""
         return self._attempts
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a failed attempt may have run the request."""
+        return self._may_have_run
+
+    @property
+    def is_failure_settled(self) -> bool:
+        """Whether all that follows from the last failure, but a retry, was done.
+
+        It was not if the request is condemned or a crash could not be reported.
+        """
+        return self._is_failure_settled
+
+    @property
+    def relayed_attempts(self) -> int:
+        """Number of attempts that the request may still have at another entry.
+
+        Attempts that certainly did not run do not count, since no server saw them. 0
+        for a request that may have run and must not run twice.
+        """
+        if self._may_have_run and not self._policy.is_repeatable:
+            return 0
+        return self._policy.max_attempts - self._sent_attempts
+
     @property
     def is_on_trial(self) -> bool:
         """Whether the request runs as a suspect of crashing backend servers."""
@@ -204,8 +230,10 @@
             are used up, the request is condemned, or a crash could not be
             reported.
         """
+        self._is_failure_settled = False
         await self.record_failure(server, failure)
         await self._trial.end(TrialEnd.OPEN)
+        self._is_failure_settled = True
         self._check_may_retry(failure)
 
     async def record_failure(
@@ -228,6 +256,7 @@
             self._timed_out_servers.add(server.name)
         is_sent = failure.outcome is not Outcome.NOT_RUN
         self._may_have_run = self._may_have_run or is_sent
+        self._sent_attempts += is_sent
         self._last_failure = failure
         self._record_failed_attempt(server, failure)
         if failure.is_refusal:
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -25,6 +25,7 @@
 from .outcome import Outcome, RefusedError, unavailable
 from .passthrough import answer_headers, request_headers
 from .process_check import check_process
+from .relay import RequestRelay
 from .retries import Retries, RetryPolicy
 from .turns import queue_request
 
@@ -60,7 +61,7 @@
                 caller.request_class,
                 caller.is_repeatable,
                 retry_share=caller.route.retry_share,
-                max_attempts=caller.route.max_attempts,
+                max_attempts=caller.max_attempts,
                 may_reuse_failed_servers=caller.route.resumable,
                 queued=queue_request(caller, context),
             ),
@@ -78,6 +79,10 @@
             When the request fails before the head of the answer was sent, or takes
             up a stream that a software version began which is not known.
         """
+        relay = RequestRelay(self._caller, self._context)
+        relayed = await relay.answer_at_start()
+        if relayed is not None:
+            return relayed
         resumption = self._context.dialect.read_resumption(self._caller.http_request)
         if resumption is not None:
             self._last_event_number = resumption.last_event
@@ -85,12 +90,25 @@
         while True:
             try:
                 server = await self._retries.next_server()
+                started_at = now()
                 failure = await self._run_attempt(server)
                 if failure is None:
                     await self._retries.record_success(server)
                     assert self._response is not None
                     return self._response
-                await self._retries.handle_failure(server, failure)
+                refused: RefusedError | None = None
+                try:
+                    await self._retries.handle_failure(server, failure)
+                except RefusedError as error:
+                    refused = error
+                if self._response is None:
+                    relayed = await relay.answer_after(
+                        failure, self._retries, started_at, refused
+                    )
+                    if relayed is not None:
+                        return relayed
+                if refused is not None:
+                    raise refused
             except asyncio.CancelledError:
                 if self._response is not None:
                     break_off(self._caller.http_request)
--- a/pollenlb/settings/entry.py
+++ b/pollenlb/settings/entry.py
@@ -42,6 +42,10 @@
     """Address of a separate readiness endpoint for a load balancer, if any. Health and
     metrics are served there, too, and all paths at ``listen`` are those of callers."""
 
+    relay_listen: Option[str] = SocketAddress("")
+    """Address at which other entries relay requests to this one while they reach no
+    backend server, if any. Callers must not reach it."""
+
     serves_without_lease = Flag(False)
     """Whether to keep serving on the last configuration without contact to control."""
 
--- a/tests/local_system.py
+++ b/tests/local_system.py
@@ -123,6 +123,8 @@
         Keyword arguments of every ``FakeEngine``.
     services : dict or None
         Configuration of each service by name, ``SERVICES`` by default.
+    is_relaying : bool
+        Whether entries take the requests of others that reach no backend server.
 
     Attributes
     ----------
@@ -141,6 +143,7 @@
         engine_options: dict | None = None,
         entry_options: dict | None = None,
         services: dict | None = None,
+        is_relaying: bool = False,
     ) -> None:
         self.folder = folder
         self._process_counts = (controls, entries, engines, plain_services)
@@ -148,6 +151,7 @@
         self.engine_options = engine_options or {}
         self.entry_options = entry_options or {}
         self.services = services or SERVICES
+        self.is_relaying = is_relaying
         self.controls: list[ControlProcess] = []
         self.entries: list[EntryProcess] = []
         self.engines: list[FakeEngine] = []
@@ -263,7 +267,8 @@
 
     async def add_entry(self, number: int) -> EntryProcess:
         """Start an entry process and add it to ``entries``."""
-        (port,) = free_ports(1)
+        port, relay_port = free_ports(2)
+        relay = {"relay_listen": f"127.0.0.1:{relay_port}"} if self.is_relaying else {}
         settings = EntrySettings.check(
             {
                 "name": f"entry-{number}",
@@ -273,6 +278,7 @@
                     control.replica.settings.listen for control in self.controls
                 ],
                 "data_folder": str(self.folder / f"entry-{number}"),
+                **relay,
                 **ENTRY_OPTIONS,
                 **self.entry_options,
             }
--- a/tests/platform/platform_system.py
+++ b/tests/platform/platform_system.py
@@ -10,6 +10,7 @@
 from fakes.platform_engine import PlatformEngine
 from fakes.platform_scorer import PlatformScorer
 from fakes.ports import free_ports
+from fakes.relay import Relay
 from pollenlb.commands.control import format_bootstrap_folder
 from pollenlb.platform.control import make_control_application
 from pollenlb.platform.duties import PlatformDutyChannel
@@ -143,6 +144,7 @@
         self.engines: list[PlatformEngine] = []
         self.scorers: list[PlatformScorer] = []
         self.control_urls: list[str] = []
+        self.relays: list[Relay] = []
         self.session: aiohttp.ClientSession
 
     async def start(self) -> None:
@@ -170,6 +172,8 @@
             await entry.stop()
         for control in self.controls:
             await control.stop()
+        for relay in self.relays:
+            await relay.stop()
         await self.session.close()
 
     async def add_control(self, number: int, listen: str, **options) -> ControlProcess:
@@ -211,13 +215,14 @@
 
     async def add_entry(self, number: int) -> EntryProcess:
         """Start an entry process."""
-        port, ready_port = free_ports(2)
+        port, ready_port, relay_port = free_ports(3)
         settings = EntrySettings.check(
             {
                 "name": f"front-{number}",
                 "failure_domain": FAILURE_DOMAINS[number % 3],
                 "listen": f"127.0.0.1:{port}",
                 "ready_listen": f"127.0.0.1:{ready_port}",
+                "relay_listen": f"127.0.0.1:{relay_port}",
                 "control": self.seeds,
                 "data_folder": str(self.folder / f"front-{number}"),
                 "serves_without_lease": True,
@@ -232,6 +237,13 @@
         self.entries.append(process)
         return process
 
+    async def add_relay(self, port: int) -> Relay:
+        """Start a relay to a port of the loopback address."""
+        relay = Relay(port)
+        await relay.start()
+        self.relays.append(relay)
+        return relay
+
     async def add_engine(self, name: str, software: str = "v1") -> PlatformEngine:
         """Start a fake engine that announces itself to the control instances."""
         (port,) = free_ports(1)
--- a/tests/system/test_stranded_entries.py
+++ b/tests/system/test_stranded_entries.py
@@ -2,16 +2,30 @@
 
 from __future__ import annotations
 
+import aiohttp
 import pytest
 
+from fakes.cut_answer import CutAnswer
+from fakes.flood import REQUEST_ID
 from fakes.full_port import FullPort
 from fakes.plain_service import FakePlainService
 from fakes.ports import free_ports
 
+from ..links import Cut, Links
 from ..local_system import wait_until
 
 _CONNECT_TIMEOUT_S = 0.2
-_ENTRY_OPTIONS = {"probe_interval_s": 0, "connect_timeout_s": _CONNECT_TIMEOUT_S}
+_ENTRY_OPTIONS = {
+    "probe_interval_s": 0,
+    "connect_timeout_s": _CONNECT_TIMEOUT_S,
+    "progress_timeout_s": 0.5,
+}
+_SERVERS = 3
+_SHORT_BODY = (
+    b"HTTP/1.1 200 OK\r\nPollenlb-Request-Id: " + REQUEST_ID + b"\r\n"
+    b"Content-Length: 200000\r\n\r\nstart"
+)
+_each_cut = pytest.mark.parametrize("how", Cut)
 
 
 async def _start_with_hanging_server(start_system):
@@ -43,3 +57,147 @@
         assert response.headers["Pollenlb-Outcome"] == "not-run"
         assert "Retry-After" in response.headers
     hanging.close()
+
+
+async def _start(start_system, entries: int = 2, cut_entries: int = 1):
+    """Start entries and servers; the links of some entries can be cut."""
+    system = await start_system(
+        entries=entries, entry_options=_ENTRY_OPTIONS, is_relaying=True
+    )
+    links = [Links(system, entry) for entry in system.entries[:cut_entries]]
+    for number in range(_SERVERS):
+        (port,) = free_ports(1)
+        name = f"plain-{number}"
+        server = FakePlainService(name, "shop", "north", port, [system.url(0)], 8)
+        for each in links:
+            await each.add(port)
+        await server.start()
+        system.plain_services.append(server)
+    await system.wait_until_usable([server.name for server in system.plain_services])
+    for _ in range(2 * _SERVERS):  # leaves idle connections
+        assert (await system.get(0, "/shop/before"))[0] == 200
+    return system, links
+
+
+def _runs(system, path: str) -> int:
+    return sum(server.executions.get(path, 0) for server in system.plain_services)
+
+
+def _relayed(system, number: int, result: str = "answered") -> float:
+    metrics = system.entries[number].context.metrics
+    return metrics.relayed.labels(result)._value.get()
+
+
+async def _post(system, number: int, path: str, **headers: str) -> tuple:
+    headers = {"Pollenlb-Timeout": "5", **headers}
+    return await system.send_request("POST", number, path, headers)
+
+
+@_each_cut
+async def test_callers_of_an_entry_without_servers_are_not_served_worse(
+    start_system, how
+):
+    system, (links,) = await _start(start_system)
+    await links.cut(how)
+    for number in range(8):
+        path = f"/{'shop' if number % 2 else 'billing'}/{number}"
+        status, outcome, answer = await _post(system, 0, path)
+        assert (status, outcome) == (200, "ran")
+        assert answer["server"].startswith("plain-")
+        if path.startswith("/billing"):
+            assert _runs(system, path) == 1
+    assert _relayed(system, 0)
+
+
+@_each_cut
+async def test_large_body_is_relayed_whole_while_no_server_is_reached(
+    start_system, how
+):
+    system, (links,) = await _start(start_system)
+    await links.cut(how)
+    await _post(system, 0, "/billing/first")
+    body = b"x" * 3_000_000
+    status, outcome, answer = await system.send_request(
+        "POST", 0, "/billing/large", {}, data=body
+    )
+    assert (status, outcome, answer["length"]) == (200, "ran", len(body))
+    assert _runs(system, "/billing/large") == 1
+
+
+@_each_cut
+async def test_stranded_entries_do_not_pass_a_request_round_in_a_circle(
+    start_system, how
+):
+    system, links = await _start(start_system, cut_entries=2)
+    for each in links:
+        await each.cut(how)
+    for number in range(4):
+        path = f"/billing/{number}"
+        status, outcome, _ = await _post(system, number % 2, path)
+        # A live connection may have been left by a request before.
+        if how is not Cut.NEW_REFUSED or status != 200:
+            assert (status, outcome) == (503, "not-run")
+            assert _runs(system, path) == 0
+    for number in (0, 1):
+        assert _relayed(system, number, "refused") <= 4
+
+
+@_each_cut
+async def test_entry_serves_by_itself_soon_after_the_cut(start_system, how):
+    system, (links,) = await _start(start_system)
+    reachability = system.entries[0].context.reachability
+    await links.cut(how)
+    for number in range(3):
+        await _post(system, 0, f"/billing/{number}")
+    assert _relayed(system, 0)
+    await links.restore()
+    await wait_until(lambda: not reachability.is_stranded, timeout_s=3.0)
+    before = _relayed(system, 0)
+    for number in range(6):
+        assert (await _post(system, 0, f"/billing/after-{number}"))[0] == 200
+    assert _relayed(system, 0) == before
+
+
+async def test_single_failed_server_does_not_make_an_entry_relay(start_system):
+    system, _ = await _start(start_system)
+    await system.plain_services[0].kill()
+    for number in range(12):
+        assert (await _post(system, 0, f"/shop/{number}"))[0] == 200
+    assert not _relayed(system, 0)
+
+
+async def test_lost_peer_is_replaced_by_another(start_system):
+    system, (links,) = await _start(start_system, entries=4)
+    await system.entries[1]._relay_http.stop_listening()
+    await links.cut(Cut.REFUSED)
+    for number in range(8):
+        path = f"/billing/{number}"
+        assert (await _post(system, 0, path))[:2] == (200, "ran")
+        assert _runs(system, path) == 1
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+async def test_relayed_answer_that_breaks_off_does_not_look_complete(
+    start_system, is_reset
+):
+    system, (links,) = await _start(start_system)
+    for server in system.plain_services:
+        server.floods["/billing/short"] = CutAnswer(_SHORT_BODY, is_reset)
+    await links.cut(Cut.REFUSED)
+    await _post(system, 0, "/billing/first")
+    with pytest.raises(aiohttp.ClientError):
+        async with system.session.post(system.url(0, "/billing/short")) as response:
+            assert response.status == 200
+            await response.read()
+    assert _relayed(system, 0, "cut")
+
+
+async def test_callers_cannot_speak_for_an_entry(start_system):
+    """Guards against inner headers that change how a caller's request is run."""
+    system, (links,) = await _start(start_system)
+    inner = {"Pollenlb-Attempts-Left": "0", "Pollenlb-Relay-Refused": "yes"}
+    assert (await _post(system, 0, "/shop/1", **inner))[:2] == (200, "ran")
+    await links.cut(Cut.REFUSED)
+    for number in range(4):
+        path = f"/billing/{number}"
+        assert (await _post(system, 0, path, **inner))[:2] == (200, "ran")
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -653,6 +653,7 @@
             "control",
             "control_port",
             "ready_listen",
+            "relay_listen",
             "serves_without_lease",
             "batch_results_kept_s",
             "data_folder",
@@ -735,6 +736,8 @@
     (backend_api.TIMEOUT_MS_HEADER, "Pollenlb-Timeout-Ms"),
     (backend_api.WORKSPACE_HEADER, "Pollenlb-Workspace"),
     (backend_api.IN_FLIGHT_HEADER, "Pollenlb-In-Flight"),
+    (backend_api.ATTEMPTS_LEFT_HEADER, "Pollenlb-Attempts-Left"),
+    (backend_api.RELAY_REFUSED_HEADER, "Pollenlb-Relay-Refused"),
     (caller_request.TIMEOUT_HEADER, "Pollenlb-Timeout"),
     (caller_request.CLASS_HEADER, "Pollenlb-Class"),
     (caller_request.REPEATABLE_HEADER, "Pollenlb-Repeatable"),
@@ -865,6 +868,10 @@
 pollenlb_closed_connections_total{reason="a"} 1.0
 # TYPE pollenlb_closed_connections_created
 pollenlb_closed_connections_created{reason="a"}
+# TYPE pollenlb_relayed_total counter
+pollenlb_relayed_total{result="a"} 1.0
+# TYPE pollenlb_relayed_created
+pollenlb_relayed_created{result="a"}
 # TYPE pollenlb_in_flight gauge
 pollenlb_in_flight 2.0
 """
@@ -1178,6 +1185,7 @@
     metrics.record_workspace_request("a", "b")
     metrics.record_turn("a", "b")
     metrics.closed_connections.labels("a").inc()
+    metrics.relayed.labels("a").inc()
     metrics.in_flight.set(2)
     lines = metrics.exposition().decode().splitlines()
     stable_lines = [
