--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -314,7 +314,6 @@
             self._spawn(self._report_contact(is_stranded))
 
     async def _report_contact(self, is_stranded: bool) -> None:
-        self._context.events.record("entry.contact_changed", is_stranded=is_stranded)
         if is_stranded:  # another owner can go on from the output
             await self._saver.save()
         self.contact_changed.set()
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -16,7 +16,6 @@
     SEND_ERRORS,
     Answer,
     Attempt,
-    AttemptFailure,
     release_short_answer,
     send_attempt,
 )
@@ -152,11 +151,9 @@
         has_same_weights = progress.required_version in (None, version)
         if not has_same_weights or not context.may_continue(output.software, server):
             output.start_over()
-        asked_at = now()
         failure = await check_process(server, output.software is not None, context)
         if failure is not None:
             server.record_failure()
-            _record_reachability(failure, server, asked_at, context)
             context.events.record(
                 "item.not_started",
                 item=item.item,
@@ -214,19 +211,6 @@
         return score is not None
 
 
-def _record_reachability(
-    failure: AttemptFailure,
-    server: BackendServer,
-    started_at: float,
-    context: EntryContext,
-) -> None:
-    """Record what an attempt without a usable answer tells of the network."""
-    if failure.is_connection_lost or failure.is_timeout:
-        context.reachability.record_failure(server.name, started_at)
-    else:
-        context.reachability.record_contact(now())
-
-
 def _output_of(progress: ItemProgress) -> EventOutput:
     return cast(EventOutput, progress.output)
 
@@ -256,14 +240,12 @@
             outcome=failure.outcome.value,
             reason=failure.reason,
         )
-        _record_reachability(failure, server, started_at, context)
         if failure.is_other_server or failure.is_connection_lost or failure.is_timeout:
             server.record_failure()
         if failure.outcome is Outcome.NOT_RUN:
             return RunEnd.NOT_RUN
         return RunEnd.SILENT if failure.is_timeout else RunEnd.BROKEN
     answer = sent.ok_value
-    context.reachability.record_contact(now())
     try:
         return await _read_answer(progress, answer, context)
     except (*SEND_ERRORS, ValueError) as error:
