Report no crash of a server when the network is cut

When the connections between an entry and all servers were reset while callers' requests ran, the probes after the lost connections had no answer either, and no answer counted as a crash of the server. All these requests became suspects. A server runs one suspect at a time, at every entry, and a suspect whose connection is lost on trial is condemned.

Without an answer, a crash is now reported only if the entry has heard of any server since the connection was lost, or one of two others answers. An answer of another process proves a crash as before. With fewer than two other servers nothing changes.

--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -22,7 +22,7 @@
     WeightVersion,
 )
 from ..settings.entry import EntrySettings
-from .backend_api import ProbeAnswer
+from .backend_api import ProbeAnswer, ProcessCheck
 from .load import ServerLoad
 from .request_limit import LimitShares, RequestLimit
 from .sessions import idle_connections
@@ -383,11 +383,11 @@
                 share_per_s=round(self._request_limit.share_per_s, 3),
             )
 
-    async def has_crashed(self, boot: BootId) -> bool:
-        """Return whether the process with a boot id is no longer running.
+    async def check_boot(self, boot: BootId) -> ProcessCheck:
+        """Return whether the process with a boot id still runs.
 
-        Probes the backend server once: no answer, or an answer with another
-        boot id, counts as a crash.
+        Probes the backend server once. The answer is ``SAME``, ``OTHER`` if it names
+        another boot id, or ``SILENT``.
 
         Parameters
         ----------
@@ -395,7 +395,9 @@
             Boot id at the time the connection was lost.
         """
         answer = await self._fetch_probe_answer(_CRASH_PROBE_TIMEOUT_S)
-        return answer is None or answer.boot != boot
+        if answer is None:
+            return ProcessCheck.SILENT
+        return ProcessCheck.SAME if answer.boot == boot else ProcessCheck.OTHER
 
     async def _probe_periodically(self) -> None:
         while True:
--- a/pollenlb/process/contact_probes.py
+++ b/pollenlb/process/contact_probes.py
@@ -4,12 +4,11 @@
 
 import asyncio
 
-from ..clock import deadline_in, now, sleep_until
-from ..connection.backend_api import ProcessCheck
+from ..clock import deadline_in, sleep_until
+from ..request.contact import has_contact
 from .context import EntryContext
 
 _INTERVAL_S = 0.2
-_TIMEOUT_S = 0.4
 
 
 class ContactProbes:
@@ -40,19 +39,6 @@
     async def _run(self) -> None:
         while True:
             await sleep_until(deadline_in(_INTERVAL_S))
-            if self._context.reachability.is_stranded:
-                await self._ask_any_server()
-
-    async def _ask_any_server(self) -> None:
-        context = self._context
-        servers = list(context.directory.servers.values())
-        if not servers:
-            return
-        server = context.rng.choice(servers)
-        server.request_limit.spend()
-        # Connections from before may be dead.
-        check = await context.dialect.check_process(
-            context.after_timeout_session, server.announcement, _TIMEOUT_S
-        )
-        if check is not ProcessCheck.SILENT:
-            context.reachability.record_contact(now())
+            servers = list(self._context.directory.servers.values())
+            if self._context.reachability.is_stranded and servers:
+                await has_contact(self._context.rng.choice(servers), self._context)
--- /dev/null
+++ b/pollenlb/request/contact.py
@@ -0,0 +1,71 @@
+"""Tells a network that is cut at this entry from backend servers that are gone."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..clock import now
+from ..connection.backend import BackendServer
+from ..connection.backend_api import ProcessCheck
+from ..process.context import EntryContext
+
+_TIMEOUT_S = 0.4
+# Other servers that are asked; with fewer, their silence is no evidence of a cut.
+_ASKED_SERVER_COUNT = 2
+
+
+async def has_contact(server: BackendServer, context: EntryContext) -> bool:
+    """Ask a server for anything on a new connection; return whether it answers.
+
+    Connections from before a cut may be dead.
+
+    Parameters
+    ----------
+    server : BackendServer
+        The server.
+    context : EntryContext
+        Parts of the entry process; its reachability records the result.
+    """
+    asked_at = now()
+    server.request_limit.spend()
+    check = await context.dialect.check_process(
+        context.after_timeout_session, server.announcement, _TIMEOUT_S
+    )
+    if check is ProcessCheck.SILENT:
+        context.reachability.record_failure(server.name, asked_at)
+        return False
+    context.reachability.record_contact(now())
+    return True
+
+
+async def is_cut_off(
+    silent: BackendServer, silent_since: float, context: EntryContext
+) -> bool:
+    """Return whether the silence of a server may be that of the network.
+
+    It is not if this entry has heard of any server since. Otherwise two others are
+    asked.
+
+    Parameters
+    ----------
+    silent : BackendServer
+        Server that gives no answer.
+    silent_since : float
+        Monotonic time in seconds at which its connection was lost.
+    context : EntryContext
+        Parts of the entry process.
+    """
+    reachability = context.reachability
+    reachability.record_failure(silent.name, silent_since)
+    if reachability.contact_at > silent_since:
+        return False
+    known = context.directory.servers.values()
+    others = [server for server in known if server.name != silent.name]
+    if len(others) < _ASKED_SERVER_COUNT:
+        return False
+    context.rng.shuffle(others)
+    others.sort(key=lambda server: not server.is_usable)
+    asked = others[:_ASKED_SERVER_COUNT]
+    return not any(
+        await asyncio.gather(*(has_contact(server, context) for server in asked))
+    )
--- a/pollenlb/request/crash_trial.py
+++ b/pollenlb/request/crash_trial.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
-from ..clock import deadline_in
+from ..clock import deadline_in, now
 from ..connection.backend import BackendServer
+from ..connection.backend_api import ProcessCheck
 from ..durable.command_base import Refused
 from ..durable.commands import AnyResult
 from ..durable.crash_commands import (
@@ -22,6 +23,7 @@
 from ..exceptions import ControlError, RequestCondemnedError
 from ..ids import CommandId, Fingerprint, RequestId, new_id
 from ..process.context import EntryContext
+from .contact import is_cut_off
 
 # Deadline of each command about a suspect to the control instances.
 _COMMAND_TIMEOUT_S = 10.0
@@ -90,7 +92,8 @@
     async def handle_lost_connection(self, server: BackendServer) -> None:
         """Probe the backend server of a lost connection, and report a crash.
 
-        The server gets no new work for a while in any case.
+        The server gets no new work for a while in any case. Without an answer to the
+        probe, it has crashed only if another server can be reached.
 
         Raises
         ------
@@ -99,9 +102,16 @@
         ControlError
             When the crash could not be reported.
         """
-        boot = server.boot
+        boot, lost_at = server.boot, now()
         server.record_failure()
-        if not await server.has_crashed(boot):
+        check = await server.check_boot(boot)
+        if check is ProcessCheck.SAME:
+            return
+        is_silent = check is ProcessCheck.SILENT
+        if is_silent and await is_cut_off(server, lost_at, self._context):
+            self._context.events.record(
+                "server.not_reached", server=server.name, request=self._request_id
+            )
             return
         self._context.events.record(
             "server.crashed", server=server.name, boot=boot, request=self._request_id
