Relay requests also when probes fail or old connections go on

Callers of an entry that probes got 503 during a cut ("no backend server is usable"): failed probes took the servers out before a request could fail, and so nothing told the entry that it was stranded. And while connections that were open before the cut went on, their answers were contact, so that a request whose new connections hung was refused although it had certainly not run.

Probes now tell contact and its loss. A request that could only be refused, and certainly did not run, goes to a peer whatever the other connections do.

test_entry_whose_probes_fail_is_served_by_a_peer failed before in two of four cases (hung, refused) and, with the probes alone mended, in a third (new-hung); all four pass.

--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -429,7 +429,9 @@
         sent_at = now()
         answer = await self._fetch_probe_answer(self._settings.probe_interval_s)
         if answer is None:
+            self.record_no_contact(sent_at)
             return
+        self.record_contact()
         if answer.state is ServerState.LEAVING:
             self._mark_leaving()
         elif answer.boot != self._boot:
--- a/pollenlb/request/relay.py
+++ b/pollenlb/request/relay.py
@@ -79,8 +79,10 @@
     ) -> web.StreamResponse | None:
         """Answer through a peer after a failed attempt, if the network may be cut.
 
-        It may be if this entry has heard of no backend server since the attempt began
-        and either is taken to reach none, or could only refuse the request.
+        It may be if the connection failed, and this entry could otherwise only refuse
+        the request, which certainly did not run. A request that may go on here, or may
+        have run, is relayed only if this entry is taken to reach no backend server and
+        has heard of none since the attempt began.
 
         Parameters
         ----------
@@ -107,17 +109,17 @@
         is_cut = failure.is_connection_lost or failure.is_timeout
         if not self._may_relay or not is_cut or not retries.is_failure_settled:
             return None
-        if reachability.contact_at >= started_at:
-            return None
-        if refused is None and not reachability.is_stranded:
-            return None
         if not remaining_time_s(self._caller.deadline):
             return None
         if not self._caller.body.is_replayable:
             return None
+        if refused is not None and not retries.may_have_run:
+            return await self._forward(None)
+        if reachability.contact_at >= started_at or not reachability.is_stranded:
+            return None
         if not retries.may_have_run:
             return await self._forward(None)
-        if not reachability.is_stranded or retries.relayed_attempts < 1:
+        if retries.relayed_attempts < 1:
             return None
         return await self._forward(retries.relayed_attempts)
 
--- a/tests/system/test_stranded_entries.py
+++ b/tests/system/test_stranded_entries.py
@@ -59,10 +59,12 @@
     hanging.close()
 
 
-async def _start(start_system, entries: int = 2, cut_entries: int = 1):
+async def _start(start_system, entries: int = 2, cut_entries: int = 1, **entry_options):
     """Start entries and servers; the links of some entries can be cut."""
     system = await start_system(
-        entries=entries, entry_options=_ENTRY_OPTIONS, is_relaying=True
+        entries=entries,
+        entry_options={**_ENTRY_OPTIONS, **entry_options},
+        is_relaying=True,
     )
     links = [Links(system, entry) for entry in system.entries[:cut_entries]]
     for number in range(_SERVERS):
@@ -201,3 +203,19 @@
     for number in range(4):
         path = f"/billing/{number}"
         assert (await _post(system, 0, path, **inner))[:2] == (200, "ran")
+
+
+@_each_cut
+async def test_entry_whose_probes_fail_is_served_by_a_peer(start_system, how):
+    """Guards against a 503 for lack of usable servers that others can use."""
+    system, (links,) = await _start(start_system, probe_interval_s=0.2, usable_s=0.6)
+    await links.cut(how)
+    servers = system.entries[0].context.directory.servers.values()
+    if how in (Cut.HUNG, Cut.REFUSED):
+        await wait_until(lambda: not any(server.is_usable for server in servers))
+    for number in range(4):
+        path = f"/billing/{number}"
+        assert (await _post(system, 0, path))[:2] == (200, "ran")
+        assert _runs(system, path) == 1
+    if how in (Cut.HUNG, Cut.REFUSED):
+        assert _relayed(system, 0)
