Report no crash of a server when this entry reaches no other either

An entry whose links to all servers were reset asked each server once more, got no answer, and reported a crash for every request that was running. Such requests are suspects, which wait for trials, and may be refused for good although no server had crashed. No caller was seen to meet this; a test of the cut showed the reports.

Cause: silence of one server was taken for its crash, without a look at the link. The entry now asks three other servers before it reports, unless it had contact since. If none answers it records server.crash_in_doubt instead. A request that is on trial is reported as before, and so is a crash of the only known server.

--- a/pollenlb/process/contact_check.py
+++ b/pollenlb/process/contact_check.py
@@ -7,6 +7,7 @@
 from ..clock import Deadline, deadline_in, now, sleep_until
 from ..connection.backend import BackendServer
 from ..connection.backend_api import ProcessCheck
+from ..request.process_check import ask_for_contact
 from .context import EntryContext
 
 _POLL_INTERVAL_S = 0.1
@@ -71,15 +72,6 @@
 
     async def _ask(self, server: BackendServer) -> None:
         """Ask a server over a new connection; any answer shows that it is reached."""
-        context = self._context
-        started_at = now()
-        server.request_limit.spend()
-        check = await context.dialect.check_process(
-            context.after_timeout_session, server.announcement, _CHECK_TIMEOUT_S
-        )
-        if check is ProcessCheck.SILENT:
-            server.record_no_contact(started_at)
-            return
-        server.record_contact()
+        check = await ask_for_contact(server, self._context, _CHECK_TIMEOUT_S)
         if check in (ProcessCheck.SAME, ProcessCheck.UNKNOWN):
             server.record_answer()
--- a/pollenlb/request/crash_trial.py
+++ b/pollenlb/request/crash_trial.py
@@ -7,8 +7,11 @@
 
 from __future__ import annotations
 
-from ..clock import deadline_in
+import asyncio
+
+from ..clock import deadline_in, now
 from ..connection.backend import BackendServer
+from ..connection.backend_api import ProcessCheck
 from ..durable.command_base import Refused
 from ..durable.commands import AnyResult
 from ..durable.crash_commands import (
@@ -22,9 +25,13 @@
 from ..exceptions import ControlError, RequestCondemnedError
 from ..ids import CommandId, Fingerprint, RequestId, new_id
 from ..process.context import EntryContext
+from .process_check import ask_for_contact
 
 # Deadline of each command about a suspect to the control instances.
 _COMMAND_TIMEOUT_S = 10.0
+# Other servers that are asked, and how long, before a crash is reported.
+_ASKED_SERVERS = 3
+_CONTACT_TIMEOUT_S = 0.5
 
 
 class CrashTrial:
@@ -90,7 +97,8 @@
     async def handle_lost_connection(self, server: BackendServer) -> None:
         """Probe the backend server of a lost connection, and report a crash.
 
-        The server gets no new work for a while in any case.
+        The server gets no new work for a while in any case. A crash is not reported
+        if this entry reaches no other server, either, unless the request is on trial.
 
         Raises
         ------
@@ -100,9 +108,15 @@
             When the crash could not be reported.
         """
         boot = server.boot
+        lost_at = now()
         server.record_failure()
         if not await server.has_crashed(boot):
             return
+        if not self._is_on_trial and not await self._reaches_others(server, lost_at):
+            self._context.events.record(
+                "server.crash_in_doubt", server=server.name, request=self._request_id
+            )
+            return
         self._context.events.record(
             "server.crashed", server=server.name, boot=boot, request=self._request_id
         )
@@ -135,6 +149,23 @@
                 "trial.not_ended", request=self._request_id, reason=str(error)
             )
 
+    async def _reaches_others(self, server: BackendServer, since: float) -> bool:
+        """Return whether this entry reaches another server, or knows no other.
+
+        Otherwise the network may be cut between this entry and all of them.
+        """
+        context = self._context
+        others = [
+            each for each in context.directory.servers.values() if each is not server
+        ]
+        if not others or context.reachability.contact_at > since:
+            return True
+        asked = context.rng.sample(others, min(_ASKED_SERVERS, len(others)))
+        checks = await asyncio.gather(
+            *(ask_for_contact(each, context, _CONTACT_TIMEOUT_S) for each in asked)
+        )
+        return any(check is not ProcessCheck.SILENT for check in checks)
+
     async def _propose(self, command: ReportCrash | StartTrial | EndTrial) -> AnyResult:
         command_id = CommandId(new_id("trial"))
         deadline = deadline_in(_COMMAND_TIMEOUT_S)
--- a/pollenlb/request/process_check.py
+++ b/pollenlb/request/process_check.py
@@ -61,6 +61,32 @@
     return AttemptFailure(Outcome.NOT_RUN, reason, is_connection_lost=True)
 
 
+async def ask_for_contact(
+    server: BackendServer, context: EntryContext, timeout_s: float
+) -> ProcessCheck:
+    """Return what a server answers over a new connection; any answer is contact.
+
+    Parameters
+    ----------
+    server : BackendServer
+        The server to ask.
+    context : EntryContext
+        Parts of the entry process.
+    timeout_s : float
+        Timeout in seconds.
+    """
+    asked_at = now()
+    server.request_limit.spend()
+    check = await context.dialect.check_process(
+        context.after_timeout_session, server.announcement, timeout_s
+    )
+    if check is ProcessCheck.SILENT:
+        server.record_no_contact(asked_at)
+    else:
+        server.record_contact()
+    return check
+
+
 async def _ask(server: BackendServer, context: EntryContext) -> ProcessCheck:
     """Ask a server for its process, on an idle connection if there is one.
 
--- a/tests/system/test_stranded_entries.py
+++ b/tests/system/test_stranded_entries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import aiohttp
 import pytest
 
@@ -81,6 +83,20 @@
     return system, links
 
 
+def _record_events(system, monkeypatch) -> set[str]:
+    """Return the kinds of events that the first entry records from now on."""
+    events = system.entries[0].context.events
+    record = events.record
+    kinds: set[str] = set()
+
+    def record_kind(kind: str, **fields) -> None:
+        kinds.add(kind)
+        record(kind, **fields)
+
+    monkeypatch.setattr(events, "record", record_kind)
+    return kinds
+
+
 def _runs(system, path: str) -> int:
     return sum(server.executions.get(path, 0) for server in system.plain_services)
 
@@ -219,3 +235,40 @@
         assert _runs(system, path) == 1
     if how in (Cut.HUNG, Cut.REFUSED):
         assert _relayed(system, 0)
+
+
+async def test_lost_links_are_no_crashes_of_servers(start_system, monkeypatch):
+    """Guards against requests that are condemned because the network was cut."""
+    system, (links,) = await _start(start_system)
+    recorded = _record_events(system, monkeypatch)
+    for server in system.plain_services:
+        server.may_answer.clear()
+    calls = [
+        asyncio.create_task(_post(system, 0, f"/shop/running-{number}"))
+        for number in range(6)
+    ]
+    await wait_until(lambda: sum(each.in_flight for each in system.plain_services) > 5)
+    await links.cut(Cut.REFUSED)
+    await asyncio.sleep(1.5)
+    for server in system.plain_services:
+        server.may_answer.set()
+    await asyncio.gather(*calls)
+    assert "server.crashed" not in recorded
+    assert "server.crash_in_doubt" in recorded
+
+
+async def test_crash_is_reported_by_an_entry_that_reaches_other_servers(
+    start_system, monkeypatch
+):
+    system, _ = await _start(start_system)
+    recorded = _record_events(system, monkeypatch)
+    for server in system.plain_services:
+        server.may_answer.clear()
+    call = asyncio.create_task(_post(system, 0, "/shop/running"))
+    await wait_until(lambda: any(each.in_flight for each in system.plain_services))
+    (crashed,) = [each for each in system.plain_services if each.in_flight]
+    await crashed.kill()
+    for server in system.plain_services:
+        server.may_answer.set()
+    assert (await call)[0] == 200
+    assert "server.crashed" in recorded
