--- a/pollenlb/request/contact.py
+++ b/pollenlb/request/contact.py
@@ -4,10 +4,10 @@
 
 import asyncio
 
-from ..clock import now
 from ..connection.backend import BackendServer
 from ..connection.backend_api import ProcessCheck
 from ..process.context import EntryContext
+from .process_check import ask_for_contact
 
 _TIMEOUT_S = 0.4
 # Other servers that are asked; with fewer, their silence is no evidence of a cut.
@@ -26,16 +26,8 @@
     context : EntryContext
         Parts of the entry process; its reachability records the result.
     """
-    asked_at = now()
-    server.request_limit.spend()
-    check = await context.dialect.check_process(
-        context.after_timeout_session, server.announcement, _TIMEOUT_S
-    )
-    if check is ProcessCheck.SILENT:
-        context.reachability.record_failure(server.name, asked_at)
-        return False
-    context.reachability.record_contact(now())
-    return True
+    check = await ask_for_contact(server, context, _TIMEOUT_S)
+    return check is not ProcessCheck.SILENT
 
 
 async def is_cut_off(
--- a/tests/system/test_stranded_entries.py
+++ b/tests/system/test_stranded_entries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import aiohttp
 import pytest
 
@@ -59,10 +61,12 @@
     hanging.close()
 
 
-async def _start(start_system, entries: int = 2, cut_entries: int = 1):
+async def _start(start_system, entries: int = 2, cut_entries: int = 1, **entry_options):
     """Start entries and servers; the links of some entries can be cut."""
     system = await start_system(
-        entries=entries, entry_options=_ENTRY_OPTIONS, is_relaying=True
+        entries=entries,
+        entry_options={**_ENTRY_OPTIONS, **entry_options},
+        is_relaying=True,
     )
     links = [Links(system, entry) for entry in system.entries[:cut_entries]]
     for number in range(_SERVERS):
@@ -79,6 +83,20 @@
     return system, links
 
 
+def _record_events(system, monkeypatch) -> set[str]:
+    """Return the kinds of events that the first entry records from now on."""
+    events = system.entries[0].context.events
+    record = events.record
+    kinds: set[str] = set()
+
+    def record_kind(kind: str, **fields) -> None:
+        kinds.add(kind)
+        record(kind, **fields)
+
+    monkeypatch.setattr(events, "record", record_kind)
+    return kinds
+
+
 def _runs(system, path: str) -> int:
     return sum(server.executions.get(path, 0) for server in system.plain_services)
 
@@ -201,3 +219,56 @@
     for number in range(4):
         path = f"/billing/{number}"
         assert (await _post(system, 0, path, **inner))[:2] == (200, "ran")
+
+
+@_each_cut
+async def test_entry_whose_probes_fail_is_served_by_a_peer(start_system, how):
+    """Guards against a 503 for lack of usable servers that others can use."""
+    system, (links,) = await _start(start_system, probe_interval_s=0.2, usable_s=0.6)
+    await links.cut(how)
+    servers = system.entries[0].context.directory.servers.values()
+    if how in (Cut.HUNG, Cut.REFUSED):
+        await wait_until(lambda: not any(server.is_usable for server in servers))
+    for number in range(4):
+        path = f"/billing/{number}"
+        assert (await _post(system, 0, path))[:2] == (200, "ran")
+        assert _runs(system, path) == 1
+    if how in (Cut.HUNG, Cut.REFUSED):
+        assert _relayed(system, 0)
+
+
+async def test_lost_links_are_no_crashes_of_servers(start_system, monkeypatch):
+    """Guards against requests that are condemned because the network was cut."""
+    system, (links,) = await _start(start_system)
+    recorded = _record_events(system, monkeypatch)
+    for server in system.plain_services:
+        server.may_answer.clear()
+    calls = [
+        asyncio.create_task(_post(system, 0, f"/shop/running-{number}"))
+        for number in range(6)
+    ]
+    await wait_until(lambda: sum(each.in_flight for each in system.plain_services) > 5)
+    await links.cut(Cut.REFUSED)
+    await asyncio.sleep(1.5)
+    for server in system.plain_services:
+        server.may_answer.set()
+    await asyncio.gather(*calls)
+    assert "server.crashed" not in recorded
+    assert "server.not_reached" in recorded
+
+
+async def test_crash_is_reported_by_an_entry_that_reaches_other_servers(
+    start_system, monkeypatch
+):
+    system, _ = await _start(start_system)
+    recorded = _record_events(system, monkeypatch)
+    for server in system.plain_services:
+        server.may_answer.clear()
+    call = asyncio.create_task(_post(system, 0, "/shop/running"))
+    await wait_until(lambda: any(each.in_flight for each in system.plain_services))
+    (crashed,) = [each for each in system.plain_services if each.in_flight]
+    await crashed.kill()
+    for server in system.plain_services:
+        server.may_answer.set()
+    assert (await call)[0] == 200
+    assert "server.crashed" in recorded
