Take a status that ends no request for no answer

Callers got answers whose status was 000 (sent on as `HTTP/1.1 0`), 020, 099, 101, 600 or 999, with the server's stamp and body. A head with status 000 and the header for work that has not run made an entry run a request again that must not run twice. A process check took such an answer for no objection and confirmed the process.

The HTTP library takes any three digits for a status and ends the request with them, except for 100 and 102 to 199. No reader of a head asked whether the status can end a request.

A connection to a backend server now decides as it hands over a head: others than 200 to 599 close it and fail the request with an unknown outcome, as a broken head does. All readers use these connections: requests, streams, items, reward calls, probes, process checks, reports, orders and duties. It is there and not in `request/attempt.py`, since an answer without a body has given its connection back to the pool before an attempt sees its head, and since checks and orders do not pass there.

--- a/pollenlb/connection/pool.py
+++ b/pollenlb/connection/pool.py
@@ -24,6 +24,33 @@
 # Addresses whose last closed connection is remembered, and addresses from which on
 # those without an open connection are removed.
 _MAX_ADDRESS_COUNT = 1024
+_SWITCHING_PROTOCOLS = 101
+
+
+class NoAnswerError(aiohttp.ClientError):
+    """What a server sent has a status with which no answer ends a request.
+
+    Parameters
+    ----------
+    status : int
+        The status.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"HTTP status {status:03} is no answer")
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether an answer with this HTTP status can end a request.
+
+    Others than interim statuses stand for a server in trouble.
+    """
+    return 200 <= status < 600
+
+
+def _is_interim_status(status: int) -> bool:
+    # No request here asks for another protocol.
+    return 100 <= status < 200 and status != _SWITCHING_PROTOCOLS
 
 
 class OpeningReason(Enum):
@@ -81,7 +108,8 @@
     """Connection that knows whether it is idle, and closes when it was so too long.
 
     It tells a reset from an orderly close, too: aiohttp ends an answer that has no
-    length in the same way after both.
+    length in the same way after both. An answer whose status cannot end a request
+    fails it, and the connection is not used again.
 
     Attributes
     ----------
@@ -114,12 +142,27 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Read the idle timeout that the head of an answer states."""
         message, payload = data
-        if message.code >= 200:
+        if is_final_status(message.code):
             self._idle_limit_s = idle_limit_s(message.headers.get("Keep-Alive"))
             self._is_last_answer = message.should_close
             payload.on_eof(self._mark_idle)
         super().feed_data(data, size)
 
+    async def read(self) -> Any:
+        """Return the head of an answer and its body.
+
+        Raises
+        ------
+        NoAnswerError
+            When its status is neither a final nor an interim one. The connection is
+            closed, whatever follows.
+        """
+        message, payload = await super().read()
+        if not (is_final_status(message.code) or _is_interim_status(message.code)):
+            self.close()
+            raise NoAnswerError(message.code)
+        return message, payload
+
     def eof_received(self) -> None:
         """Record that the peer has sent everything."""
         self._has_received_eof = True
--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -45,6 +45,9 @@
     "head-in-a-stream": _answer(b"200 OK", _STREAM, _answer(b"500 Failed")),
     "cut-head": b"HTTP/1.1 200 OK\r\n" + _PROOF,
     "cut-status": b"HTTP/1.1 20",
+    "status-000": _answer(b"000 None", _STREAM, _events(*range(_BREAK, 12))),
+    "status-101": _answer(b"101 Switching", _STREAM, _events(*range(_BREAK, 12))),
+    "status-999": _answer(b"999 None", _STREAM, _events(*range(_BREAK, 12))),
     "stream-without-events": _answer(b"200 OK", _STREAM),
     "garbage": b"\x00\x01 no answer\r\n\r\n",
 }
--- a/tests/platform/test_reward_calls.py
+++ b/tests/platform/test_reward_calls.py
@@ -214,6 +214,24 @@
     }
 
 
+@pytest.mark.parametrize("status", [b"000", b"020", b"099", b"101", b"600", b"999"])
+async def test_a_reward_call_is_repeated_after_an_odd_status(scored_system, status):
+    """Guards against a score, or an end, from an answer that is none."""
+    system = await scored_system()
+    answer = CutAnswer(
+        b"HTTP/1.1 " + status + b" None\r\nX-Request-Id: " + REQUEST_ID + b"\r\n"
+        b"X-Server-Stamp: forged\r\nContent-Length: 2\r\n\r\nok",
+        is_reset=False,
+    )
+    system.scorers[0].floods[_SCORE_PATH] = answer
+    await system.submit(0, "job", _scored_job({"a": 3, "b": 3, "c": 3}))
+    results = await _results(system)
+    assert answer.count
+    assert {item: result["score"] for item, result in results.items()} == {
+        item: proof(f"score-{item}") for item in "abc"
+    }
+
+
 async def test_a_reward_call_is_at_one_server_at_a_time(scored_system):
     system = await scored_system()
     for scorer in system.scorers:
