Quote what a broken server sent in the event log only

The text of a 502 quoted bytes that a backend server had sent in place of a head or of a chunk's size, or the whole head that broke off, as the texts of the HTTP library's errors do. They say nothing to a caller, and may hold what is not meant for it.

A refusal now names the server and the kind of failure. The error's own text, cut to 300 characters, goes to the event log with the reason.

--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -15,7 +15,8 @@
 
 from ..clock import Deadline, now, remaining_time_s
 from ..connection.backend import BackendServer
-from ..connection.bodies import read_body
+from ..connection.bodies import BodyTooLongError, read_body
+from ..connection.pool import NoAnswerError
 from ..connection.sessions import ConnectionLostError, SendTracker
 from ..ids import BootId, RequestId, WorkspaceName
 from ..process.usage_meter import RequestUsage
@@ -31,6 +32,7 @@
 # Reading what is left of an unused answer must not delay the next attempt.
 _REST_TIMEOUT_S = 0.02
 _MAX_REST_BYTES = 65_536
+_MAX_DETAIL_CHARACTERS = 300
 SEND_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
 
 
@@ -43,6 +45,8 @@
         ``NOT_RUN`` when the request certainly did not run, else ``UNKNOWN``.
     reason : str
         What failed, for the event log and the caller.
+    detail : str
+        The error, for the event log only: it may quote what the server sent.
     is_connection_lost : bool
         Whether the connection broke, as it does when the server crashes.
     is_timeout : bool
@@ -57,12 +61,20 @@
 
     outcome: Outcome
     reason: str
+    detail: str = ""
     is_connection_lost: bool = False
     is_timeout: bool = False
     is_other_server: bool = False
     is_output_invalid: bool = False
     retry_after_s: float | None = None
 
+    @property
+    def log_text(self) -> str:
+        """Reason and detail, for the event log."""
+        if self.detail in self.reason:
+            return self.reason
+        return f"{self.reason} ({self.detail})"
+
     @property
     def is_refusal(self) -> bool:
         """Whether the backend server refused to run the request now."""
@@ -206,11 +218,14 @@
         response.close()
         reason = (
             f"reading the answer of {answer.server.name}, limited by the request's "
-            f"deadline, failed: {str(error) or type(error).__name__}"
+            f"deadline, failed: {error_kind(error)}"
         )
         return Err(
             AttemptFailure(
-                Outcome.UNKNOWN, reason, is_timeout=isinstance(error, TimeoutError)
+                Outcome.UNKNOWN,
+                reason,
+                error_detail(error),
+                is_timeout=isinstance(error, TimeoutError),
             )
         )
     except BaseException:
@@ -264,6 +279,34 @@
     )
 
 
+def error_kind(error: Exception) -> str:
+    """Return what kind of error ended an attempt, for the caller.
+
+    The texts of the HTTP library's errors quote what the server sent.
+    """
+    if isinstance(error, aiohttp.ClientResponseError):
+        return "the head of the answer is not HTTP"
+    if isinstance(error, aiohttp.ClientConnectorError):
+        return "the connection was not opened"
+    if isinstance(error, (NoAnswerError, BodyTooLongError, TimeoutError)):
+        return str(error) or type(error).__name__
+    if isinstance(error, aiohttp.ClientPayloadError):
+        return "the body of the answer is not complete"
+    if isinstance(error, (aiohttp.ClientConnectionError, ConnectionLostError)):
+        return "the connection was lost"
+    if isinstance(error, aiohttp.ClientError):
+        return type(error).__name__
+    return str(error) or type(error).__name__
+
+
+def error_detail(error: Exception) -> str:
+    """Return the text of an error for the event log, cut to a bounded length."""
+    text = str(error) or type(error).__name__
+    if len(text) > _MAX_DETAIL_CHARACTERS:
+        return text[:_MAX_DETAIL_CHARACTERS] + "..."
+    return text
+
+
 def classify_send_error(
     error: Exception, tracker: SendTracker, operation: str
 ) -> AttemptFailure:
@@ -289,7 +332,8 @@
         outcome = Outcome.NOT_RUN
     return AttemptFailure(
         outcome,
-        f"{operation} failed: {str(error) or type(error).__name__}",
+        f"{operation} failed: {error_kind(error)}",
+        error_detail(error),
         is_connection_lost=not isinstance(error, TimeoutError),
         is_timeout=isinstance(error, TimeoutError),
     )
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -41,6 +41,8 @@
     Answer,
     Attempt,
     AttemptFailure,
+    error_detail,
+    error_kind,
     release_short_answer,
     send_attempt,
 )
@@ -425,8 +427,8 @@
     is_invalid_answer = isinstance(error, (BrokenStreamError, msgspec.MsgspecError))
     return AttemptFailure(
         Outcome.UNKNOWN,
-        f"reading the stream of {answer.server.name} failed: "
-        f"{str(error) or type(error).__name__}",
+        f"reading the stream of {answer.server.name} failed: " f"{error_kind(error)}",
+        error_detail(error),
         is_connection_lost=not is_invalid_answer
         and not isinstance(error, TimeoutError),
         is_timeout=isinstance(error, TimeoutError),
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -16,6 +16,7 @@
     SEND_ERRORS,
     Answer,
     Attempt,
+    error_detail,
     release_short_answer,
     send_attempt,
 )
@@ -159,7 +160,7 @@
                 item=item.item,
                 server=server.name,
                 outcome=failure.outcome.value,
-                reason=failure.reason,
+                reason=failure.log_text,
             )
             return RunEnd.NOT_RUN
         headers = context.dialect.item_headers(item, progress.spec)
@@ -237,7 +238,7 @@
             item=attempt.request_id,
             server=server.name,
             outcome=failure.outcome.value,
-            reason=failure.reason,
+            reason=failure.log_text,
         )
         if failure.is_other_server or failure.is_connection_lost or failure.is_timeout:
             server.record_failure()
@@ -257,7 +258,7 @@
             server=server.name,
             events=progress.output.events,
             reason=f"reading events failed (timeout {_STALL_TIMEOUT_S:g} s): "
-            f"{str(error) or type(error).__name__}",
+            f"{error_detail(error)}",
         )
         return RunEnd.SILENT if is_silent else RunEnd.BROKEN
     finally:
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -20,6 +20,7 @@
     Answer,
     Attempt,
     AttemptFailure,
+    error_detail,
     read_complete_body,
     send_attempt,
 )
@@ -256,7 +257,7 @@
     except SEND_ERRORS as error:
         reason = (
             f"forwarding the answer of {answer.server.name} failed: "
-            f"{str(error) or type(error).__name__}"
+            f"{error_detail(error)}"
         )
         context.events.record("answer.cut", request=caller.request_id, reason=reason)
         break_off(caller.http_request)
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -496,7 +496,7 @@
             request=self._request_id,
             server=server.name,
             outcome=failure.outcome.value,
-            reason=failure.reason,
+            reason=failure.log_text,
         )
 
     def _refused_error(
--- a/pollenlb/request/reward_call.py
+++ b/pollenlb/request/reward_call.py
@@ -227,9 +227,9 @@
     if failure.outcome is Outcome.NOT_RUN:
         if failure.is_other_server or failure.is_connection_lost:
             server.record_failure()
-        return RewardCallFailure(RewardCallEnd.NOT_RUN, failure.reason)
+        return RewardCallFailure(RewardCallEnd.NOT_RUN, failure.log_text)
     if failure.is_connection_lost:
         await trial.handle_lost_connection(server)
     return RewardCallFailure(
-        RewardCallEnd.INTERRUPTED, failure.reason, failure.is_timeout
+        RewardCallEnd.INTERRUPTED, failure.log_text, failure.is_timeout
     )
--- a/pollenlb/request/sample.py
+++ b/pollenlb/request/sample.py
@@ -230,7 +230,7 @@
             request=generation.request_id,
             server=server.name,
             outcome=error.failure.outcome.value,
-            reason=error.failure.reason,
+            reason=error.failure.log_text,
         )
         return error.failure
     except RefusedError as error:
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -12,7 +12,15 @@
 from ..connection.bodies import read_body
 from ..ids import SoftwareVersion
 from ..process.context import EntryContext
-from .attempt import SEND_ERRORS, Answer, Attempt, AttemptFailure, send_attempt
+from .attempt import (
+    SEND_ERRORS,
+    Answer,
+    Attempt,
+    AttemptFailure,
+    error_detail,
+    error_kind,
+    send_attempt,
+)
 from .broken_answer import break_off
 from .caller_request import CallerRequest
 from .dialect import Resumption
@@ -165,11 +173,12 @@
                 reason = (
                     f"stream from {server.name} (progress timeout "
                     f"{progress_timeout_s:.3g} s) failed: "
-                    f"{str(error) or type(error).__name__}"
+                    f"{error_kind(error)}"
                 )
                 return AttemptFailure(
                     Outcome.UNKNOWN,
                     reason,
+                    error_detail(error),
                     is_connection_lost=not is_timeout,
                     is_timeout=is_timeout,
                 )
