--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -177,7 +177,7 @@
                 skip_auto_headers=AUTOMATIC_HEADERS,
                 trace_request_ctx=tracker,
             )
-    except aiohttp.ClientResponseError as error:
+    except (aiohttp.ClientResponseError, NoAnswerError) as error:
         server.record_contact()
         operation = f"request to {server.name}"
         return Err(classify_send_error(error, tracker, operation))
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -427,7 +427,7 @@
     is_invalid_answer = isinstance(error, (BrokenStreamError, msgspec.MsgspecError))
     return AttemptFailure(
         Outcome.UNKNOWN,
-        f"reading the stream of {answer.server.name} failed: " f"{error_kind(error)}",
+        f"reading the stream of {answer.server.name} failed: {error_kind(error)}",
         error_detail(error),
         is_connection_lost=not is_invalid_answer
         and not isinstance(error, TimeoutError),
