Ask further servers before an entry is reported as stranded

When two engines failed at once, their items were started at each other first. Both failed there within a millisecond, before the third engine's next event.

The entry now asks three servers, those first that are not known to have failed, and reports only if none answers. The report is also made only after the output of running items was saved; a renewal in between could have made it earlier.

--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -32,6 +32,7 @@
     WeightVersion,
     new_id,
 )
+from ..request.contact import has_contact_with_any
 from ..request.item_progress import ItemProgress, RunEnd
 from ..scheduling.engine_availability import EngineAvailability, ItemRun
 from ..scheduling.fair_queue import Flow
@@ -107,7 +108,8 @@
         self._loads_version = 0
         self._run_s = _DEFAULT_RUN_S
         self._assigned: dict[BackendServerName, ModelName] = {}
-        self._was_stranded = False
+        self._is_stranded = False
+        self._contact_task: asyncio.Task | None = None
         self.engine_became_idle = asyncio.Event()
         self.contact_changed = asyncio.Event()
 
@@ -126,6 +128,14 @@
         """Version of the planned loads of weights that were applied last."""
         return self._loads_version
 
+    @property
+    def is_stranded(self) -> bool:
+        """Whether this entry reaches no backend server, as others may act on.
+
+        Further servers were asked, and the output of running items was saved.
+        """
+        return self._is_stranded
+
     def running_items_by_server(self) -> dict[BackendServerName, int]:
         """Return the number of running items by engine."""
         return Counter(
@@ -308,15 +318,23 @@
                     )
 
     def _watch_contact(self) -> None:
-        is_stranded = self._context.reachability.is_stranded
-        if is_stranded != self._was_stranded:
-            self._was_stranded = is_stranded
-            self._spawn(self._report_contact(is_stranded))
-
-    async def _report_contact(self, is_stranded: bool) -> None:
-        self._context.events.record("entry.contact_changed", is_stranded=is_stranded)
-        if is_stranded:  # another owner can go on from the output
+        if self._contact_task is not None and not self._contact_task.done():
+            return
+        if self._context.reachability.is_stranded != self._is_stranded:
+            self._contact_task = self._spawn(self._update_contact())
+
+    async def _update_contact(self) -> None:
+        reachability = self._context.reachability
+        if reachability.is_stranded:
+            # The servers that failed may be the only ones that do.
+            servers = self._context.directory.servers.values()
+            if await has_contact_with_any(servers, self._context):
+                return
             await self._saver.save()
+        self._is_stranded = reachability.is_stranded
+        self._context.events.record(
+            "entry.contact_changed", is_stranded=self._is_stranded
+        )
         self.contact_changed.set()
 
     def _discard_expired_partials(self) -> None:
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -139,7 +139,7 @@
                 dict(self._batch_runner.running_items_by_server()),
                 dict(self._batch_runner.waiting_items_by_model()),
                 self._in_flight() if self._needs_load else {},
-                context.reachability.is_stranded,
+                self._batch_runner.is_stranded,
             ),
             limits=context.directory.report_limits(),
             limits_version=self._limits_version,
--- a/pollenlb/request/contact.py
+++ b/pollenlb/request/contact.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 from ..clock import now
 from ..connection.backend import BackendServer
@@ -10,8 +11,9 @@
 from ..process.context import EntryContext
 
 _TIMEOUT_S = 0.4
-# Other servers that are asked; with fewer, their silence is no evidence of a cut.
-_ASKED_SERVER_COUNT = 2
+_ASKED_SERVER_COUNT = 3
+# The silence of fewer other servers is no evidence of a cut.
+_MIN_OTHER_COUNT = 2
 
 
 async def has_contact(server: BackendServer, context: EntryContext) -> bool:
@@ -38,13 +40,31 @@
     return True
 
 
+async def has_contact_with_any(
+    servers: Iterable[BackendServer], context: EntryContext
+) -> bool:
+    """Ask some servers at once, usable ones first; return whether any answers.
+
+    Parameters
+    ----------
+    servers : iterable of BackendServer
+        Servers of which some are asked.
+    context : EntryContext
+        Parts of the entry process; its reachability records the results.
+    """
+    ranked = list(servers)
+    context.rng.shuffle(ranked)
+    ranked.sort(key=lambda server: not server.is_usable)
+    asked = ranked[:_ASKED_SERVER_COUNT]
+    return any(await asyncio.gather(*(has_contact(each, context) for each in asked)))
+
+
 async def is_cut_off(
     silent: BackendServer, silent_since: float, context: EntryContext
 ) -> bool:
     """Return whether the silence of a server may be that of the network.
 
-    It is not if this entry has heard of any server since. Otherwise two others are
-    asked.
+    It is not if this entry has heard of any server since. Otherwise others are asked.
 
     Parameters
     ----------
@@ -61,11 +81,6 @@
         return False
     known = context.directory.servers.values()
     others = [server for server in known if server.name != silent.name]
-    if len(others) < _ASKED_SERVER_COUNT:
+    if len(others) < _MIN_OTHER_COUNT:
         return False
-    context.rng.shuffle(others)
-    others.sort(key=lambda server: not server.is_usable)
-    asked = others[:_ASKED_SERVER_COUNT]
-    return not any(
-        await asyncio.gather(*(has_contact(server, context) for server in asked))
-    )
+    return not await has_contact_with_any(others, context)
--- a/tests/platform/entry_links.py
+++ b/tests/platform/entry_links.py
@@ -49,9 +49,9 @@
             == ports
         )
 
-    def cut(self, link: LinkState) -> None:
-        """Cut the links to all engines."""
-        for relay in self._relays.values():
+    def cut(self, link: LinkState, count: int | None = None) -> None:
+        """Cut the links to all engines, or to the first ones."""
+        for relay in list(self._relays.values())[:count]:
             relay.interrupt(link)
 
     def restore(self) -> None:
--- a/tests/platform/test_stranded_owners.py
+++ b/tests/platform/test_stranded_owners.py
@@ -17,9 +17,9 @@
 _LENGTHS = {f"item-{number}": _LONG_EVENT_COUNT for number in range(4)}
 
 
-async def _start_job(system: PlatformSystem) -> int:
+async def _start_job(system: PlatformSystem, lengths: dict[str, int] = _LENGTHS) -> int:
     """Submit a batch job, wait until its items run, return its owner's number."""
-    assert await system.submit(0, "job", batch_job(_LENGTHS)) == 202
+    assert await system.submit(0, "job", batch_job(lengths)) == 202
     await wait_until(
         lambda: sum(len(engine.running) for engine in system.engines) == len(_LENGTHS)
     )
@@ -33,10 +33,10 @@
     return boots.index(owner)
 
 
-def _expected_texts() -> dict[str, str]:
+def _expected_texts(lengths: dict[str, int] = _LENGTHS) -> dict[str, str]:
     return {
         item: "\n".join(f"{number}.1" for number in range(length))
-        for item, length in _LENGTHS.items()
+        for item, length in lengths.items()
     }
 
 
@@ -96,6 +96,22 @@
     await wait_until(lambda: other.stranded == set())
 
 
+# Guards against a sound owner that loses its jobs when two engines fail at once.
+@pytest.mark.parametrize("link", [LinkState.SILENT, LinkState.CLOSED])
+async def test_no_job_moves_while_its_owner_reaches_one_engine(linked_system, link):
+    system, entry_links = await linked_system()
+    for engine in system.engines:
+        engine.event_interval_s = 0.1
+    lengths = {item: 30 for item in _LENGTHS}
+    owner = await _start_job(system, lengths)
+    entry_links[owner].cut(link, count=2)
+    results = await system.read_all_results(owner, "job")
+    assert {each["id"]: each["text"] for each in results} == _expected_texts(lengths)
+    assert _owner(system) == owner
+    events = (system.folder / "store-0" / "events.jsonl").read_text()
+    assert "batch_jobs.assigned" not in events
+
+
 # Guards against jobs that go to and fro between entries that reach no engine.
 async def test_no_job_moves_while_all_entries_are_stranded(linked_system):
     system, entry_links = await linked_system()
