Show that attempts hold over both entries, and that peers drain

Two tests: a relayed request has no more attempts than are left, and is not called "not run" after a run elsewhere; a peer that stops answers what was relayed to it. Failures of peers are forgotten after their time, so that the table does not grow with each start of an entry.

--- a/pollenlb/request/relay.py
+++ b/pollenlb/request/relay.py
@@ -173,16 +173,15 @@
     def _peers(self) -> list[EntryInfo]:
         context = self._context
         no_boots: frozenset[BootId] = frozenset()
+        failures = context.peer_failures
         failed_since = now() - _PEER_FAILURE_KEPT_S
+        for boot in [each for each in failures if failures[each] < failed_since]:
+            del failures[boot]
         peers = choose_peers(
             context.live_entries.all,
             context.identity.boot,
             getattr(context.live_entries, "stranded", no_boots),
-            {
-                boot
-                for boot, failed_at in context.peer_failures.items()
-                if failed_at >= failed_since
-            },
+            failures.keys(),
             context.rng,
         )
         return peers[:_MAX_PEERS]
--- a/tests/system/test_stranded_entries.py
+++ b/tests/system/test_stranded_entries.py
@@ -272,3 +272,43 @@
         server.may_answer.set()
     assert (await call)[0] == 200
     assert "server.crashed" in recorded
+
+
+async def test_relayed_request_has_no_more_attempts_than_are_left(start_system):
+    """Guards against twice the attempts, and "not run" after a run elsewhere."""
+    system, _ = await _start(start_system)
+    identity = system.entries[1].context.identity
+    headers = {"Pollenlb-Attempts-Left": "1"}
+    for server in system.plain_services:
+        server.aborts_connections = True
+    for address, path in ((identity.relay, "/shop/in"), (identity.http, "/shop/out")):
+        async with system.session.post(
+            f"http://{address}{path}", headers=headers
+        ) as response:
+            assert response.headers["Pollenlb-Outcome"] == "unknown"
+    assert _runs(system, "/shop/in") == 1
+    assert _runs(system, "/shop/out") > 1
+    for server in system.plain_services:
+        await server.kill()
+    async with system.session.post(
+        f"http://{identity.relay}/shop/none", headers=headers
+    ) as response:
+        assert response.status != 200
+        assert response.headers["Pollenlb-Outcome"] == "unknown"
+
+
+async def test_peer_that_stops_answers_the_requests_relayed_to_it(start_system):
+    system, (links,) = await _start(start_system)
+    await links.cut(Cut.REFUSED)
+    await _post(system, 0, "/billing/first")
+    for server in system.plain_services:
+        server.may_answer.clear()
+    call = asyncio.create_task(_post(system, 0, "/billing/last"))
+    await wait_until(lambda: any(each.in_flight for each in system.plain_services))
+    stop = asyncio.create_task(system.entries.pop(1).stop())
+    await asyncio.sleep(0.5)
+    for server in system.plain_services:
+        server.may_answer.set()
+    assert (await call)[:2] == (200, "ran")
+    await stop
+    assert _runs(system, "/billing/last") == 1
