Revert "Settle within one timeout whether an entry reaches no server"

test_callers_of_an_entry_without_servers_are_not_served_worse[Cut.HUNG] failed with it: the first request left for a peer after one timeout, before the entry knew that it was stranded, and the second one waited on a silent connection until its deadline (504, unknown).

What it showed stays open: a request that may run twice waits for silent connections up to its deadline, even once its entry knows that it is stranded.

--- a/pollenlb/process/contact_check.py
+++ b/pollenlb/process/contact_check.py
@@ -18,10 +18,9 @@
 
 
 class ContactCheck:
-    """Asks a few backend servers at intervals, but only while none may be reached.
+    """Asks a few backend servers at intervals, but only while none is reached.
 
-    After the first failure without a contact since, they settle the doubt. Requests of a
-    stranded entry go through other entries, and so do not find out when the cut ends.
+    Requests go through other entries meanwhile, and so do not find out.
 
     Parameters
     ----------
@@ -47,16 +46,15 @@
         context = self._context
         while True:
             await sleep_until(deadline_in(_POLL_INTERVAL_S))
-            if not context.reachability.is_in_doubt:
-                continue
             if not context.reachability.is_stranded:
-                await self._ask_some()
                 continue
             context.events.record("entry.stranded")
             stranded_at = now()
             while context.reachability.is_stranded:
                 check_at = deadline_in(_CHECK_INTERVAL_S)
-                await self._ask_some()
+                servers = list(context.directory.servers.values())
+                asked = context.rng.sample(servers, min(_ASKED_SERVERS, len(servers)))
+                await asyncio.gather(*map(self._ask, asked))
                 while context.reachability.is_stranded and now() < check_at:
                     pause_until = min(check_at, deadline_in(_POLL_INTERVAL_S))
                     await sleep_until(Deadline(pause_until))
@@ -72,11 +70,6 @@
                 )
             )
 
-    async def _ask_some(self) -> None:
-        servers = list(self._context.directory.servers.values())
-        count = min(_ASKED_SERVERS, len(servers))
-        await asyncio.gather(*map(self._ask, self._context.rng.sample(servers, count)))
-
     async def _ask(self, server: BackendServer) -> None:
         """Ask a server over a new connection; any answer shows that it is reached."""
         check = await ask_for_contact(server, self._context, _CHECK_TIMEOUT_S)
--- a/pollenlb/request/relay.py
+++ b/pollenlb/request/relay.py
@@ -81,8 +81,8 @@
 
         It may be if the connection failed, and this entry could otherwise only refuse
         the request, which certainly did not run. A request that may go on here, or may
-        have run, is relayed only if this entry has heard of no backend server since the
-        attempt began, and is taken to reach none or waited for the connection in vain.
+        have run, is relayed only if this entry is taken to reach no backend server and
+        has heard of none since the attempt began.
 
         Parameters
         ----------
@@ -115,11 +115,7 @@
             return None
         if refused is not None and not retries.may_have_run:
             return await self._forward(None)
-        if reachability.contact_at >= started_at:
-            return None
-        # A connection that is refused at once leaves no time for a contact.
-        is_silent = failure.is_timeout and not retries.may_have_run
-        if not is_silent and not reachability.is_stranded:
+        if reachability.contact_at >= started_at or not reachability.is_stranded:
             return None
         if not retries.may_have_run:
             return await self._forward(None)
--- a/pollenlb/scheduling/reachability.py
+++ b/pollenlb/scheduling/reachability.py
@@ -25,11 +25,6 @@
         """Whether this entry is taken to reach no backend server."""
         return len(self._failed) >= MIN_FAILED_SERVERS
 
-    @property
-    def is_in_doubt(self) -> bool:
-        """Whether any server failed since the last contact."""
-        return bool(self._failed)
-
     @property
     def contact_at(self) -> float:
         """Monotonic time of the last contact with a server, in seconds."""
