--- a/pollenlb/durable/batch_jobs.py
+++ b/pollenlb/durable/batch_jobs.py
@@ -112,7 +112,7 @@
         own = self.find_item(item.item)
         if own is None:
             return False
-        return self.digests.get(item.item, own.digest) == item.digest
+        return (self.digests.get(item.item) or own.digest) == item.digest
 
     def find_item(self, item: ItemId) -> BatchItem | None:
         """Return the request of an item, or None when the job has no such item."""
--- a/pollenlb/durable/files.py
+++ b/pollenlb/durable/files.py
@@ -50,6 +50,11 @@
             yield payload
 
 
+def read_first_frame(file: BinaryIO) -> bytes | None:
+    """Return the payload of the frame at the start of a file; None if damaged."""
+    return _read_payload(file, file.read(_HEADER.size))
+
+
 def read_frames(data: bytes, path: Path) -> Iterator[tuple[int, bytes]]:
     """Yield the end offset and the payload of each frame in the content of a file.
 
--- a/pollenlb/durable/rpc_handlers.py
+++ b/pollenlb/durable/rpc_handlers.py
@@ -153,12 +153,13 @@
                 return refusal
             if request.head.index <= replica.commit_index:
                 return self._append_answer(True, request.head.index)
-            if not await self._receiver.add(request):
+            head = await self._receiver.add(request)
+            if head is None:
                 answer = self._append_answer(False, replica.storage.last_index)
                 received_bytes = self._receiver.received_bytes
                 return msgspec.structs.replace(answer, received_bytes=received_bytes)
-            await replica.install_received_snapshot(request.head)
-            return self._append_answer(True, request.head.index)
+            await replica.install_received_snapshot(head)
+            return self._append_answer(True, head.index)
 
     async def handle_join(self, request: JoinRequest) -> JoinAnswer:
         """Add a replica with an empty data folder as a learner, if this one leads."""
--- a/pollenlb/durable/snapshot_file.py
+++ b/pollenlb/durable/snapshot_file.py
@@ -10,11 +10,12 @@
 import os
 from collections.abc import Iterable, Iterator
 from pathlib import Path
+from typing import BinaryIO
 
 import msgspec
 
 from ..exceptions import StorageDamagedError
-from .files import read_file_frames, sync_file, write_frame
+from .files import read_file_frames, read_first_frame, sync_file, write_frame
 from .records import Snapshot
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -55,6 +56,20 @@
         raise
 
 
+def read_snapshot_head(file: BinaryIO) -> Snapshot:
+    """Return the snapshot at the start of an open file, without its state.
+
+    Raises
+    ------
+    StorageDamagedError
+        When the head is damaged.
+    """
+    payload = read_first_frame(file)
+    if payload is None:
+        raise StorageDamagedError(f"{file.name} is damaged: it has no head")
+    return msgspec.structs.replace(_decode(payload), state=b"")
+
+
 def read_snapshot_file(path: Path) -> tuple[Snapshot, Iterator[bytes]]:
     """Return the head of a stored snapshot, and its state in pieces.
 
@@ -72,6 +87,8 @@
     head = _decode(first)
     second = next(frames, None)
     if second is None:
+        if not head.state:
+            raise StorageDamagedError(f"{path} is damaged: its end is missing")
         return msgspec.structs.replace(head, state=b""), iter([head.state])
     return head, _read_pieces(itertools.chain([second], frames), path)
 
--- a/pollenlb/durable/snapshot_transfer.py
+++ b/pollenlb/durable/snapshot_transfer.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from .records import Snapshot, SnapshotBlockRequest, SnapshotPart
+from .snapshot_file import read_snapshot_head
 from .storage import Storage
 
 # A block is sent within a heartbeat on the slowest links that instances have.
@@ -46,8 +47,9 @@
     """
 
     def __init__(self, storage: Storage) -> None:
-        self._head = storage.snapshot
         self._file = storage.snapshot_path.open("rb")
+        # The storage replaces the file before it knows the newer snapshot.
+        self._head = read_snapshot_head(self._file)
         self._total_bytes = os.fstat(self._file.fileno()).st_size
         self._sent_bytes = 0
 
@@ -94,11 +96,11 @@
         """Bytes of the file that were received without a gap."""
         return self._received_bytes
 
-    async def add(self, request: SnapshotBlockRequest) -> bool:
-        """Write a block, and return whether the file is complete and intact.
+    async def add(self, request: SnapshotBlockRequest) -> Snapshot | None:
+        """Write a block, and return the head of the file when it is complete.
 
         A block that was received before, or that follows a gap, has no effect. A file
-        that is damaged starts over.
+        that is damaged, or has another head than was announced, starts over.
         """
         head = request.head
         identity = (request.sender, head.term, head.index, request.total_bytes)
@@ -114,10 +116,11 @@
                 raise
             self._received_bytes += len(request.data)
         if self._received_bytes < request.total_bytes:
-            return False
+            return None
         self._identity = None
         self._received_bytes = 0
-        return await self._storage.check_received()
+        received = await self._storage.check_received()
+        return received if received == head else None
 
 
 class IncomingSnapshot:
--- a/pollenlb/durable/storage.py
+++ b/pollenlb/durable/storage.py
@@ -311,8 +311,11 @@
             lambda: self._write_block(offset, data), self._snapshot_executor
         )
 
-    async def check_received(self) -> bool:
-        """Sync the received file, and return whether it is a complete snapshot."""
+    async def check_received(self) -> Snapshot | None:
+        """Sync the received file, and return its snapshot without the state.
+
+        None if it is no complete snapshot.
+        """
         return await self._run_write(self._sync_and_check, self._snapshot_executor)
 
     @uninterrupted
@@ -467,19 +470,20 @@
         finally:
             os.close(descriptor)
 
-    def _sync_and_check(self) -> bool:
+    def _sync_and_check(self) -> Snapshot | None:
         path = self._folder / _RECEIVED_SNAPSHOT_FILE
         try:
-            for _ in read_snapshot_file(path)[1]:
+            head, pieces = read_snapshot_file(path)
+            for _ in pieces:
                 pass
         except (StorageDamagedError, FileNotFoundError, msgspec.MsgspecError):
-            return False
+            return None
         descriptor = os.open(path, os.O_RDONLY)
         try:
             sync_file(descriptor, os.fsync)
         finally:
             os.close(descriptor)
-        return True
+        return head
 
     def _update_members(self) -> None:
         self._members = self.members_at(self.last_index)
--- a/tests/durable/test_snapshot_transfer.py
+++ b/tests/durable/test_snapshot_transfer.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
+import threading
 import zlib
 from collections.abc import Iterator
 
 import msgspec
 import pytest
 
-from pollenlb.durable import snapshot_transfer
+from pollenlb.durable import snapshot_transfer, storage as storage_module
 from pollenlb.durable.files import replace_file
 from pollenlb.durable.records import Snapshot, SnapshotBlockRequest, SnapshotPart
 from pollenlb.durable.snapshot_transfer import (
@@ -163,6 +165,47 @@
     assert (follower.snapshot.index, *follower.snapshot_pieces()) == (7, b"a" * 35)
 
 
+async def test_sender_that_starts_while_the_file_is_replaced_sends_its_head(
+    open_storage, monkeypatch
+):
+    """Guards against a state that is taken for that of an older index."""
+    leader, follower = open_storage("leader"), open_storage("follower")
+    await _save(leader, 7, [b"a" * 35])
+    is_replaced, may_go_on = threading.Event(), threading.Event()
+    sync_folder = storage_module.sync_folder
+
+    def hold(folder):
+        is_replaced.set()
+        may_go_on.wait(20)
+        sync_folder(folder)
+
+    monkeypatch.setattr(storage_module, "sync_folder", hold)
+    saved = asyncio.ensure_future(_save(leader, 8, [b"b" * 35]))
+    await asyncio.to_thread(is_replaced.wait, 20)
+    assert leader.snapshot.index == 7
+    sender, receiver = SnapshotSender(leader), SnapshotReceiver(follower)
+    may_go_on.set()
+    await saved
+    await _transfer(sender, receiver)
+    await follower.adopt_snapshot(sender.head, is_received=True)
+    assert (follower.snapshot.index, *follower.snapshot_pieces()) == (8, b"b" * 35)
+
+
+async def test_file_with_another_head_than_announced_is_not_installed(open_storage):
+    """Guards against a state that is taken for that of another index."""
+    leader, follower = open_storage("leader"), open_storage("follower")
+    await _save(leader, 7, [b"a"])
+    sender, receiver = SnapshotSender(leader), SnapshotReceiver(follower)
+    received = None
+    while sender.next_block().data:
+        request = _request(sender)
+        other = msgspec.structs.replace(sender.head, index=6)
+        received = await receiver.add(msgspec.structs.replace(request, head=other))
+        sender.record_received(request.offset + len(request.data))
+    assert received is None
+    assert receiver.received_bytes == 0
+
+
 async def test_blocks_of_another_leader_start_over(open_storage):
     """Guards against a file that is joined from the snapshots of two leaders."""
     follower = open_storage("follower")
@@ -186,13 +229,13 @@
     leader, follower = open_storage("leader"), open_storage("follower")
     await _save(leader, 7, [os.urandom(8)])
     sender, receiver = SnapshotSender(leader), SnapshotReceiver(follower)
-    is_complete = False
+    is_complete = None
     while sender.next_block().data:
         request = _request(sender)
         damaged = bytes(byte ^ 0xFF for byte in request.data)
         is_complete = await receiver.add(msgspec.structs.replace(request, data=damaged))
         sender.record_received(request.offset + len(request.data))
-    assert not is_complete
+    assert is_complete is None
     assert receiver.received_bytes == 0
 
 
--- a/tests/durable/test_storage.py
+++ b/tests/durable/test_storage.py
@@ -380,7 +380,7 @@
     storage.close()
 
 
-@pytest.mark.parametrize("cut", range(1, 13))
+@pytest.mark.parametrize("cut", [*range(1, 13), 25, 38])
 def test_snapshot_file_without_its_end_is_damaged(tmp_path, cut):
     """Guards against a state of which the last batch jobs are missing."""
     storage = _open_storage(tmp_path)
