Mend what the review of the relay found

- A request was relayed whatever revision of the configuration the peer had, so that a caller could meet two revisions in turn at one entry.
The relayed request names the revision, and a peer with another one refuses it.
Both directions are confirmed on new connections now, at most twice a second.
- All jobs of all entries without servers went to one entry; the choice now counts what it has given away.
- A peer that does not know yet that it is cut off says that another may do better.
- A renewal asked without pause when a leader of an earlier release took over.
- An error in the check of the contact ended it; it is recorded, and checked again.

--- a/pollenlb/connection/backend_api.py
+++ b/pollenlb/connection/backend_api.py
@@ -24,6 +24,8 @@
 # may have run, and that an entry itself cannot take a relayed request.
 ATTEMPTS_LEFT_HEADER = "Pollenlb-Attempts-Left"
 RELAY_REFUSED_HEADER = "Pollenlb-Relay-Refused"
+# Revision of the configuration under which the relaying entry handles requests.
+REVISION_HEADER = "Pollenlb-Revision"
 
 
 class ProbeAnswer(msgspec.Struct, frozen=True):
--- a/pollenlb/durable/batch_jobs.py
+++ b/pollenlb/durable/batch_jobs.py
@@ -76,6 +76,11 @@
         """Whether it is not ended and has items without a result."""
         return not self.is_ended and len(self.results) < len(self.spec.items)
 
+    @property
+    def open_item_count(self) -> int:
+        """Number of items without a result."""
+        return len(self.spec.items) - len(self.results)
+
     @property
     def retained_until_ms(self) -> float:
         """Wall time until which results can be read, milliseconds since the epoch."""
--- a/pollenlb/process/batch_job_service.py
+++ b/pollenlb/process/batch_job_service.py
@@ -20,7 +20,7 @@
 from ..durable.job_commands import SubmitStep
 from ..exceptions import NotLeaderError
 from ..ids import Address, BatchJobId, BootId, ServiceName
-from ..scheduling.assignment import Candidate, choose_owner
+from ..scheduling.assignment import Candidate, add_open_items, choose_owner
 from .control_context import ControlContext, LeaderState
 
 MAX_ANSWER_BYTES = 600_000  # leaves a margin below the 1 MB limit of an answer
@@ -120,6 +120,9 @@
                 owner = choose_owner(candidates, self._recent_owners(service))
                 if owner is not None:
                     owners[batch_job.spec.batch_job] = owner
+                    candidates = add_open_items(
+                        candidates, owner, batch_job.open_item_count
+                    )
         self._context.events.record(
             "batch_jobs.assigned",
             ended=sorted(ended),
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -53,6 +53,8 @@
 from .reward_calls import RewardCalls, ScoredItem
 
 _PLACEMENT_INTERVAL_S = 0.04
+# Shortest time between two checks whether this entry reaches a backend server.
+_CONTACT_CHECK_INTERVAL_S = 0.5
 # An item avoids an engine for this long after a run there that did not complete.
 _AVOID_SERVER_S = 0.5
 # An interrupted item with this many events waits for so long for a slot at an engine
@@ -110,6 +112,7 @@
         self._assigned: dict[BackendServerName, ModelName] = {}
         self._is_stranded = False
         self._contact_task: asyncio.Task | None = None
+        self._contact_checked_until = Deadline(0.0)
         self.engine_became_idle = asyncio.Event()
         self.contact_changed = asyncio.Event()
 
@@ -320,18 +323,25 @@
     def _watch_contact(self) -> None:
         if self._contact_task is not None and not self._contact_task.done():
             return
-        if self._context.reachability.is_stranded != self._is_stranded:
+        if self._context.reachability.is_stranded == self._is_stranded:
+            return
+        if not remaining_time_s(self._contact_checked_until):
+            self._contact_checked_until = deadline_in(_CONTACT_CHECK_INTERVAL_S)
             self._contact_task = self._spawn(self._update_contact())
 
     async def _update_contact(self) -> None:
-        reachability = self._context.reachability
-        if reachability.is_stranded:
-            # The servers that failed may be the only ones that do.
-            servers = self._context.directory.servers.values()
-            if await has_contact_with_any(servers, self._context):
-                return
+        """Report a change of the contact if new connections confirm it.
+
+        The servers that failed may be the only ones that do, and the contact may be
+        that of old connections which live on.
+        """
+        servers = self._context.directory.servers.values()
+        is_stranded = not await has_contact_with_any(servers, self._context)
+        if is_stranded == self._is_stranded:
+            return
+        if is_stranded:
             await self._saver.save()
-        self._is_stranded = reachability.is_stranded
+        self._is_stranded = is_stranded
         self.contact_changed.set()
 
     def _discard_expired_partials(self) -> None:
--- a/pollenlb/process/contact_check.py
+++ b/pollenlb/process/contact_check.py
@@ -43,32 +43,37 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
-        context = self._context
         while True:
             await sleep_until(deadline_in(_POLL_INTERVAL_S))
-            if not context.reachability.is_stranded:
+            if not self._context.reachability.is_stranded:
                 continue
-            context.events.record("entry.stranded")
-            stranded_at = now()
-            while context.reachability.is_stranded:
-                check_at = deadline_in(_CHECK_INTERVAL_S)
-                servers = list(context.directory.servers.values())
-                asked = context.rng.sample(servers, min(_ASKED_SERVERS, len(servers)))
-                await asyncio.gather(*map(self._ask, asked))
-                while context.reachability.is_stranded and now() < check_at:
-                    pause_until = min(check_at, deadline_in(_POLL_INTERVAL_S))
-                    await sleep_until(Deadline(pause_until))
-            context.events.record(
-                "entry.in_contact", after_s=round(now() - stranded_at, 3)
-            )
-            # The others need not wait until they are tried again.
-            await asyncio.gather(
-                *(
-                    self._ask(server)
-                    for server in list(context.directory.servers.values())
-                    if not server.is_usable and server.is_eligible
-                )
+            try:
+                await self._wait_for_contact()
+            except Exception as error:  # it is checked again
+                self._context.events.record("contact_check.failed", reason=repr(error))
+
+    async def _wait_for_contact(self) -> None:
+        """Ask servers until one is reached, and then those that had failed."""
+        context = self._context
+        context.events.record("entry.stranded")
+        stranded_at = now()
+        while context.reachability.is_stranded:
+            check_at = deadline_in(_CHECK_INTERVAL_S)
+            servers = list(context.directory.servers.values())
+            asked = context.rng.sample(servers, min(_ASKED_SERVERS, len(servers)))
+            await asyncio.gather(*map(self._ask, asked))
+            while context.reachability.is_stranded and now() < check_at:
+                pause_until = min(check_at, deadline_in(_POLL_INTERVAL_S))
+                await sleep_until(Deadline(pause_until))
+        context.events.record("entry.in_contact", after_s=round(now() - stranded_at, 3))
+        # The others need not wait until they are tried again.
+        await asyncio.gather(
+            *(
+                self._ask(server)
+                for server in list(context.directory.servers.values())
+                if not server.is_usable and server.is_eligible
             )
+        )
 
     async def _ask(self, server: BackendServer) -> None:
         """Ask a server over a new connection; any answer shows that it is reached."""
--- a/pollenlb/process/renewals.py
+++ b/pollenlb/process/renewals.py
@@ -177,8 +177,8 @@
             context.ledger = answer.ledger
         if answer.loads is not None:
             self._batch_runner.apply_loads(answer.loads)
+        self._lacks_work = answer.work is not None and answer.work.is_partial
         if answer.work is not None:
-            self._lacks_work = answer.work.is_partial
             self._batch_runner.apply(answer.work)
         leased_until = Deadline(sent_at + answer.lease_s)
         context.configuration.extend_lease(leased_until)
--- a/pollenlb/request/forwarding.py
+++ b/pollenlb/request/forwarding.py
@@ -10,7 +10,11 @@
 from multidict import CIMultiDict
 
 from ..clock import Deadline, remaining_time_s
-from ..connection.backend_api import ATTEMPTS_LEFT_HEADER, RELAY_REFUSED_HEADER
+from ..connection.backend_api import (
+    ATTEMPTS_LEFT_HEADER,
+    RELAY_REFUSED_HEADER,
+    REVISION_HEADER,
+)
 from .caller_request import CallerRequest
 
 HOP_BY_HOP = frozenset(
@@ -27,7 +31,10 @@
     )
 )
 # Headers between entries, in lower case; those of callers have no effect.
-INNER_HEADERS = frozenset((ATTEMPTS_LEFT_HEADER.lower(), RELAY_REFUSED_HEADER.lower()))
+INNER_HEADERS = frozenset(
+    header.lower()
+    for header in (ATTEMPTS_LEFT_HEADER, RELAY_REFUSED_HEADER, REVISION_HEADER)
+)
 
 
 def forwarded_headers(caller: CallerRequest, dropped: Set[str]) -> CIMultiDict[str]:
--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -8,7 +8,11 @@
 from aiohttp import web
 
 from ..clock import Deadline, deadline_in, now
-from ..connection.backend_api import ATTEMPTS_LEFT_HEADER, RELAY_REFUSED_HEADER
+from ..connection.backend_api import (
+    ATTEMPTS_LEFT_HEADER,
+    RELAY_REFUSED_HEADER,
+    REVISION_HEADER,
+)
 from ..connection.engine_api import COMPLETIONS_PATH
 from ..external_data import read_count
 from ..ids import RequestId, RequestKey, ServiceName, WorkspaceName
@@ -135,6 +139,8 @@
     ) -> CallerRequest:
         context = self._context
         self._check_may_take_work()
+        if self._is_relayed:
+            self._check_same_configuration(request)
         cluster = context.configuration.settings
         path = path_of(request)
         route = cluster.route_for(request.host, path, request.method)
@@ -179,9 +185,9 @@
         """Return a refusal that tells whether another entry may do better."""
         context = self._context
         is_own = (
-            context.reachability.is_stranded
+            context.reachability.has_failures
             or context.is_draining
-            or not context.accepts_requests
+            or not self._has_configuration_of(request)
         )
         is_refused_here = is_own and refusal.outcome is Outcome.NOT_RUN
         if self._attempts_left(request) is not None:
@@ -203,6 +209,19 @@
         if self._is_relayed and self._context.reachability.is_stranded:
             raise unavailable("this instance reaches no backend server, either")
 
+    def _check_same_configuration(self, request: web.Request) -> None:
+        """Refuse a relayed request that its own entry handles in another way.
+
+        The caller would see the effects of two revisions in turn.
+        """
+        if not self._has_configuration_of(request):
+            raise unavailable("this instance has another configuration, or no lease")
+
+    def _has_configuration_of(self, request: web.Request) -> bool:
+        configuration = self._context.configuration
+        revision = read_count(request.headers, REVISION_HEADER)
+        return configuration.is_leased and revision == configuration.revision
+
     def _check_can_end(self, service: ServiceName, request_class: RequestClass) -> None:
         """Refuse a request that is not expected to end before a planned stop."""
         recent = self._context.recent_durations(service, request_class)
--- a/pollenlb/request/relay.py
+++ b/pollenlb/request/relay.py
@@ -9,7 +9,11 @@
 from result import Err, Ok, Result
 
 from ..clock import now, remaining_time_s
-from ..connection.backend_api import ATTEMPTS_LEFT_HEADER, RELAY_REFUSED_HEADER
+from ..connection.backend_api import (
+    ATTEMPTS_LEFT_HEADER,
+    RELAY_REFUSED_HEADER,
+    REVISION_HEADER,
+)
 from ..connection.sessions import SendTracker
 from ..durable.leases import EntryInfo
 from ..process.context import EntryContext
@@ -133,11 +137,10 @@
         Raises
         ------
         RefusedError
-            When a peer may have run the request and no other one may get it.
+            When the request may have run.
         """
         self._may_relay = False
         caller = self._caller
-        lost: RefusedError | None = None
         for peer in self._peers():
             if not remaining_time_s(caller.deadline):
                 break
@@ -151,7 +154,9 @@
                 await release_short_answer(response)
                 if not caller.body.is_replayable:
                     reason = "neither this instance nor another can take the request"
-                    raise lost or unavailable(reason)
+                    if attempts_left is None:
+                        raise unavailable(reason)
+                    raise RefusedError(Refusal(502, Outcome.UNKNOWN, reason, 1))
                 continue
             failure = sent.err_value
             self._context.peer_failures[peer.boot] = now()
@@ -159,14 +164,9 @@
             self._record(peer, "unreached" if is_not_run else "lost", failure.reason)
             if is_not_run:
                 continue
+            # How many of its attempts the peer has used is not known.
             status = 504 if failure.is_timeout else 502
-            lost = RefusedError(Refusal(status, Outcome.UNKNOWN, failure.reason, 1))
-            attempts_left = (attempts_left or caller.max_attempts) - 1
-            may_repeat = caller.is_repeatable and caller.body.is_replayable
-            if attempts_left < 1 or not may_repeat:
-                raise lost
-        if lost is not None:
-            raise lost
+            raise RefusedError(Refusal(status, Outcome.UNKNOWN, failure.reason, 1))
         return None
 
     def _peers(self) -> list[EntryInfo]:
@@ -190,6 +190,7 @@
         caller, context = self._caller, self._context
         headers = forwarded_headers(caller, HOP_BY_HOP | INNER_HEADERS)
         headers.update(context.dialect.relay_headers(caller))
+        headers[REVISION_HEADER] = str(context.configuration.revision)
         if attempts_left is not None:
             headers[ATTEMPTS_LEFT_HEADER] = str(attempts_left)
         session = context.session
--- a/pollenlb/scheduling/assignment.py
+++ b/pollenlb/scheduling/assignment.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..ids import BootId
 
@@ -85,3 +85,17 @@
         default=None,
     )
     return chosen.boot if chosen is not None else None
+
+
+def add_open_items(
+    candidates: Sequence[Candidate], boot: BootId, count: int
+) -> list[Candidate]:
+    """Return the candidates after one of them was given items without a result."""
+    return [
+        (
+            replace(candidate, open_items=candidate.open_items + count)
+            if candidate.boot == boot
+            else candidate
+        )
+        for candidate in candidates
+    ]
--- a/pollenlb/scheduling/reachability.py
+++ b/pollenlb/scheduling/reachability.py
@@ -25,6 +25,11 @@
         """Whether this entry is taken to reach no backend server."""
         return len(self._failed) >= MIN_FAILED_SERVERS
 
+    @property
+    def has_failures(self) -> bool:
+        """Whether a server has failed since the last contact with any."""
+        return bool(self._failed)
+
     @property
     def contact_at(self) -> float:
         """Monotonic time of the last contact with a server, in seconds."""
