Show that a request on a silenced connection waits for its deadline

A request that may run twice and was sent on a connection that the cut silenced is hedged at other silent connections, and ends with 504 at its deadline, although the entry knows by then that it is stranded.

--- a/tests/system/test_stranded_entries.py
+++ b/tests/system/test_stranded_entries.py
@@ -312,3 +312,16 @@
     assert (await call)[:2] == (200, "ran")
     await stop
     assert _runs(system, "/billing/last") == 1
+
+
+async def test_request_on_a_silent_connection_does_not_wait_for_its_deadline(
+    start_system,
+):
+    """Guards against a 504 although the entry has long known that it is stranded."""
+    system, (links,) = await _start(start_system)
+    await links.cut(Cut.HUNG)
+    calls = [_post(system, 0, f"/{path}/1") for path in ("shop", "billing")]
+    assert [answer[:2] for answer in await asyncio.gather(*calls)] == [
+        (200, "ran"),
+        (200, "ran"),
+    ]
