Give silent attempts up once the entry is stranded

A request that may run twice got 504 at its deadline if it was sent on a connection that the cut had silenced: each hedge went to another silent connection, while its entry knew that it was stranded and other entries could have served it.

At the next time for a hedge, the attempts are given up instead if the entry is stranded, no server was heard of since they began, an attempt is left and there is a peer. They count as attempts that may have run, so that max_attempts holds.

The other 12 tests of the cuts that were run with it, test_slow_servers and test_freezes (9) pass.

--- a/pollenlb/request/hedging.py
+++ b/pollenlb/request/hedging.py
@@ -5,13 +5,14 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from ..clock import now
 from ..connection.backend import BackendServer
 from ..process.context import EntryContext
 from .attempt import Answer, AttemptFailure
 from .caller_request import CallerRequest, RequestClass
+from .outcome import Outcome
 from .retries import Retries
 
 SendAttempt = Callable[[BackendServer], Awaitable[Result[Answer, AttemptFailure]]]
@@ -28,6 +29,7 @@
     retries: Retries,
     server: BackendServer,
     send: SendAttempt,
+    may_relay: bool = False,
 ) -> tuple[BackendServer, Result]:
     """Return the first success of an attempt and, if it is late, of its hedges.
 
@@ -49,6 +51,9 @@
         Backend server for the first attempt.
     send : callable
         Makes one attempt at a backend server.
+    may_relay : bool
+        Whether another entry may take the request. Silent attempts are given up then
+        once this entry is taken to reach no server, if an attempt is left.
 
     Returns
     -------
@@ -73,6 +78,8 @@
             )
             if done:
                 break
+            if may_relay and _is_cut_off(context, started_at, len(tasks), retries):
+                return await _give_up(tasks, retries)
             is_silent = delay_s >= context.settings.progress_timeout_s
             other = retries.hedge_server(list(tasks.values()), is_silent)
             context.events.record(
@@ -136,6 +143,27 @@
             await retries.record_failure(server, result.unwrap_err())
 
 
+def _is_cut_off(
+    context: EntryContext, started_at: float, running: int, retries: Retries
+) -> bool:
+    """Return whether running attempts wait in vain, and another one is left."""
+    reachability = context.reachability
+    is_silent = reachability.is_stranded and reachability.contact_at < started_at
+    return is_silent and running < retries.relayed_attempts
+
+
+async def _give_up(
+    tasks: dict[asyncio.Future, BackendServer], retries: Retries
+) -> tuple[BackendServer, Result]:
+    """Return the failure of silent attempts; the caller of this cancels them."""
+    reason = "no backend server is reached, and none has answered the request"
+    failure = AttemptFailure(Outcome.UNKNOWN, reason, is_timeout=True)
+    *others, last = tasks.values()
+    for other in others:
+        await retries.record_failure(other, failure)
+    return last, Err(failure)
+
+
 def _cancel_attempt(task: asyncio.Future) -> None:
     task.cancel()
     task.add_done_callback(_close_unused_answer)
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -117,7 +117,12 @@
 
         try:
             server, result = await send_hedged(
-                caller, context, retries, server, send_to
+                caller,
+                context,
+                retries,
+                server,
+                send_to,
+                relay is not None and relay.has_peers,
             )
         except asyncio.CancelledError:
             await retries.record_abandonment()
--- a/pollenlb/request/relay.py
+++ b/pollenlb/request/relay.py
@@ -53,6 +53,11 @@
         self._context = context
         self._may_relay = not caller.is_relayed
 
+    @property
+    def has_peers(self) -> bool:
+        """Whether the request may still be relayed, and there is a peer for it."""
+        return self._may_relay and bool(self._peers())
+
     async def answer_at_start(self) -> web.StreamResponse | None:
         """Answer through a peer if this entry reaches no backend server.
 
