--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -187,6 +187,7 @@
         is_own = (
             context.reachability.has_failures
             or context.is_draining
+            or not context.accepts_requests
             or not self._has_configuration_of(request)
         )
         is_refused_here = is_own and refusal.outcome is Outcome.NOT_RUN
@@ -215,12 +216,11 @@
         The caller would see the effects of two revisions in turn.
         """
         if not self._has_configuration_of(request):
-            raise unavailable("this instance has another configuration, or no lease")
+            raise unavailable("this instance has another configuration")
 
     def _has_configuration_of(self, request: web.Request) -> bool:
-        configuration = self._context.configuration
         revision = read_count(request.headers, REVISION_HEADER)
-        return configuration.is_leased and revision == configuration.revision
+        return revision == self._context.configuration.revision
 
     def _check_can_end(self, service: ServiceName, request_class: RequestClass) -> None:
         """Refuse a request that is not expected to end before a planned stop."""
--- a/tests/scheduling/test_assignment.py
+++ b/tests/scheduling/test_assignment.py
@@ -6,6 +6,7 @@
     MAX_EVENT_LOOP_LAG_S,
     MAX_OPEN_ITEM_COUNT,
     Candidate,
+    add_open_items,
     choose_owner,
 )
 
@@ -59,3 +60,13 @@
     candidates = [_stranded("a", 3), _stranded("b", 1)]
     assert choose_owner(candidates, ["a"]) == "a"
     assert choose_owner(candidates, []) == "b"
+
+
+def test_jobs_that_move_at_once_are_spread_when_an_entry_has_the_maximum_of_items():
+    candidates = _candidates(a=0, b=10)
+    owners = []
+    for _ in range(4):
+        owner = choose_owner(candidates, owners)
+        candidates = add_open_items(candidates, owner, MAX_OPEN_ITEM_COUNT // 2)
+        owners.insert(0, owner)
+    assert owners == ["b", "b", "a", "a"]
