--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -88,30 +88,12 @@
         self._batch_runner = BatchRunner(self._context)
         self._lease_renewer = LeaseRenewer(self._context, self._batch_runner)
         self._leaving_reports = LeavingReports(self._context)
-        self._http = HttpServer(
-            self._application(),
-            settings.listen,
-            settings,
-            self._context.events,
-            self._count_closed,
-            shutdown_timeout=_MIN_SHUTDOWN_TIMEOUT_S,
-            max_line_size=settings.max_header_bytes,
-            max_field_size=settings.max_header_bytes,
-            handler_cancellation=True,
-        )
+        self._http = self._request_server(self._application(), settings.listen)
         self._contact_check = ContactCheck(self._context)
         self._relay_http: HttpServer | None = None
         if settings.relay_listen:
-            self._relay_http = HttpServer(
-                self._relay_application(),
-                settings.relay_listen,
-                settings,
-                self._context.events,
-                self._count_closed,
-                shutdown_timeout=_MIN_SHUTDOWN_TIMEOUT_S,
-                max_line_size=settings.max_header_bytes,
-                max_field_size=settings.max_header_bytes,
-                handler_cancellation=True,
+            self._relay_http = self._request_server(
+                self._relay_application(), settings.relay_listen
             )
         self._ready_http: HttpServer | None = None
         if settings.ready_listen:
@@ -189,6 +171,20 @@
         context.events.record("entry.stopped")
         context.events.close()
 
+    def _request_server(self, application: web.Application, listen: str) -> HttpServer:
+        """Return a server for requests that go to backend servers."""
+        return HttpServer(
+            application,
+            listen,
+            self._settings,
+            self._context.events,
+            self._count_closed,
+            shutdown_timeout=_MIN_SHUTDOWN_TIMEOUT_S,
+            max_line_size=self._settings.max_header_bytes,
+            max_field_size=self._settings.max_header_bytes,
+            handler_cancellation=True,
+        )
+
     def _application(self) -> web.Application:
         application = web.Application(
             client_max_size=self._settings.max_body_bytes,
