--- a/pollenlb/durable/follower.py
+++ b/pollenlb/durable/follower.py
@@ -211,11 +211,18 @@
             self._match_index = LogIndex(match_index)
             self._next_index = LogIndex(match_index + 1)
         else:
-            retry_index = min(answer.last_index + 1, self._next_index)
-            self._next_index = LogIndex(max(1, retry_index))
+            self._next_index = self._retry_index(answer)
         await self._on_answer()
         return True
 
+    def _retry_index(self, answer: AppendAnswer) -> LogIndex:
+        last_index = answer.last_index
+        if last_index >= self._next_index:
+            # A follower of an earlier release answers so when its snapshot is ahead.
+            last_index = min(last_index, self._replica.storage.last_index)
+            return LogIndex(last_index + 1)
+        return LogIndex(max(1, last_index + 1))
+
     async def _wait_for_wake(self, timeout_s: float) -> None:
         try:
             async with asyncio.timeout(timeout_s):
--- a/pollenlb/durable/rpc_handlers.py
+++ b/pollenlb/durable/rpc_handlers.py
@@ -94,6 +94,9 @@
     async def handle_append(self, request: AppendRequest) -> AppendAnswer:
         """Append the leader's log entries if the previous one matches.
 
+        Entries that the snapshot here includes are not looked at; the answer names
+        the last of them.
+
         Raises
         ------
         StorageError
@@ -104,6 +107,8 @@
             refusal = await self._refuse_or_accept_leader(request)
             if refusal is not None:
                 return refusal
+            if self._is_in_snapshot(request.previous_index):
+                return self._append_answer(True, replica.storage.snapshot.index)
             previous = replica.storage.term_at(request.previous_index)
             if previous is None or previous != request.previous_term:
                 return self._mismatch_answer(request.previous_index)
@@ -224,6 +229,13 @@
         replica.record_leader_contact(Address(request.leader_address))
         return None
 
+    def _is_in_snapshot(self, index: LogIndex) -> bool:
+        """Return whether a log entry is before the last one of the snapshot.
+
+        The log of every leader has all entries that a snapshot includes.
+        """
+        return index < self._replica.storage.snapshot.index
+
     def _mismatch_answer(self, previous_index: LogIndex) -> AppendAnswer:
         storage = self._replica.storage
         last_index = min(previous_index - 1, storage.last_index)
