--- a/pollenlb/durable/storage.py
+++ b/pollenlb/durable/storage.py
@@ -390,9 +390,12 @@
         sync_folder(self._folder)
         data = path.read_bytes()
         end = 0
+        is_overruled = False
         for end, payload in read_frames(data, path):
             for entry in _decode_entries(payload):
-                self._load_entry(entry, end, path)
+                if not is_overruled:
+                    self._load_entry(entry, end, path)
+                    is_overruled = self._is_overruled_by_snapshot(entry)
         if end < len(data):
             os.ftruncate(self._descriptor, end)
             self._sync(self._descriptor)
@@ -401,6 +404,14 @@
             os.ftruncate(self._descriptor, 0)
             self._sync(self._descriptor)
 
+    def _is_overruled_by_snapshot(self, entry: LogEntry) -> bool:
+        """Return whether the snapshot has another entry at the index of this one.
+
+        A crash after the snapshot was stored may leave such a log behind.
+        """
+        is_at_snapshot = entry.index == self._snapshot.index
+        return is_at_snapshot and entry.term != self._snapshot.term
+
     def _load_entry(self, entry: LogEntry, end: int, path: Path) -> None:
         if entry.index <= self._snapshot.index:
             return
--- a/tests/durable/test_storage.py
+++ b/tests/durable/test_storage.py
@@ -7,8 +7,10 @@
 import shutil
 import tempfile
 import threading
+from asyncio import CancelledError
 from contextlib import suppress
 from pathlib import Path
+from unittest.mock import AsyncMock
 
 import msgspec
 import pytest
@@ -380,6 +382,25 @@
     storage.close()
 
 
+async def test_log_that_a_snapshot_overruled_is_not_read_after_a_crash(
+    tmp_path, monkeypatch
+):
+    """Guards against entries of an earlier term behind a received snapshot."""
+    storage = _open_storage(tmp_path)
+    await storage.append([_entry(1, index) for index in range(1, 6)])
+    monkeypatch.setattr(storage, "_rewrite_log", AsyncMock(side_effect=CancelledError))
+    with pytest.raises(CancelledError):
+        await storage.save_snapshot(Snapshot(3, 4, [], b"newer"))
+    storage.close()
+    reopened = _open_storage(tmp_path)
+    assert (reopened.last_term, reopened.last_index) == (3, 4)
+    await reopened.append([_entry(3, 5)])
+    reopened.close()
+    again = _open_storage(tmp_path)
+    assert again.entries_from(5, 10) == [_entry(3, 5)]
+    again.close()
+
+
 @pytest.mark.parametrize("cut", [*range(1, 13), 25, 38])
 def test_snapshot_file_without_its_end_is_damaged(tmp_path, cut):
     """Guards against a state of which the last batch jobs are missing."""
