Replace a voter that answers without storing anything new

The leader took a voter for sound as long as it answered. One that refuses each message counted towards the majorities, was never replaced, and was asked again without a pause.

A refusal that repeats itself waits for a heartbeat.

--- a/pollenlb/durable/follower.py
+++ b/pollenlb/durable/follower.py
@@ -69,6 +69,8 @@
         self._match_index = LogIndex(0)
         self._created_at = now()
         self._last_contact_at = float("-inf")
+        self._progress_at = self._created_at
+        self._is_stall_recorded = False
         self._reported_member = member
         self._sender: SnapshotSender | None = None
         self.member = member
@@ -93,6 +95,11 @@
         """Seconds since the last contact, or since the start of the replication."""
         return now() - max(self._last_contact_at, self._created_at)
 
+    @property
+    def since_progress_s(self) -> float:
+        """Seconds since the follower stored something new or lacked nothing."""
+        return now() - self._progress_at
+
     @property
     def reported_member(self) -> Member:
         """The member with the instance and failure domain that it last reported."""
@@ -107,6 +114,25 @@
         if self.task is not None and self.task is not asyncio.current_task():
             self.task.cancel()
 
+    def record_stall(self, after_s: float) -> None:
+        """Record as an event, once for each time, that the follower makes no progress.
+
+        Parameters
+        ----------
+        after_s : float
+            Seconds without progress from which on it is recorded.
+        """
+        is_stalled = self.since_progress_s > after_s
+        if is_stalled and not self._is_stall_recorded:
+            self._replica.events.record(
+                "follower.stalled",
+                follower=self.member.replica,
+                next_index=self._next_index,
+                commit_index=self._replica.commit_index,
+                since_contact_s=round(self.since_last_contact_s, 3),
+            )
+        self._is_stall_recorded = is_stalled
+
     async def run(self) -> None:
         """Replicate to the follower until the leadership of the term ends.
 
@@ -203,17 +229,26 @@
             instance=answer.instance or self.member.instance,
             failure_domain=answer.failure_domain,
         )
+        is_repeated = False
         if answer.received_bytes is not None and self._sender is not None:
-            self._sender.record_received(answer.received_bytes)
+            if self._sender.record_received(answer.received_bytes):
+                self._progress_at = now()
         elif answer.is_matching:
             self._close_sender()
-            match_index = max(self._match_index, answer.last_index)
-            self._match_index = LogIndex(match_index)
-            self._next_index = LogIndex(match_index + 1)
+            self._record_match(answer.last_index)
         else:
-            self._next_index = self._retry_index(answer)
+            retry_index = self._retry_index(answer)
+            is_repeated = retry_index == self._next_index
+            self._next_index = retry_index
         await self._on_answer()
-        return True
+        return not is_repeated
+
+    def _record_match(self, last_index: LogIndex) -> None:
+        is_newer = last_index > self._match_index
+        if is_newer or last_index >= self._replica.commit_index:
+            self._progress_at = now()
+        self._match_index = LogIndex(max(self._match_index, last_index))
+        self._next_index = LogIndex(self._match_index + 1)
 
     def _retry_index(self, answer: AppendAnswer) -> LogIndex:
         last_index = answer.last_index
--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -385,11 +385,12 @@
     async def _maintain_members(self) -> None:
         while not self._is_ended:
             await sleep_until(deadline_in(self._replica.settings.heartbeat_s))
+            goal = self._replica.membership_goal
+            for follower in self._followers.values():
+                follower.record_stall(goal.replace_after_s)
             if not self.is_ready:
                 continue
-            members = next_members(
-                self.member_health(), self._own_id, self._replica.membership_goal
-            )
+            members = next_members(self.member_health(), self._own_id, goal)
             if members is None:
                 continue
             try:
@@ -435,6 +436,7 @@
             follower.since_last_contact_s,
             is_caught_up,
             follower.reported_member,
+            follower.since_progress_s,
         )
 
     def _own_member(self) -> Member:
--- a/pollenlb/durable/membership.py
+++ b/pollenlb/durable/membership.py
@@ -29,12 +29,20 @@
         Whether the member's log holds all entries that the leader has committed.
     reported_member : Member
         The member with the instance and failure domain that it last reported.
+    since_progress_s : float
+        Seconds since the member stored something new or lacked nothing.
     """
 
     member: Member
     since_last_contact_s: float
     is_caught_up: bool
     reported_member: Member
+    since_progress_s: float = 0.0
+
+    @property
+    def stalled_s(self) -> float:
+        """Seconds for which the member has been of no use to a majority."""
+        return max(self.since_last_contact_s, self.since_progress_s)
 
 
 @dataclass(frozen=True)
@@ -48,7 +56,8 @@
     retiring_instances : frozenset of InstanceName
         Instances that are being retired; their replicas are removed.
     replace_after_s : float
-        Seconds without contact after which a voter is replaced by a learner.
+        Seconds without contact or progress after which a voter is replaced by a
+        learner.
     """
 
     voter_count: int
@@ -102,7 +111,7 @@
 
 def _is_ineligible(health: MemberHealth, goal: MembershipGoal) -> bool:
     is_retiring = health.member.instance in goal.retiring_instances
-    return is_retiring or health.since_last_contact_s > goal.replace_after_s
+    return is_retiring or health.stalled_s > goal.replace_after_s
 
 
 def _best_learner(
@@ -138,7 +147,7 @@
         voter for voter in ineligible if voter.member.replica != own_id
     ]
     if others_ineligible:
-        return max(others_ineligible, key=lambda voter: voter.since_last_contact_s)
+        return max(others_ineligible, key=lambda voter: voter.stalled_s)
     if ineligible:
         return ineligible[0]
     voters_by_domain = Counter(voter.member.failure_domain for voter in voters)
--- a/pollenlb/durable/snapshot_transfer.py
+++ b/pollenlb/durable/snapshot_transfer.py
@@ -68,9 +68,17 @@
         data = os.pread(self._file.fileno(), BLOCK_BYTES, self._sent_bytes)
         return SnapshotBlock(self._sent_bytes, data)
 
-    def record_received(self, received_bytes: int) -> None:
-        """Record how much of the file the follower has received in all."""
+    def record_received(self, received_bytes: int) -> bool:
+        """Record how much of the file the follower has received in all.
+
+        Returns
+        -------
+        bool
+            Whether that is more than before.
+        """
+        before = self._sent_bytes
         self._sent_bytes = min(received_bytes, self._total_bytes)
+        return self._sent_bytes > before
 
     def close(self) -> None:
         """Close the file."""
--- a/tests/durable/test_lost_answers.py
+++ b/tests/durable/test_lost_answers.py
@@ -1,12 +1,13 @@
-"""Replication to a follower whose answers are lost."""
+"""Replication to a follower whose answers are lost or always the same."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+import msgspec
 import pytest
-from result import Err, Result
+from result import Err, Ok, Result
 
 from pollenlb.connection.rpc import CallFailure, RpcChannel
 from pollenlb.durable.records import APPEND
@@ -41,6 +42,13 @@
     return Err(CallFailure("the answer was lost"))
 
 
+def _refuse(answer: Result) -> Result:
+    if answer.is_err():
+        return answer
+    refused = msgspec.structs.replace(answer.ok(), is_matching=False, last_index=0)
+    return Ok(refused)
+
+
 async def _restart_with(node: Node, **options) -> None:
     await node.kill()
     values = {**node.settings.values, **options}
@@ -70,3 +78,26 @@
         await propose(leader, Write("x", 40))
         await wait_until(lambda: follower.registers.values.get("x") == 40)
         assert leader.replica.term == term
+
+
+# Guards against a majority that counts a voter which stores nothing.
+async def test_voter_that_answers_but_stores_nothing_is_replaced(tmp_path, capfd):
+    options = {"replace_after_s": 0.5}
+    async with ReplicaSet(tmp_path, seed=12, count=3, **options) as replicas:
+        await replicas.write("x", 1)
+        spare = await replicas.add_spare()
+        await wait_until(lambda: spare.registers.values.get("x") == 1)
+        leader = await replicas.leader()
+        others = [node for node in replicas.nodes if node not in (leader, spare)]
+        stalled = others[0]
+        with changed_answers(leader, stalled, _refuse):
+            await propose(leader, Write("x", 2))
+            await wait_until(lambda: _votes(leader, spare))
+            await wait_until(lambda: not _votes(leader, stalled))
+        assert '"follower.stalled"' in capfd.readouterr().out
+
+
+def _votes(leader: Node, node: Node) -> bool:
+    name = node.settings.name
+    members = leader.committed_members
+    return any(member.is_voter and member.instance == name for member in members)
