Play upgrades from the version in production with the soak

Processes begin with the build of a commit from the history and are replaced one by one in drawn orders: asked to end, killed, killed just after the start, or with an empty disk; some runs go back before they go on. Clients, streams, limits and reward calls are those of the soak.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 import cappa
 
 from .run import SoakRun
+from .upgrade import UpgradeRun
 
 
 @cappa.command(name="soak")
@@ -21,6 +22,22 @@
     seed: Annotated[int, cappa.Arg(long="--seed", help="First seed.")] = 1
     seeds: Annotated[int, cappa.Arg(long="--seeds", help="Number of seeds.")] = 1
     faults: Annotated[int, cappa.Arg(long="--faults", help="Faults per seed.")] = 8
+    upgrade: Annotated[
+        bool,
+        cappa.Arg(
+            long="--upgrade", help="Replace the version in production by this one."
+        ),
+    ] = False
+    restart: Annotated[
+        bool,
+        cappa.Arg(long="--restart", help="The same restarts, all with this version."),
+    ] = False
+
+
+def _make_run(soak: Soak, seed: int) -> SoakRun:
+    if soak.restart:
+        return UpgradeRun(seed, commit="")
+    return UpgradeRun(seed) if soak.upgrade else SoakRun(seed, soak.faults)
 
 
 def main() -> None:
@@ -29,7 +46,7 @@
     failed = 0
     for seed in range(soak.seed, soak.seed + soak.seeds):
         started_at = time.monotonic()
-        run = SoakRun(seed, soak.faults)
+        run = _make_run(soak, seed)
         violations = asyncio.run(run.run())
         verdict = "passed" if not violations else "FAILED"
         print(f"seed {seed}: {verdict} in {time.monotonic() - started_at:.0f} s")
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -50,6 +50,8 @@
         Version of the last configuration that was sent.
     acknowledged_version : int
         Highest version of a configuration that was accepted; 0 before the first.
+    call_count, failed_count : int
+        Number of calls, and of those without an answer or with a 5xx status.
     is_stopping : bool
         Whether `run` ends after the current round.
     """
@@ -60,6 +62,8 @@
         self._programs = programs
         self._engines = engines
         self._rng = rng
+        self.call_count = 0
+        self.failed_count = 0
         self._session = aiohttp.ClientSession(timeout=_TIMEOUT)
         self.violations: list[str] = []
         self.accepted_jobs: dict[str, dict[str, int]] = {}
@@ -224,13 +228,16 @@
     async def _send_request(
         self, method: str, url: str, body: object, headers: dict
     ) -> tuple:
+        self.call_count += 1
         try:
             async with self._session.request(
                 method, url, json=body, headers=headers
             ) as response:
+                self.failed_count += response.status >= 500
                 is_read = response.status == 200 and method == "GET"
                 return response.status, await response.json() if is_read else None
         except _ERRORS:
+            self.failed_count += 1
             return 0, None
 
 
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -38,6 +38,7 @@
         self.base_urls: dict[str, str] = {}
         self._processes: dict[str, subprocess.Popen] = {}
         self._roles: dict[str, str] = {}
+        self._roots: dict[str, Path] = {}
         self._paused: set[str] = set()
         seeds = [f"127.0.0.1:{port}" for port in free_ports(controls)]
         for number, listen in enumerate(seeds):
@@ -55,13 +56,25 @@
         """Names of the entries."""
         return [name for name, role in self._roles.items() if role == "entry"]
 
+    def use_build(self, name: str, root: Path) -> None:
+        """Let the next start of a process run the package in another folder."""
+        self._roots[name] = root
+
+    def ended(self) -> list[str]:
+        """Return the names of started processes that do not run any more."""
+        return [
+            name
+            for name, process in self._processes.items()
+            if process.poll() is not None
+        ]
+
     def start(self, name: str) -> None:
         """Start or restart a process; its output is appended to a file."""
         environment = {**os.environ, "POLLENLB_CONFIG": str(self._settings_path(name))}
         with (self.folder / f"{name}.out").open("ab") as output:
             self._processes[name] = subprocess.Popen(
                 [sys.executable, "-m", "pollenlb.platform", self._roles[name]],
-                cwd=ROOT,
+                cwd=self._roots.get(name, ROOT),
                 env=environment,
                 stdout=output,
                 stderr=output,
@@ -138,6 +151,7 @@
                 "election_timeout_s": 0.45,
                 "lease_s": 1.0,
                 "replace_after_s": 1.5,
+                "snapshot_every": 300,
                 "order_lifetime_s": 1.0,
             },
         )
--- a/soak/run.py
+++ b/soak/run.py
@@ -39,6 +39,8 @@
     fault_log : list of str
         Names of the injected faults in order, then the numbers of accepted batch jobs
         and of complete streams.
+    violations : list of str
+        Violated guarantees that the run itself has seen, one description each.
     """
 
     def __init__(self, seed: int, faults: int) -> None:
@@ -52,11 +54,13 @@
         self._engines: list[PlatformEngine] = []
         self._scorers: list[FaultyScorer] = []
         self.fault_log: list[str] = []
+        self.violations: list[str] = []
 
     async def run(self) -> list[str]:
         """Run the system and return the violated guarantees, one description each."""
         with tempfile.TemporaryDirectory(prefix="soak-") as folder:
             programs = Programs(Path(folder), controls=3, entries=3)
+            self._prepare(programs)
             try:
                 programs.start_all()
                 for number in range(2):
@@ -83,8 +87,7 @@
             client_task = asyncio.create_task(clients.run())
             caller_task = asyncio.create_task(callers.run())
             limits_task = asyncio.create_task(limits.run())
-            for _ in range(self._fault_count):
-                await self._inject_faults(programs)
+            await self._disturb(programs)
             clients.is_stopping = callers.is_stopping = True
             limits_task.cancel()
             await asyncio.gather(limits_task, return_exceptions=True)
@@ -97,7 +100,18 @@
         self.fault_log.append(f"{callers.complete_count} streams complete")
         calls = sum(len(scorer.received_runs) for scorer in self._scorers)
         self.fault_log.append(f"{calls} reward calls run")
-        return clients.violations + callers.violations + limits.violations
+        self.fault_log.append(
+            f"{clients.failed_count} of {clients.call_count} calls failed"
+        )
+        seen = clients.violations + callers.violations + limits.violations
+        return self.violations + seen
+
+    def _prepare(self, programs: Programs) -> None:
+        """Change the programs before they are started; nothing by default."""
+
+    async def _disturb(self, programs: Programs) -> None:
+        for _ in range(self._fault_count):
+            await self._inject_faults(programs)
 
     async def _add_engine(self, name: str, programs: Programs, software: str) -> None:
         (port,) = free_ports(1)
