Draw the ids of commands that end or submit a batch job

A batch job that was submitted again after its time was answered 202, and 404 when it was read.

Cause: the command ids were made from the name of the batch job, so that the table of results answered a later command with the first result. Evidence: both new tests fail on the code before with 404 in place of 200. Each call now draws its id; the commands are idempotent by the table of batch jobs. The state machine is unchanged, so builds side by side apply the same.

--- a/pollenlb/request/batch_job.py
+++ b/pollenlb/request/batch_job.py
@@ -11,7 +11,7 @@
 from ..durable.command_base import Refused
 from ..durable.configuration_commands import ConfigurationConflict
 from ..exceptions import CommandInDoubtError, ControlError
-from ..ids import BatchJobId, CommandId, ItemId, Revision
+from ..ids import BatchJobId, CommandId, ItemId, Revision, new_id
 from ..process.context import EntryContext
 from ..settings.cluster import RouteSettings
 from .caller_request import CallerRequest, path_of
@@ -73,7 +73,7 @@
             is_reported = True
             _report_unknown_fields(spec, body, context)
         command = SubmitBatchJob(spec, context.identity.boot, revision)
-        command_id = CommandId(f"batch-job-{spec.batch_job}-{revision}")
+        command_id = CommandId(new_id("batch-job"))
         try:
             result = await context.control.propose(command, command_id, deadline)
         except CommandInDoubtError as error:
@@ -221,7 +221,7 @@
         When the batch job does not exist, or when it is not known whether it
         ended.
     """
-    command_id = CommandId(f"end-{name}")
+    command_id = CommandId(new_id("end"))
     try:
         result = await context.control.propose(
             EndBatchJob(name), command_id, deadline_in(_SUBMIT_TIMEOUT_S)
--- a/tests/platform/test_batch_jobs.py
+++ b/tests/platform/test_batch_jobs.py
@@ -11,6 +11,8 @@
 from fakes.cut_answer import CutAnswer
 from fakes.flood import REQUEST_ID
 from pollenlb.connection import rpc
+from pollenlb.durable import batch_jobs
+from pollenlb.ids import new_id
 from pollenlb.process import batch_runner, output_saver
 from pollenlb.process.batch_runner import BatchRunner
 from pollenlb.process.renewals import LeaseRenewer
@@ -239,6 +241,35 @@
     assert (await system.read_page(0, "job"))[1]["results"] == []
 
 
+# Guards against a refusal that is remembered as the answer to every later end.
+async def test_end_that_came_before_the_batch_job_does_not_undo_later_ends(
+    platform_system,
+):
+    system = await platform_system()
+    assert (await system.call_entry("DELETE", 1, "/-/lots/job"))[0] == 404
+    body = batch_job({"item": _LONG_EVENT_COUNT})
+    assert await system.submit(0, "job", body) == 202
+    assert (await system.call_entry("DELETE", 1, "/-/lots/job"))[0] == 200
+    assert (await system.call_entry("DELETE", 0, "/-/lots/job"))[0] == 200
+    await wait_until(lambda: not any(engine.running for engine in system.engines))
+
+
+# Guards against the acceptance of a batch job that is not there any more.
+async def test_batch_job_that_comes_again_after_its_time_can_be_read(
+    platform_system, monkeypatch
+):
+    monkeypatch.setattr(batch_jobs, "RETENTION_MARGIN_MS", 0)
+    system = await platform_system()
+    for entry in system.entries:
+        entry._settings.values["batch_results_kept_s"] = 0.1
+    assert await system.submit(0, "job", batch_job({"item": 2})) == 202
+    await system.read_all_results(0, "job")
+    while (await system.read_page(0, "job"))[0] != 404:
+        await system.submit(0, new_id("later"), batch_job({new_id("item"): 1}))
+    assert await system.submit(0, "job", batch_job({"item": 2})) == 202
+    assert (await system.read_page(0, "job"))[0] == 200
+
+
 async def test_another_entry_takes_over_the_batch_jobs_of_a_stopped_entry(
     platform_system,
 ):
