Report releases as data, and hold formats back until all members read them

Followers, joining replicas and entries report their release and the newest format that they read. The leader raises the format of the log once all members read it, and each folder records it before an entry of that format is stored. A command that a member cannot read is refused, and a folder that is too new is left as it is; both errors name the two releases.

--- a/pollenlb/commands/running.py
+++ b/pollenlb/commands/running.py
@@ -52,13 +52,14 @@
                 status["role"],
                 status["term"],
                 status["commit_index"],
+                _version(status),
             )
             if status
-            else (address, None, "unreachable", None, None)
+            else (address, None, "unreachable", None, None, None)
         )
         for address, status in control_statuses.items()
     ]
-    header = ("address", "replica", "role", "term", "committed")
+    header = ("address", "replica", "role", "term", "committed", "release")
     print_table("control instances", header, rows)
 
 
@@ -70,11 +71,18 @@
             entry["revision"],
             entry["is_leased"],
             entry["is_draining"],
+            _version(entry),
         )
         for address, entry in entries.items()
         if not isinstance(entry, QueryFailure)
     ]
-    print_table("entries", ("name", "address", "revision", "lease", "draining"), rows)
+    header = ("name", "address", "revision", "lease", "draining", "release")
+    print_table("entries", header, rows)
+
+
+def _version(status: dict) -> str | None:
+    """Return the version that a process reports; releases up to 0.1.0 report none."""
+    return status.get("release", {}).get("version")
 
 
 def _print_servers(control_statuses: dict, entries: dict) -> None:
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -39,6 +39,7 @@
     WeightVersion,
     WorkspaceName,
 )
+from ..release import UNREPORTED, Release
 from .rpc import Method
 
 _SERVICE = "pollenlb.Control"
@@ -585,6 +586,8 @@
         Whether the request is refused, by fingerprint.
     duties : DutiesView or None
         None if this instance has no duties.
+    release : Release
+        Release that the instance runs.
     """
 
     status: CallStatus
@@ -603,6 +606,7 @@
     jobs: dict[JobName, JobView]
     suspects: dict[Fingerprint, bool]
     duties: DutiesView | None = None
+    release: Release = UNREPORTED
 
 
 class RecordStream(msgspec.Struct, frozen=True):
--- a/pollenlb/durable/command_base.py
+++ b/pollenlb/durable/command_base.py
@@ -2,15 +2,26 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 import msgspec
 
+from ..ids import FormatVersion
+
 
 class Command(msgspec.Struct, frozen=True, tag=True):
     """Base class of all commands.
 
     The class name is the tag in the replicated log.
+
+    Attributes
+    ----------
+    needed_format : FormatVersion
+        Format since which releases read the command.
     """
 
+    needed_format: ClassVar[FormatVersion] = FormatVersion(0)
+
 
 class CommandResult(msgspec.Struct, frozen=True, tag=True):
     """Base class of all results of commands.
--- a/pollenlb/durable/follower.py
+++ b/pollenlb/durable/follower.py
@@ -11,6 +11,7 @@
 
 from ..clock import deadline_in, now, sleep_until
 from ..ids import Address, LogIndex, Term
+from ..release import UNREPORTED, Release
 from .records import (
     APPEND,
     SNAPSHOT_BLOCK,
@@ -72,6 +73,7 @@
         self._progress_at = self._created_at
         self._is_stall_recorded = False
         self._reported_member = member
+        self._release = UNREPORTED
         self._sender: SnapshotSender | None = None
         self.member = member
         self.wake = asyncio.Event()
@@ -100,6 +102,11 @@
         """Seconds since the follower stored something new or lacked nothing."""
         return now() - self._progress_at
 
+    @property
+    def release(self) -> Release:
+        """Release that the follower last reported in this term."""
+        return self._release
+
     @property
     def reported_member(self) -> Member:
         """The member with the instance and failure domain that it last reported."""
@@ -215,6 +222,7 @@
                 _MAX_ENTRIES_PER_MESSAGE,
                 _MAX_ENTRY_BYTES_PER_MESSAGE,
             ),
+            format=storage.hard_state.format,
         )
 
     async def _process_answer(self, answer: AppendAnswer, sent_at: float) -> bool:
@@ -224,6 +232,7 @@
             await self._replica.observe_term(answer.term)
             return False
         self._last_contact_at = max(self._last_contact_at, sent_at)
+        self._release = answer.release
         self._reported_member = msgspec.structs.replace(
             self.member,
             instance=answer.instance or self.member.instance,
--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -9,8 +9,22 @@
 from msgspec.structs import replace
 
 from ..clock import deadline_in, now, remaining_time_s, sleep_until
-from ..exceptions import CommitInDoubtError, DiskFullError, LogError, NotLeaderError
-from ..ids import FailureDomain, InstanceName, LogIndex, ReplicaId, Term
+from ..exceptions import (
+    CommitInDoubtError,
+    DiskFullError,
+    LogError,
+    NotLeaderError,
+    UnreadableFormatError,
+)
+from ..ids import (
+    FailureDomain,
+    FormatVersion,
+    InstanceName,
+    LogIndex,
+    ReplicaId,
+    Term,
+)
+from ..release import UNREPORTED, Release
 from .follower import Follower
 from .membership import MemberHealth, next_members
 from .records import EntryKind, JoinRequest, LogEntry, Member, encode_members
@@ -82,6 +96,37 @@
         majority = len(contact_times) // 2 + 1
         return max(contact_times[majority - 1], self._election_started_at)
 
+    @property
+    def releases(self) -> dict[ReplicaId, Release]:
+        """Release of each member, as it reported it in this term."""
+        releases = {self._own_id: self._replica.release}
+        for member in self._replica.storage.members:
+            if member.replica != self._own_id:
+                follower = self._followers.get(member.replica)
+                release = follower.release if follower is not None else UNREPORTED
+                releases[member.replica] = release
+        return releases
+
+    def check_readable(self, needed: FormatVersion) -> None:
+        """Return if all members have said that they read a format.
+
+        Raises
+        ------
+        UnreadableFormatError
+            When one of them has not, or the log does not use the format yet.
+        """
+        if needed <= self._replica.storage.hard_state.format:
+            return
+        others = [
+            f"{replica} runs {release}"
+            for replica, release in self.releases.items()
+            if release.reads < needed
+        ]
+        raise UnreadableFormatError(
+            f"{self._replica.release} would write format {needed}, which not all "
+            f"members read: {', '.join(others) or 'it is not in use yet'}"
+        )
+
     def start(self) -> None:
         """Start the tasks of the term; the caller holds the lock of the replica."""
         self._update_followers()
@@ -186,6 +231,13 @@
         members = self._replica.storage.members
         if any(member.replica == request.replica for member in members):
             return
+        log_format = self._replica.storage.hard_state.format
+        if request.release.reads < log_format:
+            raise LogError(
+                f"replica {request.replica} cannot join: the log is of format "
+                f"{log_format} since {self._replica.release}, and it runs "
+                f"{request.release}"
+            )
         if request.instance in self._replica.membership_goal.retiring_instances:
             raise LogError(
                 f"instance {request.instance} cannot join: it is being retired"
@@ -385,6 +437,7 @@
     async def _maintain_members(self) -> None:
         while not self._is_ended:
             await sleep_until(deadline_in(self._replica.settings.heartbeat_s))
+            await self._raise_format()
             goal = self._replica.membership_goal
             for follower in self._followers.values():
                 follower.record_stall(goal.replace_after_s)
@@ -403,6 +456,22 @@
             ):
                 self._replica.step_down("this replica is no longer a voter")
 
+    async def _raise_format(self) -> None:
+        """Let the log use the newest format that all members read."""
+        readable = min(release.reads for release in self.releases.values())
+        async with self._replica.lock:
+            state = self._replica.storage.hard_state
+            if self._is_ended or readable <= state.format:
+                return
+            try:
+                await self._replica.storage.save_hard_state(
+                    replace(state, format=readable)
+                )
+            except DiskFullError as error:
+                self._replica.record_full_disk(error)
+                return
+        self._replica.events.record("log.format", format=readable)
+
     def member_health(self) -> list[MemberHealth]:
         """Return the health of each member, as this leader observes it.
 
--- a/pollenlb/durable/leases.py
+++ b/pollenlb/durable/leases.py
@@ -18,6 +18,7 @@
     ModelName,
     Revision,
 )
+from ..release import UNREPORTED, Release
 from .key_commands import Claimant
 
 
@@ -36,6 +37,8 @@
         Failure domain of the instance.
     relay : Address
         HTTP address for requests that other entries relay; empty without one.
+    release : Release
+        Release that the process runs.
     """
 
     instance: InstanceName
@@ -43,6 +46,7 @@
     http: Address
     failure_domain: FailureDomain
     relay: Address = Address("")
+    release: Release = UNREPORTED
 
     @property
     def claimant(self) -> Claimant:
--- a/pollenlb/durable/records.py
+++ b/pollenlb/durable/records.py
@@ -11,11 +11,13 @@
     Address,
     ClusterId,
     FailureDomain,
+    FormatVersion,
     InstanceName,
     LogIndex,
     ReplicaId,
     Term,
 )
+from ..release import UNREPORTED, Release
 
 _SERVICE = "pollenlb.Replication"
 
@@ -78,12 +80,15 @@
     ----------
     voted_for : ReplicaId or None
         Candidate that it voted for in the term, if any.
+    format : FormatVersion
+        Newest format that the data folder may hold.
     """
 
     replica: ReplicaId
     cluster: ClusterId
     term: Term
     voted_for: ReplicaId | None = None
+    format: FormatVersion = FormatVersion(0)
 
 
 class Snapshot(msgspec.Struct, frozen=True):
@@ -141,6 +146,8 @@
         Term and index of the log entry just before the first one sent.
     commit_index : LogIndex
         Index up to which the leader has committed.
+    format : FormatVersion
+        Newest format that the log may hold from now on.
     """
 
     cluster: ClusterId
@@ -152,6 +159,7 @@
     commit_index: LogIndex
     leader_address: Address
     entries: list[LogEntry]
+    format: FormatVersion = FormatVersion(0)
 
 
 class AppendAnswer(msgspec.Struct, frozen=True):
@@ -170,6 +178,8 @@
         Where the receiver runs; empty when it is not the one that was addressed.
     received_bytes : int or None
         Bytes received of a snapshot that is not complete yet; None otherwise.
+    release : Release
+        Release that the receiver runs.
     """
 
     term: Term
@@ -179,6 +189,7 @@
     instance: InstanceName = InstanceName("")
     failure_domain: FailureDomain = FailureDomain("")
     received_bytes: int | None = None
+    release: Release = UNREPORTED
 
 
 class SnapshotPart(msgspec.Struct, frozen=True):
@@ -255,6 +266,7 @@
     instance: InstanceName
     address: Address
     failure_domain: FailureDomain = FailureDomain("")
+    release: Release = UNREPORTED
 
 
 class JoinAnswer(msgspec.Struct, frozen=True):
--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -26,6 +26,7 @@
     new_id,
 )
 from ..memory import peak_memory_mb
+from ..release import THIS_RELEASE, Release
 from ..settings.control import ControlSettings
 from .election import hold_election
 from .leadership import Leadership
@@ -111,6 +112,8 @@
         Source of random election timeouts.
     get_retiring_instances : callable, optional
         Returns the instances that are being retired.
+    release : Release
+        Release that the replica reports.
     """
 
     def __init__(
@@ -121,7 +124,9 @@
         events: EventLog,
         rng: random.Random | None = None,
         get_retiring_instances: Callable[[], Collection[InstanceName]] = frozenset,
+        release: Release = THIS_RELEASE,
     ) -> None:
+        self._release = release
         self._get_retiring_instances = get_retiring_instances
         self._settings = settings
         self._storage = storage
@@ -149,6 +154,11 @@
         """Settings of the instance."""
         return self._settings
 
+    @property
+    def release(self) -> Release:
+        """Release that this replica runs."""
+        return self._release
+
     @property
     def storage(self) -> Storage:
         """Storage of this replica: identity, snapshot and log entries."""
@@ -548,6 +558,7 @@
             InstanceName(self._settings.name),
             Address(self._settings.listen),
             FailureDomain(self._settings.failure_domain),
+            self._release,
         )
         self._events.record("replica.joins", replica=request.replica)
         search = LeaderSearch(self._settings.seed_addresses)
--- a/pollenlb/durable/replica_interface.py
+++ b/pollenlb/durable/replica_interface.py
@@ -10,6 +10,7 @@
 from ..events import EventLog
 from ..exceptions import DiskFullError
 from ..ids import Address, LogIndex, Term
+from ..release import Release
 from ..settings.control import ControlSettings
 from .membership import MembershipGoal
 from .records import JoinRequest, Snapshot
@@ -37,6 +38,10 @@
     def settings(self) -> ControlSettings:
         """Settings of the instance."""
 
+    @property
+    def release(self) -> Release:
+        """Release that this replica runs."""
+
     @property
     def storage(self) -> Storage:
         """Storage of this replica: identity, snapshot and log entries."""
--- a/pollenlb/durable/rpc_handlers.py
+++ b/pollenlb/durable/rpc_handlers.py
@@ -13,6 +13,7 @@
     Address,
     ClusterId,
     FailureDomain,
+    FormatVersion,
     InstanceName,
     LogIndex,
     ReplicaId,
@@ -59,6 +60,7 @@
         self._replica = replica
         self._incoming = IncomingSnapshot()
         self._receiver = SnapshotReceiver(replica.storage)
+        self._is_unreadable_recorded = False
 
     def register(self, server: RpcServer) -> None:
         """Register all handlers on a server."""
@@ -104,9 +106,12 @@
         """
         replica = self._replica
         async with replica.lock:
+            if not self._can_read(request):
+                return AppendAnswer(Term(0), False, False, LogIndex(0))
             refusal = await self._refuse_or_accept_leader(request)
             if refusal is not None:
                 return refusal
+            await self._record_format(request.format)
             if self._is_in_snapshot(request.previous_index):
                 return self._append_answer(True, replica.storage.snapshot.index)
             previous = replica.storage.term_at(request.previous_index)
@@ -229,6 +234,31 @@
         replica.record_leader_contact(Address(request.leader_address))
         return None
 
+    def _can_read(self, request: AppendRequest) -> bool:
+        """Return whether this release reads the format of the leader's log.
+
+        A replica that does not is of no use to a majority, so it gives no answer of its
+        own, and the leader takes it for silent.
+        """
+        replica = self._replica
+        can_read = request.format <= replica.release.reads
+        if not can_read and not self._is_unreadable_recorded:
+            replica.events.record(
+                "log.unreadable",
+                leader=request.leader_address,
+                format=request.format,
+                release=str(replica.release),
+            )
+        self._is_unreadable_recorded = not can_read
+        return can_read
+
+    async def _record_format(self, format_: FormatVersion) -> None:
+        """Record in the data folder that it may hold a format from now on."""
+        state = self._replica.storage.hard_state
+        if format_ > state.format:
+            new_state = msgspec.structs.replace(state, format=format_)
+            await self._replica.storage.save_hard_state(new_state)
+
     def _is_in_snapshot(self, index: LogIndex) -> bool:
         """Return whether a log entry is before the last one of the snapshot.
 
@@ -251,6 +281,7 @@
             last_index,
             InstanceName(settings.name),
             FailureDomain(settings.failure_domain),
+            release=self._replica.release,
         )
 
     async def _append_missing(self, entries: list[LogEntry]) -> None:
--- a/pollenlb/durable/storage.py
+++ b/pollenlb/durable/storage.py
@@ -16,6 +16,7 @@
 from ..clock import now
 from ..exceptions import DiskFullError, StorageDamagedError, StorageError
 from ..ids import ClusterId, LogIndex, ReplicaId, Term
+from ..release import THIS_RELEASE, Release
 from .files import (
     encode_frame,
     read_file,
@@ -67,12 +68,18 @@
         The data folder.
     sync : callable
         Syncs the content of a file descriptor to the disk; replaced in tests.
+    release : Release
+        Release that reads the data folder.
     """
 
     def __init__(
-        self, folder: Path, sync: Callable[[int], None] = os.fdatasync
+        self,
+        folder: Path,
+        sync: Callable[[int], None] = os.fdatasync,
+        release: Release = THIS_RELEASE,
     ) -> None:
         self._folder = folder
+        self._release = release
         self._sync = sync
         self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="disk")
         # Log entries are written while a snapshot is, which takes longer.
@@ -165,13 +172,14 @@
             When the hard state, the snapshot or a log record before the last one
             does not match its checksum, or a log entry is missing.
         StorageError
-            When the data folder cannot be read.
+            When the data folder cannot be read, or holds a format that this release
+            does not read. It stays as it is then.
         """
         try:
             self._folder.mkdir(parents=True, exist_ok=True)
+            self._read_hard_state()
             for name in _TEMPORARY_FILES:
                 (self._folder / name).unlink(missing_ok=True)
-            self._read_hard_state()
             self._read_snapshot()
             self._read_log()
         except OSError as error:
@@ -372,8 +380,15 @@
 
     def _read_hard_state(self) -> None:
         payload = read_file(self._folder / _HARD_STATE_FILE)
-        if payload is not None:
-            self._hard_state = _decode_hard_state(payload)
+        if payload is None:
+            return
+        state = _decode_hard_state(payload)
+        if state.format > self._release.reads:
+            raise StorageError(
+                f"data folder {self._folder} may hold format {state.format}, which a "
+                f"later release wrote; this is {self._release}"
+            )
+        self._hard_state = state
 
     def _read_snapshot(self) -> None:
         try:
--- a/pollenlb/exceptions.py
+++ b/pollenlb/exceptions.py
@@ -50,6 +50,10 @@
         self.leader = leader
 
 
+class UnreadableFormatError(LogError):
+    """A command was refused, since a member of the log could not read it."""
+
+
 class CommitInDoubtError(LogError):
     """A log entry was appended, but whether it will be committed is unknown."""
 
--- a/pollenlb/ids.py
+++ b/pollenlb/ids.py
@@ -33,6 +33,7 @@
 GroupIndex = NewType("GroupIndex", int)
 BatchNumber = NewType("BatchNumber", int)
 UsageWindow = NewType("UsageWindow", int)
+FormatVersion = NewType("FormatVersion", int)
 
 _ID_BYTES = 8
 
--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -33,7 +33,7 @@
 from ..connection.rpc import RpcServer
 from ..connection.stream_origins import StreamTable
 from ..durable.batch_job_commands import SubmitBatchJob
-from ..durable.command_base import Done
+from ..durable.command_base import Done, Refused
 from ..durable.commands import AnyCommand, AnyResult
 from ..durable.configuration_commands import (
     AnnounceServer,
@@ -52,8 +52,15 @@
 from ..durable.storage import Storage
 from ..durable.views import build_quarantine_view
 from ..events import EventLog
-from ..exceptions import CommitInDoubtError, ControlError, LogError, NotLeaderError
+from ..exceptions import (
+    CommitInDoubtError,
+    ControlError,
+    LogError,
+    NotLeaderError,
+    UnreadableFormatError,
+)
 from ..ids import Address, CommandId
+from ..release import THIS_RELEASE
 from ..settings.control import ControlSettings
 from ..version.order_channel import NativeOrderChannel, OrderChannel
 from ..version.orders import OrderIssuer
@@ -138,7 +145,12 @@
 
     async def start(self) -> None:
         """Start to listen and to take part in replication."""
-        self._events.record("control.started", settings=self._settings.name)
+        self._events.record(
+            "control.started",
+            settings=self._settings.name,
+            release=THIS_RELEASE.version,
+            format=THIS_RELEASE.reads,
+        )
         self._replica.offer(self._server)
         self._server.register(PROPOSE, self._propose)
         self._server.register(RENEW, self._leases.renew)
@@ -201,6 +213,8 @@
             await self._wait_until_applied(leader_state, command, result)
         except NotLeaderError as error:
             return ProposeAnswer(CallStatus.NOT_LEADER, Address(error.leader))
+        except UnreadableFormatError as error:
+            return ProposeAnswer(CallStatus.DONE, result=Refused(str(error)))
         except (CommitInDoubtError, ControlError):
             return ProposeAnswer(CallStatus.IN_DOUBT)
         return ProposeAnswer(CallStatus.DONE, result=result)
@@ -295,6 +309,7 @@
             jobs=self._leases.ledger_view().jobs,
             suspects=build_quarantine_view(self.machine).suspects,
             duties=self._duties.view() if self._duties is not None else None,
+            release=THIS_RELEASE,
         )
 
     async def _record_stream(self, request: RecordStream) -> StreamRecorded:
--- a/pollenlb/process/control_context.py
+++ b/pollenlb/process/control_context.py
@@ -154,10 +154,13 @@
         ------
         NotLeaderError
             When this replica does not lead; the command has no effect.
+        UnreadableFormatError
+            When a member could not read the command; it has no effect.
         CommitInDoubtError
             When it is not known whether the command is committed; it may still
             take effect.
         """
+        self.replica.current_leadership().check_readable(command.needed_format)
         proposal = Proposal(command_id, time.time_ns() // 1_000_000, command)
         result = await self.replica.propose(encode_proposal(proposal))
         if isinstance(command, SubmitBatchJob):
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -23,6 +23,7 @@
 from ..durable.leases import EntryInfo
 from ..events import EventLog
 from ..ids import Address, BootId, FailureDomain, InstanceName, new_id
+from ..release import THIS_RELEASE
 from ..request.dialect import Dialect
 from ..request.handler import RequestHandler
 from ..request.item_progress import ItemRunner
@@ -112,7 +113,11 @@
 
     async def start(self) -> None:
         """Start to renew the lease, to run batch jobs and to listen."""
-        self._context.events.record("entry.started", boot=self._context.identity.boot)
+        self._context.events.record(
+            "entry.started",
+            boot=self._context.identity.boot,
+            release=THIS_RELEASE.version,
+        )
         self._lease_renewer.start()
         self._leaving_reports.start()
         self._batch_runner.start()
@@ -246,6 +251,7 @@
         Address(settings.listen),
         FailureDomain(settings.failure_domain),
         Address(settings.relay_listen),
+        THIS_RELEASE,
     )
     metrics = Metrics()
     table = ConnectionTable(metrics.record_connection)
--- a/pollenlb/process/metrics.py
+++ b/pollenlb/process/metrics.py
@@ -7,6 +7,7 @@
 
 from ..connection.pool import OpeningReason
 from ..ids import WorkspaceName
+from ..release import THIS_RELEASE
 from .workspace_labels import WorkspaceLabels
 
 MIN_LATENCY_US = 1
@@ -100,6 +101,12 @@
         self.in_flight = Gauge(
             "pollenlb_in_flight", "Requests in flight", registry=self._registry
         )
+        Gauge(
+            "pollenlb_release",
+            "Release that the process runs",
+            ["version"],
+            registry=self._registry,
+        ).labels(THIS_RELEASE.version).set(1)
         self._latencies: dict[str, HdrHistogram] = {}
 
     @property
--- a/pollenlb/request/operator_api.py
+++ b/pollenlb/request/operator_api.py
@@ -20,6 +20,7 @@
 from ..external_data import find_unstorable
 from ..ids import Fingerprint, ModelName, Revision, WeightVersion
 from ..process.context import EntryContext
+from ..release import THIS_RELEASE, UNREPORTED, Release
 from .api import (
     execute_command,
     json_response,
@@ -114,6 +115,8 @@
         Whether the entry is shutting down.
     latencies : dict
         Encoded HdrHistogram of latencies in microseconds by ``service/class``.
+    release : Release
+        Release that the process runs.
     """
 
     name: str
@@ -122,6 +125,7 @@
     is_draining: bool
     servers: list[ServerStatus]
     latencies: dict[str, str]
+    release: Release = UNREPORTED
 
 
 class WorkspaceStatus(msgspec.Struct):
@@ -235,6 +239,7 @@
                 context.is_draining,
                 servers,
                 context.metrics.encoded_latencies(),
+                THIS_RELEASE,
             )
         )
 
