Let no check-in of an unknown service displace a server of a known one

Cause: the latest start at an address, or under a name, wins, whoever uses the service. The leader now leaves such an announcement out of the log and records server.foreign. The replicated state is unchanged, so that replicas of two releases apply one log alike.

--- a/pollenlb/durable/directory.py
+++ b/pollenlb/durable/directory.py
@@ -112,6 +112,12 @@
         self.servers[announcement.server] = announcement
         return Done()
 
+    def displaced_by(self, announcement: Announcement) -> list[Announcement]:
+        """Return what is registered under the name or at the address of a server."""
+        known = self.servers.get(announcement.server)
+        others = self._others_at_address(announcement)
+        return others if known is None else [known, *others]
+
     def withdraw(self, command: WithdrawServer) -> AnyResult:
         """Remove a backend server that leaves, unless it was started again since."""
         known = self.servers.get(command.server)
--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -36,6 +36,7 @@
 from ..durable.command_base import Done, Refused
 from ..durable.commands import AnyCommand, AnyResult
 from ..durable.configuration_commands import (
+    Announcement,
     AnnounceServer,
     ConfigurationChanged,
     ConfigurationReplaced,
@@ -225,7 +226,8 @@
         """Return the command for the log; None if it would change nothing.
 
         A submission is given an owner. An announcement that differs from the
-        last one in its sequence number only is not written to the log.
+        last one in its sequence number only is not written to the log, nor is one of
+        an unknown service that would displace a server of a known one.
         """
         if isinstance(command, (SubmitBatchJob, SubmitStep)):
             return self._batch_jobs.assign_owner(command, leader_state)
@@ -235,12 +237,35 @@
         ):
             return command
         announcement = command.announcement
+        if self._is_foreign(announcement):
+            self._events.record(
+                "server.foreign",
+                server=announcement.server,
+                service=announcement.service,
+                address=announcement.address,
+            )
+            return None
         leader_state.announced_at[announcement.server] = now()
         known = self.machine.state.directory.servers.get(announcement.server)
         if known is None or announcement.differs_beyond_sequence(known):
             return command
         return None
 
+    def _is_foreign(self, announcement: Announcement) -> bool:
+        """Return whether a server of an unknown service would displace a known one.
+
+        It may be that of another writer. A server whose service is configured later
+        announces itself again.
+        """
+        state = self.machine.state
+        services = state.configuration.document.get("services", {})
+        if announcement.service in services:
+            return False
+        return any(
+            other.service in services
+            for other in state.directory.displaced_by(announcement)
+        )
+
     async def _wait_until_applied(
         self, leader_state: LeaderState, command: AnyCommand, result: AnyResult
     ) -> None:
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -127,6 +127,34 @@
     assert {result["id"] for result in results} == lengths.keys()
 
 
+# Guards against sound servers that another writer's check-ins remove for good.
+@pytest.mark.parametrize("has_same_name", [False, True])
+async def test_a_check_in_of_an_unknown_service_displaces_no_server(
+    platform_system, has_same_name
+):
+    system = await platform_system()
+    servers = system.leader_machine.state.directory.servers
+    for engine in system.engines:
+        name = engine.name if has_same_name else f"other-{engine.name}"
+        foreign = {
+            "service": "not-named",
+            "address": servers[engine.name].address,
+            "zone": "north",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "models": [],
+            "seq": 1,
+            "born": engine.started_at_ms + 60_000,
+        }
+        path = f"/-/Instances.Heartbeat/{name}"
+        assert (await system.call_control("POST", path, foreign))[0] == 200
+    assert await system.submit(0, "job", batch_job({"item": 3})) == 202
+    (result,) = await system.read_all_results(0, "job")
+    assert result["state"] == "completed"
+    assert {engine.name for engine in system.engines} <= servers.keys()
+
+
 async def test_an_unreadable_address_in_the_log_stops_no_items(platform_system):
     """Guards against an address that an earlier release recorded in the log."""
     system = await platform_system()
