Write no more results into a page than it may hold

Cause: the leader takes a text for twice its compressed size, and the entry wrote all that it got. The entry now ends the page before the result that does not fit, and names the position to go on from.

--- a/pollenlb/platform/batch_jobs.py
+++ b/pollenlb/platform/batch_jobs.py
@@ -95,6 +95,9 @@
     requests: list[dict[str, msgspec.Raw]]
 
 
+# A page has 1 MB at most, with what stands around the results.
+_MAX_RESULTS_BYTES = 1_000_000 - 100
+
 _KNOWN_JOB_FIELDS = frozenset(_BatchJob.__struct_fields__)
 _KNOWN_ITEM_FIELDS = frozenset(_Item.__struct_fields__)
 _decode_job_fields = json_decoder(dict[str, msgspec.Raw])
@@ -163,6 +166,8 @@
 def encode_results_page(read: BatchJobRead, after: int) -> bytes:
     """Return a page of results of a batch job as JSON.
 
+    It has as many of the first results as fit into a page, at least one.
+
     Parameters
     ----------
     read : BatchJobRead
@@ -170,7 +175,14 @@
     after : int
         Position of the first of these results in the batch job.
     """
-    results = [_encode_result(result) for result in read.results]
+    results: list[msgspec.Raw] = []
+    size = 0
+    for result in read.results:
+        encoded = msgspec.json.encode(_encode_result(result))
+        size += len(encoded) + 1
+        if results and size > _MAX_RESULTS_BYTES:
+            break
+        results.append(msgspec.Raw(encoded))
     page = {"total": read.total, "next": after + len(results), "results": results}
     return msgspec.json.encode(page)
 
