--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -458,15 +458,16 @@
 
     async def _raise_format(self) -> None:
         """Let the log use the newest format that all members read."""
+        storage = self._replica.storage
         readable = min(release.reads for release in self.releases.values())
+        if readable <= storage.hard_state.format:
+            return
         async with self._replica.lock:
-            state = self._replica.storage.hard_state
-            if self._is_ended or readable <= state.format:
+            if self._is_ended:
                 return
+            new_state = replace(storage.hard_state, format=readable)
             try:
-                await self._replica.storage.save_hard_state(
-                    replace(state, format=readable)
-                )
+                await storage.save_hard_state(new_state)
             except DiskFullError as error:
                 self._replica.record_full_disk(error)
                 return
