--- a/pollenlb/durable/follower.py
+++ b/pollenlb/durable/follower.py
@@ -242,6 +242,7 @@
         if answer.received_bytes is not None and self._sender is not None:
             if self._sender.record_received(answer.received_bytes):
                 self._progress_at = now()
+            is_repeated = not answer.received_bytes
         elif answer.is_matching:
             self._close_sender()
             self._record_match(answer.last_index)
@@ -253,6 +254,7 @@
         return not is_repeated
 
     def _record_match(self, last_index: LogIndex) -> None:
+        last_index = min(last_index, self._replica.storage.last_index)
         is_newer = last_index > self._match_index
         if is_newer or last_index >= self._replica.commit_index:
             self._progress_at = now()
--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -421,6 +421,9 @@
         settings = self._replica.settings
         while not self._is_ended:
             await sleep_until(deadline_in(settings.heartbeat_s))
+            # Not with the maintenance of members, which waits for each change.
+            for follower in self._followers.values():
+                follower.record_stall(self._replica.membership_goal.replace_after_s)
             if self._is_sole_voter():
                 continue
             if self._replica.storage.oldest_write_age_s > settings.election_timeout_s:
@@ -438,12 +441,11 @@
         while not self._is_ended:
             await sleep_until(deadline_in(self._replica.settings.heartbeat_s))
             await self._raise_format()
-            goal = self._replica.membership_goal
-            for follower in self._followers.values():
-                follower.record_stall(goal.replace_after_s)
             if not self.is_ready:
                 continue
-            members = next_members(self.member_health(), self._own_id, goal)
+            members = next_members(
+                self.member_health(), self._own_id, self._replica.membership_goal
+            )
             if members is None:
                 continue
             try:
--- a/pollenlb/durable/snapshot_transfer.py
+++ b/pollenlb/durable/snapshot_transfer.py
@@ -52,6 +52,7 @@
         self._head = read_snapshot_head(self._file)
         self._total_bytes = os.fstat(self._file.fileno()).st_size
         self._sent_bytes = 0
+        self._most_sent_bytes = 0
 
     @property
     def head(self) -> Snapshot:
@@ -74,11 +75,13 @@
         Returns
         -------
         bool
-            Whether that is more than before.
+            Whether that is more than ever before. A file that starts over again and
+            again is of no use to the follower.
         """
-        before = self._sent_bytes
         self._sent_bytes = min(received_bytes, self._total_bytes)
-        return self._sent_bytes > before
+        is_more = self._sent_bytes > self._most_sent_bytes
+        self._most_sent_bytes = max(self._most_sent_bytes, self._sent_bytes)
+        return is_more
 
     def close(self) -> None:
         """Close the file."""
--- a/pollenlb/process/retirement.py
+++ b/pollenlb/process/retirement.py
@@ -70,21 +70,19 @@
         health = replica.current_leadership().member_health()
         voters = [voter for voter in health if voter.member.is_voter]
         is_enough = len(voters) >= replica.membership_goal.voter_count
-        is_answering = all(
-            voter.since_last_contact_s < replica.membership_goal.replace_after_s
+        is_useful = all(
+            voter.stalled_s < replica.membership_goal.replace_after_s
             for voter in voters
         )
-        return (
-            is_enough and is_answering and all(voter.is_caught_up for voter in voters)
-        )
+        return is_enough and is_useful and all(voter.is_caught_up for voter in voters)
 
     def _remaining_count(self, instance: InstanceName) -> int:
-        """Return how many answering members would remain without an instance."""
+        """Return how many useful members would remain without an instance."""
         replica = self._context.replica
         retiring = {*self._context.machine.state.retiring, instance}
         return sum(
             health.member.instance not in retiring
-            and health.since_last_contact_s < replica.membership_goal.replace_after_s
+            and health.stalled_s < replica.membership_goal.replace_after_s
             for health in replica.current_leadership().member_health()
         )
 
--- a/tests/durable/test_snapshot_transfer.py
+++ b/tests/durable/test_snapshot_transfer.py
@@ -152,6 +152,17 @@
     assert receiver.received_bytes == 10
 
 
+async def test_file_that_starts_over_again_and_again_is_no_progress(open_storage):
+    """Guards against a voter without room for a snapshot that is never replaced."""
+    leader = open_storage("leader")
+    await leader.save_snapshot(Snapshot(1, 4, [], b"state" * 10))
+    sender = SnapshotSender(leader)
+    received = [10, 20, 0, 10, 20, 0, 21]
+    progress = [sender.record_received(count) for count in received]
+    assert progress == [True, True, False, False, False, False, True]
+    sender.close()
+
+
 async def test_snapshot_stays_the_same_while_it_is_sent(open_storage):
     """Guards against a file that is joined from two snapshots of a leader."""
     leader, follower = open_storage("leader"), open_storage("follower")
