--- a/pollenlb/connection/control.py
+++ b/pollenlb/connection/control.py
@@ -124,6 +124,8 @@
                     self._record_leader(address)
                     assert answer.result is not None
                     return answer.result
+                case Ok(answer) if answer.unreadable:
+                    raise ControlError(answer.unreadable)
                 case Ok(answer) if answer.status is CallStatus.NOT_LEADER:
                     self._record_failure(address, answer.leader)
                 case Ok(_):
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -79,11 +79,14 @@
         Leader, as far as the answering control instance knows; else empty.
     result : AnyResult or None
         Set when the status is ``DONE``.
+    unreadable : str
+        Why the command was not executed, when a member could not read it; else empty.
     """
 
     status: CallStatus
     leader: Address = Address("")
     result: AnyResult | None = None
+    unreadable: str = ""
 
 
 class ConfigurationView(msgspec.Struct, frozen=True):
--- a/pollenlb/durable/follower.py
+++ b/pollenlb/durable/follower.py
@@ -196,6 +196,7 @@
             offset=block.offset,
             total_bytes=self._sender.total_bytes,
             data=block.data,
+            format=state.format,
         )
 
     def _close_sender(self) -> None:
--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -461,11 +461,12 @@
     async def _raise_format(self) -> None:
         """Let the log use the newest format that all members read."""
         storage = self._replica.storage
-        readable = min(release.reads for release in self.releases.values())
-        if readable <= storage.hard_state.format:
+        if self._readable_format() <= storage.hard_state.format:
             return
         async with self._replica.lock:
-            if self._is_ended:
+            # A member may have joined while another task held the lock.
+            readable = self._readable_format()
+            if self._is_ended or readable <= storage.hard_state.format:
                 return
             new_state = replace(storage.hard_state, format=readable)
             try:
@@ -475,6 +476,9 @@
                 return
         self._replica.events.record("log.format", format=readable)
 
+    def _readable_format(self) -> FormatVersion:
+        return min(release.reads for release in self.releases.values())
+
     def member_health(self) -> list[MemberHealth]:
         """Return the health of each member, as this leader observes it.
 
--- a/pollenlb/durable/records.py
+++ b/pollenlb/durable/records.py
@@ -246,6 +246,8 @@
         Size of the file.
     data : bytes
         The block.
+    format : FormatVersion
+        Newest format that the log and its snapshots may hold.
     """
 
     cluster: ClusterId
@@ -257,6 +259,7 @@
     offset: int
     total_bytes: int
     data: bytes
+    format: FormatVersion = FormatVersion(0)
 
 
 class JoinRequest(msgspec.Struct, frozen=True):
--- a/pollenlb/durable/rpc_handlers.py
+++ b/pollenlb/durable/rpc_handlers.py
@@ -158,9 +158,12 @@
         """
         replica = self._replica
         async with replica.lock:
+            if not self._can_read(request):
+                return AppendAnswer(Term(0), False, False, LogIndex(0))
             refusal = await self._refuse_or_accept_leader(request)
             if refusal is not None:
                 return refusal
+            await self._record_format(request.format)
             if request.head.index <= replica.commit_index:
                 return self._append_answer(True, request.head.index)
             head = await self._receiver.add(request)
@@ -234,7 +237,7 @@
         replica.record_leader_contact(Address(request.leader_address))
         return None
 
-    def _can_read(self, request: AppendRequest) -> bool:
+    def _can_read(self, request: AppendRequest | SnapshotBlockRequest) -> bool:
         """Return whether this release reads the format of the leader's log.
 
         A replica that does not is of no use to a majority, so it gives no answer of its
--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -33,7 +33,7 @@
 from ..connection.rpc import RpcServer
 from ..connection.stream_origins import StreamTable
 from ..durable.batch_job_commands import SubmitBatchJob
-from ..durable.command_base import Done, Refused
+from ..durable.command_base import Done
 from ..durable.commands import AnyCommand, AnyResult
 from ..durable.configuration_commands import (
     Announcement,
@@ -215,7 +215,7 @@
         except NotLeaderError as error:
             return ProposeAnswer(CallStatus.NOT_LEADER, Address(error.leader))
         except UnreadableFormatError as error:
-            return ProposeAnswer(CallStatus.DONE, result=Refused(str(error)))
+            return ProposeAnswer(CallStatus.NOT_LEADER, unreadable=str(error))
         except (CommitInDoubtError, ControlError):
             return ProposeAnswer(CallStatus.IN_DOUBT)
         return ProposeAnswer(CallStatus.DONE, result=result)
--- a/tests/durable/test_formats.py
+++ b/tests/durable/test_formats.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import msgspec
 import pytest
 
@@ -85,18 +87,26 @@
 
 async def test_member_that_does_not_read_the_log_counts_as_silent(tmp_path, capfd):
     """Guards against a replica that ends again at each start, or votes unread."""
-    async with ReplicaSet(tmp_path, seed=45) as replicas:
-        leader = await replicas.write("x", 1)
-        follower = next(node for node in replicas.nodes if node is not leader)
+    async with ReplicaSet(tmp_path, seed=45, snapshot_every=20) as replicas:
+        follower, *others = replicas.nodes
+        for node in others:
+            await _restart(node, _NEW)
+        await replicas.write("x", 1)
+        await wait_until(lambda: follower.registers.values.get("x") == 1)
         await follower.kill()
+        leader = await replicas.leader(among=others)
         storage = leader.replica.storage
         state = msgspec.structs.replace(storage.hard_state, format=2)
         await storage.save_hard_state(state)
         await follower.start()
-        await wait_until(lambda: leader.replica.leadership)
-        await replicas.write("x", 2)
+        await replicas.write("x", 2, among=others)
         await wait_until(lambda: '"log.unreadable"' in capfd.readouterr().out)
-        assert follower.registers.values.get("x") != 2
+        for value in range(3, 63):
+            leader = await replicas.write("x", value, among=others)
+        await wait_until(lambda: leader.replica.storage.first_index > 20)
+        await asyncio.sleep(5 * leader.settings.heartbeat_s)
+        assert follower.registers.values == {}
+        assert follower.replica.storage.snapshot.index == 0
         assert not follower.replica.fatal_error.done()
 
 
