Allow a process that is still starting to end by SIGTERM itself

An upgrade run asks processes to end that may have been started a second ago. Before their handler is set, the signal ends them, with its own status. Found by reading; a status of the program's own still counts as broken.

--- a/soak/upgrade.py
+++ b/soak/upgrade.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import signal
 import tempfile
 from enum import Enum
 from pathlib import Path
@@ -116,7 +117,8 @@
         self.fault_log.append(f"{name} {manner.value}")
         if manner in (Replacement.STOPPED, Replacement.HALF_WAY):
             code = await asyncio.to_thread(programs.terminate, name)
-            if code:
+            # A process that was still starting ends by the signal itself.
+            if code not in (0, -signal.SIGTERM):
                 self.violations.append(f"{name} ended with status {code} when asked to")
         else:
             programs.kill(name)
