--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -30,6 +30,10 @@
 from .records import EntryKind, JoinRequest, LogEntry, Member, encode_members
 from .replica_interface import ReplicaInterface
 
+# Longest wait for a snapshot while the log has no room: another replica may have a
+# faster disk.
+_MAX_SNAPSHOT_WAIT_S = 10.0
+
 
 class Leadership:
     """One term as leader: appends, replicates and commits log entries.
@@ -331,6 +335,8 @@
         while True:
             await self._queue_filled.wait()
             self._queue_filled.clear()
+            if not await self._has_log_room():
+                return
             async with self._replica.lock:
                 if self._is_ended:
                     return
@@ -342,6 +348,24 @@
             self._wake_followers()
             self._advance_commit_index()
 
+    async def _has_log_room(self) -> bool:
+        """Wait until the log has room; if that takes too long, step down.
+
+        The first entry of the term is not kept waiting: nothing can be read before it.
+        """
+        if not self.is_ready:
+            return True
+        try:
+            async with asyncio.timeout(_MAX_SNAPSHOT_WAIT_S):
+                await self._replica.wait_for_log_room()
+        except TimeoutError:
+            self._replica.step_down(
+                f"no snapshot was stored for {_MAX_SNAPSHOT_WAIT_S:g} s, and the log "
+                f"has {self._replica.storage.log_bytes} bytes"
+            )
+            return False
+        return True
+
     async def _append_batch(self) -> None:
         storage = self._replica.storage
         entries = []
--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -50,6 +50,9 @@
 _JOIN_TIMEOUT_S = 2.0
 _JOIN_RETRY_DELAY_S = 0.05
 _FULL_DISK_RETRY_S = 1.0
+# Size of the log, as a multiple of ``snapshot_bytes``, above which a leader appends
+# nothing until the snapshot that is being written is stored: the log is in memory.
+_MAX_LOG_RATIO = 2
 # Shortest delay of the first election after a start, as a ratio of the election
 # timeout; the longest is three times as much.
 _MIN_STARTUP_DELAY_RATIO = 0.25
@@ -142,6 +145,9 @@
         self._election_deadline = Deadline(0.0)
         self._channels: dict[Address, RpcChannel] = {}
         self._is_saving_snapshot = False
+        self._is_snapshot_expected = False
+        self._has_snapshot_failed = False
+        self._snapshot_ended = asyncio.Event()
         self._full_disk_recorded_until = Deadline(0.0)
         self._apply_task: asyncio.Task | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -343,6 +349,16 @@
             contact_at = self._leadership.last_quorum_contact_at
         return now() < contact_at + self._settings.election_timeout_s
 
+    async def wait_for_log_room(self) -> None:
+        """Return when the log has room for more entries, as far as memory goes.
+
+        It has none while it is larger than twice ``snapshot_bytes`` and a snapshot is
+        being written. A snapshot that finds no room on the disk is not waited for.
+        """
+        max_bytes = _MAX_LOG_RATIO * self._settings.snapshot_bytes
+        while self._is_snapshot_expected and self._storage.log_bytes > max_bytes:
+            await self._snapshot_ended.wait()
+
     async def adopt_term(self, term: Term) -> None:
         """Adopt a later term without a vote in it, and step down.
 
@@ -494,6 +510,8 @@
 
     def _start_snapshot(self) -> None:
         self._is_saving_snapshot = True
+        self._is_snapshot_expected = not self._has_snapshot_failed
+        self._snapshot_ended.clear()
         index = self._applied_index
         term = self._storage.term_at(index)
         assert term is not None
@@ -508,12 +526,23 @@
             async with self._lock:
                 await self._storage.adopt_snapshot(head)
             self._record_snapshot("snapshot.saved", head, started_at)
+            self._has_snapshot_failed = False
         except DiskFullError as error:
             self.record_full_disk(error)
+            self._has_snapshot_failed = True
+            self._end_snapshot_wait()
             # A snapshot is due again at once, and would be serialized in vain.
             await sleep_until(deadline_in(_FULL_DISK_RETRY_S))
         finally:
             self._is_saving_snapshot = False
+            self._end_snapshot_wait()
+        # The log may have grown beyond the limit again, and no entry may follow.
+        if self._apply_task is None and not self._has_snapshot_failed:
+            self._snapshot_if_due()
+
+    def _end_snapshot_wait(self) -> None:
+        self._is_snapshot_expected = False
+        self._snapshot_ended.set()
 
     def _record_snapshot(
         self, kind: str, snapshot: Snapshot, started_at: float
--- a/pollenlb/durable/replica_interface.py
+++ b/pollenlb/durable/replica_interface.py
@@ -108,6 +108,9 @@
     def advance_commit_index(self, index: LogIndex) -> None:
         """Advance the commit index and apply the log entries up to it."""
 
+    async def wait_for_log_room(self) -> None:
+        """Return when the log has room for more entries, as far as memory goes."""
+
     async def adopt_term(self, term: Term) -> None:
         """Adopt a later term without a vote in it; the caller holds the lock."""
 
--- a/pollenlb/durable/storage.py
+++ b/pollenlb/durable/storage.py
@@ -44,6 +44,10 @@
     _RECEIVED_SNAPSHOT_FILE,
 )
 
+# Payloads in a frame of a log that is written anew, unless one entry is larger: a frame
+# is encoded in memory.
+_MAX_FRAME_PAYLOAD_BYTES = 1024 * 1024
+
 _DISK_FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -451,23 +455,24 @@
         sync_file(self._descriptor, self._sync)
 
     async def _rewrite_log(self, entries: list[LogEntry]) -> None:
-        data = encode_frame(_encode(entries)) if entries else b""
-        replace_log = self._replace_log if entries else self._clear_log
-        await self._run_write(lambda: replace_log(data))
+        rewrite = self._replace_log if entries else self._clear_log
+        frame_ends = await self._run_write(lambda: rewrite(entries))
         self._entries = entries
-        self._frame_ends = [len(data)] * len(entries)
+        self._frame_ends = frame_ends
 
-    def _clear_log(self, _: bytes) -> None:
+    def _clear_log(self, _: list[LogEntry]) -> list[int]:
         os.ftruncate(self._descriptor, 0)
         sync_file(self._descriptor, self._sync)
         self._has_stale_frames = False
+        return []
 
-    def _replace_log(self, data: bytes) -> None:
+    def _replace_log(self, entries: list[LogEntry]) -> list[int]:
+        """Write the log file anew, and return the end of the frame of each entry."""
         path = self._folder / _LOG_FILE
         temporary = path.with_suffix(".new")
         descriptor = os.open(temporary, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
         try:
-            _write_all(descriptor, data, 0)
+            frame_ends = _write_frames(descriptor, entries)
             sync_file(descriptor, self._sync)
             os.replace(temporary, path)
         except OSError:
@@ -479,6 +484,7 @@
         os.close(self._descriptor)
         self._descriptor = descriptor
         self._has_stale_frames = False
+        return frame_ends
 
     def _replace_snapshot(self, path: Path) -> None:
         os.replace(path, self.snapshot_path)
@@ -541,6 +547,29 @@
         return result
 
 
+def _write_frames(descriptor: int, entries: list[LogEntry]) -> list[int]:
+    """Write log entries frame by frame, and return the end of the frame of each."""
+    frame_ends: list[int] = []
+    end = 0
+    while len(frame_ends) < len(entries):
+        start = len(frame_ends)
+        count = _count_in_frame(entries, start)
+        frame = encode_frame(_encode(entries[start : start + count]))
+        _write_all(descriptor, frame, end)
+        end += len(frame)
+        frame_ends.extend([end] * count)
+    return frame_ends
+
+
+def _count_in_frame(entries: list[LogEntry], start: int) -> int:
+    size = 0
+    for count in range(len(entries) - start):
+        size += len(entries[start + count].payload)
+        if size > _MAX_FRAME_PAYLOAD_BYTES and count:
+            return count
+    return len(entries) - start
+
+
 def _write_all(descriptor: int, data: bytes, offset: int) -> None:
     """Write all bytes; a full disk may accept only some of them, without an error."""
     written = os.pwrite(descriptor, data, offset)
--- a/pollenlb/settings/control.py
+++ b/pollenlb/settings/control.py
@@ -96,7 +96,8 @@
     """Number of log entries between two snapshots."""
 
     snapshot_bytes = Integer(10_000, 1_073_741_824, 33_554_432)
-    """Size of the replicated log, in bytes, above which a snapshot replaces it."""
+    """Size of the replicated log, in bytes, above which a snapshot replaces it. Above
+    twice the size, the leader appends nothing while a snapshot is being written."""
 
     order_lifetime_s = Number(0.5, 600, 5.0)
     """Seconds after which an order to a backend server is no longer valid."""
--- a/tests/durable/large_state.py
+++ b/tests/durable/large_state.py
@@ -1,7 +1,7 @@
 """A control instance with many batch jobs, as a process whose memory is measured.
 
-Run as ``python -m tests.durable.large_state FOLDER fill|restart``; prints the peak
-memory in MB.
+Run as ``python -m tests.durable.large_state FOLDER fill|restart [SECONDS]``; prints the
+peak memory in MB. With the seconds, each snapshot takes so much longer.
 """
 
 from __future__ import annotations
@@ -9,6 +9,8 @@
 import asyncio
 import os
 import sys
+import time
+from collections.abc import Iterable
 from pathlib import Path
 
 from pollenlb.clock import now
@@ -22,7 +24,7 @@
     SubmitBatchJob,
 )
 from pollenlb.durable.commands import Proposal
-from pollenlb.durable.records import Member
+from pollenlb.durable.records import Member, Snapshot
 from pollenlb.durable.replica import Replica, first_entries
 from pollenlb.durable.state_machine import ControlStateMachine, encode_proposal
 from pollenlb.durable.storage import Storage, first_hard_state
@@ -67,7 +69,21 @@
     await replica.propose(encode_proposal(Proposal(None, 1, command)))
 
 
-async def main(folder: Path, phase: str) -> float:
+class _SlowStorage(Storage):
+    """Storage that takes longer to write a snapshot, and nothing else."""
+
+    delay_s = 0.0
+
+    async def write_snapshot(self, head: Snapshot, pieces: Iterable[bytes]) -> None:
+        """Write a snapshot and wait."""
+        await super().write_snapshot(head, self._slowly(pieces))
+
+    def _slowly(self, pieces: Iterable[bytes]) -> Iterable[bytes]:
+        yield from pieces
+        time.sleep(self.delay_s)
+
+
+async def main(folder: Path, phase: str, snapshot_delay_s: float = 0.0) -> float:
     """Run the instance until it leads, fill it at its first start, and stop it."""
     is_first = phase == "fill"
     address = Address("127.0.0.1:0")
@@ -82,7 +98,8 @@
             "members": {"one": {"address": "127.0.0.1:7411", "failure_domain": "d"}},
         }
     ).unwrap()
-    storage = Storage(folder)
+    storage = _SlowStorage(folder)
+    storage.delay_s = snapshot_delay_s
     storage.open()
     if is_first:
         members = [Member("one-first", "one", address, True)]
@@ -109,4 +126,5 @@
 
 
 if __name__ == "__main__":
-    print(asyncio.run(main(Path(sys.argv[1]), sys.argv[2])))
+    delay_s = float(sys.argv[3]) if len(sys.argv) > 3 else 0.0
+    print(asyncio.run(main(Path(sys.argv[1]), sys.argv[2], delay_s)))
--- a/tests/durable/test_control_memory.py
+++ b/tests/durable/test_control_memory.py
@@ -4,6 +4,7 @@
 
 import subprocess
 import sys
+from pathlib import Path
 
 import pytest
 
@@ -18,16 +19,22 @@
     tmp_path, restarts
 ):
     phases = ["fill", *["restart"] * restarts]
-    peaks_mb = [
-        float(
-            subprocess.run(
-                [sys.executable, "-m", "tests.durable.large_state", tmp_path, phase],
-                check=True,
-                capture_output=True,
-                text=True,
-                timeout=120,
-            ).stdout.splitlines()[-1]
-        )
-        for phase in phases
-    ]
+    peaks_mb = [_peak_memory_mb(tmp_path, phase) for phase in phases]
     assert peaks_mb[-1] < _MACHINE_MB
+
+
+# Guards against a log in memory that grows for as long as a snapshot takes, on a slow
+# disk or a busy machine, and that its replacement copies.
+def test_slow_snapshots_need_no_more_memory(tmp_path):
+    assert _peak_memory_mb(tmp_path, "fill", "1") < _MACHINE_MB
+
+
+def _peak_memory_mb(folder: Path, *arguments: str) -> float:
+    process = subprocess.run(
+        [sys.executable, "-m", "tests.durable.large_state", folder, *arguments],
+        check=True,
+        stdout=subprocess.PIPE,
+        text=True,
+        timeout=120,
+    )
+    return float(process.stdout.splitlines()[-1])
--- a/tests/durable/test_replica.py
+++ b/tests/durable/test_replica.py
@@ -14,9 +14,11 @@
 
 from fakes.relay import LinkState
 from pollenlb.commands.control import format_data_folder
+from pollenlb.durable import leadership as leadership_module
 from pollenlb.durable.records import Member, Snapshot
 from pollenlb.exceptions import (
     CommitInDoubtError,
+    DiskFullError,
     LogError,
     NotLeaderError,
     StorageError,
@@ -433,6 +435,92 @@
         await wait_until(lambda: restarted.registers.values.get("x" * 100) == 299)
 
 
+def _hold_snapshots(node: Node, monkeypatch) -> asyncio.Event:
+    """Keep snapshots from being written until the returned event is set."""
+    may_write = asyncio.Event()
+    write_snapshot = node.replica.storage.write_snapshot
+
+    async def wait_and_write(head, pieces):
+        await may_write.wait()
+        await write_snapshot(head, pieces)
+
+    monkeypatch.setattr(node.replica.storage, "write_snapshot", wait_and_write)
+    return may_write
+
+
+async def _grow_log(leader: Node, size: int) -> None:
+    """Write to a leader until its log is larger than a size in bytes."""
+    while leader.replica.storage.log_bytes <= size:
+        await propose(leader, Write("x" * 100, leader.replica.storage.last_index))
+
+
+async def test_leader_appends_nothing_to_a_large_log_until_its_snapshot_is_stored(
+    tmp_path, monkeypatch
+):
+    """Guards against control instances that end since the log outgrows their memory."""
+    async with ReplicaSet(tmp_path, seed=36, snapshot_bytes=10_000) as replicas:
+        leader = await replicas.leader()
+        term = leader.replica.term
+        may_write = _hold_snapshots(leader, monkeypatch)
+        await _grow_log(leader, 20_000)
+        log_bytes = leader.replica.storage.log_bytes
+        proposals = [
+            asyncio.ensure_future(propose(leader, Write("y", value)))
+            for value in range(20)
+        ]
+        ends_at = time.monotonic() + 3 * leader.settings.election_timeout_s
+        while time.monotonic() < ends_at:
+            await leader.replica.confirm_leadership()
+            await asyncio.sleep(0.05)
+        assert leader.replica.storage.log_bytes == log_bytes
+        assert not any(proposal.done() for proposal in proposals)
+        may_write.set()
+        assert all(await asyncio.gather(*proposals))
+        assert leader.registers.values["y"] == 19
+        assert leader.replica.term == term
+
+
+async def test_leader_whose_snapshot_takes_too_long_gives_way(tmp_path, monkeypatch):
+    """Guards against a service that a single slow disk holds up for long."""
+    monkeypatch.setattr(leadership_module, "_MAX_SNAPSHOT_WAIT_S", 0.2)
+    async with ReplicaSet(tmp_path, seed=37, snapshot_bytes=10_000) as replicas:
+        leader = await replicas.leader()
+        _hold_snapshots(leader, monkeypatch)
+        await _grow_log(leader, 20_000)
+        value = leader.registers.values["x" * 100]
+        with pytest.raises(NotLeaderError):
+            await propose(leader, Write("y", 1))
+        new = await replicas.write("y", 2)
+        assert new.registers.values == {"x" * 100: value, "y": 2}
+
+
+async def test_leader_does_not_wait_for_a_snapshot_without_room(tmp_path, monkeypatch):
+    async with ReplicaSet(tmp_path, seed=38, snapshot_bytes=10_000) as replicas:
+        leader = await replicas.leader()
+
+        async def write_snapshot(*_) -> None:
+            raise DiskFullError("no room for a snapshot")
+
+        storage = leader.replica.storage
+        monkeypatch.setattr(storage, "write_snapshot", write_snapshot)
+        await _grow_log(leader, 40_000)
+        assert leader.is_ready_leader
+
+
+async def test_log_that_grew_during_a_snapshot_gets_another_without_more_entries(
+    tmp_path, monkeypatch
+):
+    """Guards against a leader that keeps a large log in memory while it is idle."""
+    async with ReplicaSet(tmp_path, seed=39, count=1, snapshot_bytes=10_000) as alone:
+        leader = await alone.leader()
+        may_write = _hold_snapshots(leader, monkeypatch)
+        await _grow_log(leader, 10_000)
+        await wait_until(lambda: leader.replica._is_saving_snapshot)
+        await propose(leader, Write("y" * 20_000, 1))
+        may_write.set()
+        await wait_until(lambda: leader.replica.storage.log_bytes < 10_000)
+
+
 async def test_replicas_that_restart_with_a_long_log_elect_one_leader(
     tmp_path, monkeypatch
 ):
--- a/tests/durable/test_storage.py
+++ b/tests/durable/test_storage.py
@@ -7,6 +7,7 @@
 import shutil
 import tempfile
 import threading
+import tracemalloc
 from asyncio import CancelledError
 from contextlib import suppress
 from pathlib import Path
@@ -368,6 +369,33 @@
     reopened.close()
 
 
+async def test_log_that_grew_during_a_snapshot_is_rewritten_without_a_copy(tmp_path):
+    """Guards against an instance without memory for a log that grew meanwhile."""
+    storage = _open_storage(tmp_path)
+    entries = [
+        LogEntry(1, index, EntryKind.COMMAND, os.urandom(400_000))
+        for index in range(1, 81)
+    ]
+    for entry in entries:
+        await storage.append([entry])
+    head = Snapshot(1, 5, [], b"")
+    await storage.write_snapshot(head, [b"state"])
+    tracemalloc.start()
+    try:
+        await storage.adopt_snapshot(head)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < storage.log_bytes / 4
+    assert storage.log_bytes == (tmp_path / "log").stat().st_size
+    await storage.truncate_from(79)
+    await storage.append([_entry(2, 79)])
+    storage.close()
+    reopened = _open_storage(tmp_path)
+    assert reopened.entries_from(6, 100) == [*entries[5:78], _entry(2, 79)]
+    reopened.close()
+
+
 async def test_written_snapshot_that_a_newer_one_overtook_is_dropped(tmp_path):
     """Guards against a state that goes back to an older snapshot."""
     storage = _open_storage(tmp_path)
