Save complete output however little was added since it was saved

Cause: a fault of the product. Output is saved again only when it has changed by 5 events. When a save fell on one of the last 4 events, or after the last event but before the end of the answer, the output that then waited for its score was never saved as complete. From the code, not from a run: its next owner sends it to an engine again, and starts it over where the weights or the software no longer allow to go on.

The owner now remembers whether what it saved last was complete, and saves complete output once more. Output that was never saved, as it is short, still is not. Nothing changes in the log.

--- a/pollenlb/process/output_saver.py
+++ b/pollenlb/process/output_saver.py
@@ -15,7 +15,7 @@
 
 # Output is saved once it has taken so long to generate, and then again.
 _UNSAVED_S = 1.5
-# Output that has changed by fewer events is not saved again.
+# Output that has changed by fewer events is not saved again, unless it is now complete.
 _MIN_SAVED_EVENT_COUNT = 5
 _SAVING_INTERVAL_S = 0.25
 _SAVING_TIMEOUT_S = 1.0
@@ -70,9 +70,7 @@
             due = [
                 progress
                 for progress in job.items.values()
-                if abs(progress.output.events - progress.saved_events)
-                >= _MIN_SAVED_EVENT_COUNT
-                and now() >= progress.saved_at + unsaved_s
+                if _has_changed(progress) and now() >= progress.saved_at + unsaved_s
             ]
             outputs = {
                 progress.item.item: output
@@ -96,7 +94,11 @@
             for progress in failed:
                 progress.saved_failed_runs = failed_runs[progress.item.item]
             for progress in due:
-                progress.saved_events = events[progress.item.item]
+                item = progress.item.item
+                progress.saved_events = events[item]
+                progress.is_saved_complete = (
+                    item in outputs and outputs[item].is_generated
+                )
                 progress.saved_at = now()
 
     async def _propose(self, command: SaveOutputs) -> bool:
@@ -119,6 +121,18 @@
         return True
 
 
+def _has_changed(progress: ItemProgress) -> bool:
+    """Return whether output differs enough from what was saved to be saved again.
+
+    Output that waits for its score grows no more, and would be continued, or even
+    started over, by the next owner that does not know that it is complete.
+    """
+    output = progress.output
+    if progress.saved_events and output.is_generated and not progress.is_saved_complete:
+        return True
+    return abs(output.events - progress.saved_events) >= _MIN_SAVED_EVENT_COUNT
+
+
 def restore_output(progress: ItemProgress, saved: SavedOutput | None) -> None:
     """Continue from saved output unless this process has more of its own."""
     if saved is None or not saved.satisfies(progress.spec):
@@ -127,4 +141,5 @@
     if len(event_data) > progress.output.events:
         progress.output.restore(saved)
         progress.saved_events = len(event_data)
+        progress.is_saved_complete = saved.is_generated
         progress.saved_at = now()
--- a/pollenlb/request/item_progress.py
+++ b/pollenlb/request/item_progress.py
@@ -152,6 +152,8 @@
         Whether the run is being cancelled to continue at another engine.
     saved_events : int
         Number of events of the output that was saved last.
+    is_saved_complete : bool
+        Whether the output that was saved last is complete.
     saved_at : float
         Monotonic time at which output was saved or its first event arrived, in
         seconds; infinite before.
@@ -171,6 +173,7 @@
     run_ended_at: float = float("-inf")
     is_moving: bool = False
     saved_events: int = 0
+    is_saved_complete: bool = False
     saved_at: float = float("inf")
 
     def record_event(self, server: BackendServer) -> None:
