Test that the head of a stream says that its server leaves

The test of that name used a stream that may be resumed. So the test did not see what it is for. It now plays both kinds; the one that may not be resumed learns it from the head.

--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -76,12 +76,14 @@
     await _check_no_requests(system, leaving)
 
 
+# The server of a stream that may be resumed says so when it is asked for its process.
+@pytest.mark.parametrize("resumable", [True, False])
 async def test_the_head_of_a_stream_says_as_well_that_its_server_leaves(
-    platform_system,
+    platform_system, resumable
 ):
     system = await platform_system(entries=1)
     changed = configuration(2)
-    changed["routes"][1] |= {"kind": "streaming", "resumable": True}
+    changed["routes"][1] |= {"kind": "streaming", "resumable": resumable}
     await system.call_control("POST", "/-/Config.Replace", changed)
     current = system.entries[0].context.configuration
     await wait_until(
