Save complete output that an owner kept from its last turn

The time from which output is saved was lost, and is set by the next event. Complete output that waits for its score gets none, so that it was never saved (from the code, not even when the owner drained).

The time is now kept with the output.

--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -286,6 +286,8 @@
         if partial.item.body != item.body or not partial.satisfies(spec):
             return fresh
         fresh.output = partial.output
+        # No event comes that would set it if the output is complete.
+        fresh.saved_at = partial.saved_at
         return fresh
 
     def _release_job(self, name: BatchJobId) -> None:
--- a/tests/platform/test_reward_calls.py
+++ b/tests/platform/test_reward_calls.py
@@ -10,6 +10,7 @@
 from fakes.cut_answer import CutAnswer
 from fakes.flood import REQUEST_ID
 from fakes.platform_scorer import proof
+from pollenlb.connection.control_api import BatchWork, WorkView
 from pollenlb.events import EVENT_FILE
 from pollenlb.process import output_saver, reward_calls
 
@@ -311,6 +312,28 @@
     assert sum(len(engine.received_runs) for engine in system.engines) == 1
 
 
+async def test_a_long_text_is_saved_when_its_batch_job_returns_to_its_owner(
+    scored_system, monkeypatch
+):
+    """Guards against text that is kept, waits for its score and is never saved."""
+    monkeypatch.setattr(output_saver, "_UNSAVED_S", 3600.0)
+    system = await scored_system(entries=1)
+    for scorer in system.scorers:
+        scorer.processing_s = 30
+    await system.submit(0, "job", _scored_job({"item": 60}))
+    await wait_until(lambda: any(scorer.running for scorer in system.scorers))
+    table = system.leader_machine.state.batch_jobs
+    runner = system.entries[0]._batch_runner
+    version = system.entries[0].context.batch_jobs_version
+    work = BatchWork(table.batch_jobs["job"].spec, set(), 0.0)
+    runner.apply(WorkView(version, [], []))
+    runner.apply(WorkView(version, ["job"], [work]))
+    monkeypatch.setattr(output_saver, "_UNSAVED_S", 0.1)
+    await wait_until(lambda: table.batch_jobs["job"].saved, 10.0)
+    assert table.batch_jobs["job"].saved["item"].is_generated
+    assert sum(len(engine.received_runs) for engine in system.engines) == 1
+
+
 async def test_ending_a_batch_job_ends_its_reward_calls(scored_system):
     system = await scored_system()
     for scorer in system.scorers:
