Review case 11: the control instances are restarted in turn, as planned work

Done: the script stops the control instances one after the other with SIGTERM instead of killing them at once.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""Streams that clients take up after all control instances were killed at once."""
+"""Streams that clients take up after the control instances were restarted in turn."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 EVENTS = 80
 EVENT_S = 0.12
 DEADLINE_MS = 12_000
-BACK_AFTER_S = 0.3
+GAP_S = 1.0
 MARGIN_S = 0.7
 
 
@@ -106,6 +106,17 @@
         await deployment.stop()
 
 
+async def restart_in_turn(deployment: Deployment, names: list[str]) -> None:
+    """Stop processes as planned work does, one after the other, and start them."""
+    for name in names:
+        if name != names[0]:
+            await asyncio.sleep(GAP_S)
+        deployment.signal(name, signal.SIGTERM)
+        while deployment.processes[name].poll() is None:
+            await asyncio.sleep(0.02)
+        deployment.start_process(name)
+
+
 async def take_up_streams(deployment: Deployment, record: Record) -> bool:
     streams = [Stream(f"s{number}") for number in range(STREAMS)]
     first_reads = [
@@ -119,18 +130,12 @@
         raise CannotRunError("too few streams have begun")
     names = [name for name in deployment.roles if deployment.roles[name] == "control"]
     if HAS_TROUBLE:
-        for name in names:
-            deployment.signal(name, signal.SIGKILL)
-        for name in names:
-            deployment.processes[name].wait()
-        await asyncio.sleep(BACK_AFTER_S)
-        for name in names:
-            deployment.start_process(name)
+        await restart_in_turn(deployment, names)
     disturbed_at = time.monotonic()
     status, _ = await deployment.call_control("GET", "/-/Config.Read", within_s=3.0)
     record.add(
         f"the configuration is read again, {time.monotonic() - disturbed_at:.1f} s "
-        f"after the control instances were started: status {status}"
+        f"after the last control instance was started: status {status}"
     )
     if status != 200:
         raise CannotRunError("the control instances are not back")
