--- a/review/11/case.py
+++ b/review/11/case.py
@@ -179,4 +179,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, play))
+    sys.exit(run_case(FOLDER / "record.txt", play))
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -166,4 +166,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, play))
+    sys.exit(run_case(FOLDER / "record.txt", play))
--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -569,9 +569,9 @@
         return response
 
 
-def run_case(folder: Path, play: Callable[[Record], Awaitable[bool]]) -> int:
-    """Play a case and return the exit status of its script."""
-    record = Record(folder / "record.txt")
+def run_case(record_path: Path, play: Callable[[Record], Awaitable[bool]]) -> int:
+    """Play a case, write its record and return the exit status of its script."""
+    record = Record(record_path)
     record.add(f"TROUBLE={int(HAS_TROUBLE)}")
     # Ends the processes that the case has started, too.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
--- a/review/trials-3/failed_runs_carried.py
+++ b/review/trials-3/failed_runs_carried.py
@@ -143,4 +143,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, play))
+    sys.exit(run_case(FOLDER / "record.txt", play))
