Tell control instances that restart which software version began streams

Cause: an entry told the control instances once, when a stream began. They keep it in memory, and nobody told one that started again. The same held for all of them at once, for one without its disk, and for one that was out of reach when the stream began.

Evidence: with the entry killed and control left alone all streams went on, with control restarted none did; stream.taken_up shows that control was asked. It could not tell silence from ignorance, and now records that (knowledge).

Fix: a control instance that starts copies the streams of the others, from so many that those left out and itself are no majority. Entries repeat their own streams to a process that was not told all of them. Either alone leaves an order of losses in which the version is gone: the first when all restart at once, the second when the entry is lost first.

--- a/pollenlb/connection/control.py
+++ b/pollenlb/connection/control.py
@@ -12,27 +12,23 @@
 from ..durable.commands import AnyCommand, AnyResult
 from ..events import EventLog
 from ..exceptions import CommandInDoubtError, ControlError
-from ..ids import Address, CommandId, RequestId, SoftwareVersion
+from ..ids import Address, CommandId
 from .control_api import (
-    FIND_STREAM,
     PROPOSE,
     READ_BATCH_JOB,
     READ_CONFIGURATION,
     READ_ITEM,
-    RECORD_STREAM,
     RENEW,
     RETIRE,
     STATUS,
     BatchJobRead,
     CallStatus,
     ConfigurationRead,
-    FindStream,
     ItemRead,
     ProposeRequest,
     ReadBatchJob,
     ReadConfiguration,
     ReadItem,
-    RecordStream,
     RenewAnswer,
     RenewRequest,
     RetireAnswer,
@@ -50,8 +46,6 @@
 
 _MIN_ATTEMPT_TIMEOUT_S = 1.0
 _READ_TIMEOUT_S = 0.6
-# Longer than callers wait, since a call that times out closes its connection.
-_MEMBER_CALL_TIMEOUT_S = 1.2
 _RETRY_PAUSE_S = 0.05
 # Of a long search for the leader, the first attempts are recorded as events, and
 # then one in so many.
@@ -78,13 +72,14 @@
         self._channels = {address: RpcChannel(address, events) for address in addresses}
         self._search = LeaderSearch(addresses)
         self._members = list(addresses)
-        self._background_calls: set[asyncio.Task] = set()
+
+    @property
+    def members(self) -> list[Address]:
+        """Control instances that are members of the log."""
+        return self._members
 
     async def close(self) -> None:
         """Close all channels."""
-        for call in self._background_calls:
-            call.cancel()
-        await asyncio.gather(*self._background_calls, return_exceptions=True)
         for channel in self._channels.values():
             await channel.close()
 
@@ -244,63 +239,11 @@
                 self._record_failure(address, reason=failure.reason)
         return None
 
-    async def record_stream(
-        self, request: RequestId, software: SoftwareVersion
-    ) -> bool:
-        """Tell all control instances which software version began a stream.
-
-        Returns
-        -------
-        bool
-            True as soon as a majority has confirmed it; False when that has become
-            impossible.
-        """
-        message = RecordStream(request, software)
-        calls = self._call_members(RECORD_STREAM, message, _MEMBER_CALL_TIMEOUT_S)
-        missing = len(calls) // 2 + 1
-        try:
-            for call in asyncio.as_completed(calls):
-                missing -= (await call).is_ok()
-                if not missing:
-                    return True
-            return False
-        finally:
-            self._finish_in_background(calls)
-
-    async def find_stream(
-        self, request: RequestId, timeout_s: float
-    ) -> SoftwareVersion | None:
-        """Return the first answer that names the software version of a stream.
-
-        None if no control instance names it within ``timeout_s`` seconds.
-        """
-        calls = self._call_members(
-            FIND_STREAM, FindStream(request), _MEMBER_CALL_TIMEOUT_S
-        )
-        try:
-            for call in asyncio.as_completed(calls, timeout=timeout_s):
-                match await call:
-                    case Ok(answer) if answer.software is not None:
-                        return answer.software
-        except TimeoutError:
-            return None
-        finally:
-            self._finish_in_background(calls)
-        return None
-
-    def _call_members(
-        self, method: Method[Q, B], request: Q, timeout_s: float
-    ) -> list[asyncio.Task[Result[B, CallFailure]]]:
-        return [
-            asyncio.create_task(self._channel(address).call(method, request, timeout_s))
-            for address in self._members
-        ]
-
-    def _finish_in_background(self, calls: list[asyncio.Task]) -> None:
-        for call in calls:
-            if not call.done():
-                self._background_calls.add(call)
-                call.add_done_callback(self._background_calls.discard)
+    async def call_member(
+        self, address: Address, method: Method[Q, B], request: Q, timeout_s: float
+    ) -> Result[B, CallFailure]:
+        """Call one control instance, whether it leads or not."""
+        return await self._channel(address).call(method, request, timeout_s)
 
     async def query_status(
         self, timeout_s: float
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -626,7 +626,38 @@
 
 
 class StreamRecorded(msgspec.Struct, frozen=True):
-    """The control instance remembers the stream for a while."""
+    """The control instance remembers the stream for a while.
+
+    Attributes
+    ----------
+    boot : BootId or None
+        Boot id of the process, which forgets its streams when it ends; None from a
+        release that does not report it.
+    """
+
+    boot: BootId | None = None
+
+
+class KnownStream(msgspec.Struct, frozen=True):
+    """A stream and the software version that began it.
+
+    Attributes
+    ----------
+    request : RequestId
+        Request with which the stream began.
+    kept_s : float
+        Seconds for which the stream may still be taken up.
+    """
+
+    request: RequestId
+    software: SoftwareVersion
+    kept_s: float
+
+
+class RecordStreams(msgspec.Struct, frozen=True):
+    """Repeats earlier streams to a control instance that may not know them."""
+
+    streams: list[KnownStream]
 
 
 class FindStream(msgspec.Struct, frozen=True):
@@ -636,9 +667,47 @@
 
 
 class StreamFound(msgspec.Struct, frozen=True):
-    """Software version that began a stream; None if the instance does not know."""
+    """Software version that began a stream; None if the instance does not know.
+
+    Attributes
+    ----------
+    is_complete : bool
+        Whether the instance has learnt the streams that began before it started.
+    """
 
     software: SoftwareVersion | None = None
+    is_complete: bool = True
+
+
+class CopyStreams(msgspec.Struct, frozen=True):
+    """Asks a control instance for a page of the streams that it knows.
+
+    Attributes
+    ----------
+    after : int
+        Position after which the page begins; 0 for the first one.
+    """
+
+    after: int = 0
+
+
+class StreamPage(msgspec.Struct, frozen=True):
+    """A page of the streams that a control instance knows.
+
+    Attributes
+    ----------
+    last : int
+        Position of the last stream of the page.
+    is_last : bool
+        Whether no page follows.
+    is_complete : bool
+        Whether the instance has learnt the streams that began before it started.
+    """
+
+    streams: list[KnownStream]
+    last: int
+    is_last: bool
+    is_complete: bool
 
 
 PROPOSE = Method(_SERVICE, "Propose", ProposeRequest, ProposeAnswer)
@@ -652,3 +721,5 @@
 STATUS = Method(_SERVICE, "Status", StatusRequest, StatusAnswer)
 RECORD_STREAM = Method(_SERVICE, "RecordStream", RecordStream, StreamRecorded)
 FIND_STREAM = Method(_SERVICE, "FindStream", FindStream, StreamFound)
+RECORD_STREAMS = Method(_SERVICE, "RecordStreams", RecordStreams, StreamRecorded)
+COPY_STREAMS = Method(_SERVICE, "CopyStreams", CopyStreams, StreamPage)
--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -9,29 +9,22 @@
 from ..clock import deadline_in, now, sleep_until
 from ..connection.control import ControlConnection
 from ..connection.control_api import (
-    FIND_STREAM,
     PROPOSE,
     READ_BATCH_JOB,
     READ_CONFIGURATION,
     READ_ITEM,
-    RECORD_STREAM,
     RENEW,
     RETIRE,
     STATUS,
     CallStatus,
     ConfigurationRead,
-    FindStream,
     ProposeAnswer,
     ProposeRequest,
     ReadConfiguration,
-    RecordStream,
     StatusAnswer,
     StatusRequest,
-    StreamFound,
-    StreamRecorded,
 )
 from ..connection.rpc import RpcServer
-from ..connection.stream_origins import StreamTable
 from ..durable.batch_job_commands import SubmitBatchJob
 from ..durable.command_base import Done
 from ..durable.commands import AnyCommand, AnyResult
@@ -72,6 +65,7 @@
 from .http_server import HttpServer
 from .lease_service import LeaseService
 from .retirement import RetirementService
+from .stream_origin_service import StreamOriginService
 
 # How long an answer waits until every entry has applied a change.
 _APPLY_TIMEOUT_S = 30.0
@@ -118,7 +112,7 @@
         self._context = ControlContext(settings, self._events, machine, self._replica)
         self._server = RpcServer(Address(settings.listen), self._events)
         self._leases = LeaseService(self._context)
-        self._streams = StreamTable()
+        self._stream_origins = StreamOriginService(self._context)
         self._batch_jobs = BatchJobService(self._context)
         self._retirement = RetirementService(self._context)
         self._orders = OrderIssuer(self._context, order_channel or NativeOrderChannel())
@@ -160,10 +154,10 @@
         self._server.register(READ_CONFIGURATION, self._read_configuration)
         self._server.register(RETIRE, self._retirement.retire)
         self._server.register(STATUS, self._status)
-        self._server.register(RECORD_STREAM, self._record_stream)
-        self._server.register(FIND_STREAM, self._find_stream)
+        self._stream_origins.register(self._server)
         await self._server.start()
         self._replica.start()
+        self._replica.spawn(self._stream_origins.learn())
         self._replica.spawn(self._run_maintenance())
         self._replica.spawn(self._orders.run())
         if self._duties is not None:
@@ -337,13 +331,6 @@
             release=THIS_RELEASE,
         )
 
-    async def _record_stream(self, request: RecordStream) -> StreamRecorded:
-        self._streams.add(request.request, request.software)
-        return StreamRecorded()
-
-    async def _find_stream(self, request: FindStream) -> StreamFound:
-        return StreamFound(self._streams.find(request.request))
-
     async def _run_maintenance(self) -> None:
         while True:
             await sleep_until(deadline_in(_MAINTENANCE_INTERVAL_S))
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -122,6 +122,7 @@
         self._leaving_reports.start()
         self._batch_runner.start()
         self._contact_check.start()
+        self._context.stream_origins.start()
         await self._http.start()
         if self._relay_http is not None:
             await self._relay_http.start()
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -10,6 +10,7 @@
 from ..clock import Deadline, deadline_in, now, remaining_time_s
 from ..connection.backend import BackendServer
 from ..connection.bodies import read_body
+from ..connection.stream_origins import Knowledge, StreamOrigin
 from ..ids import SoftwareVersion
 from ..process.context import EntryContext
 from .attempt import (
@@ -129,21 +130,29 @@
 
     async def _find_origin(self, resumption: Resumption) -> SoftwareVersion:
         """Return the software version that began the stream that is taken up."""
-        software = None
+        origin = StreamOrigin(Knowledge.UNKNOWN)
         if resumption.began_as is not None:
-            software = await self._context.stream_origins.find(resumption.began_as)
+            origin = await self._context.stream_origins.find(
+                resumption.began_as, self._caller.deadline
+            )
         self._context.events.record(
             "stream.taken_up",
             request=self._caller.request_id,
             began_as=resumption.began_as,
-            software=software,
+            software=origin.software,
+            knowledge=origin.knowledge.value,
         )
-        if software is None:
+        if origin.software is not None:
+            return origin.software
+        if origin.knowledge is Knowledge.UNANSWERED:
             raise unavailable(
-                "the software version that began the stream is not known, so that it "
-                "cannot be continued"
+                "the software version that began the stream is not known yet, since "
+                "too few control instances have answered"
             )
-        return software
+        raise unavailable(
+            "the software version that began the stream is not known, so that it "
+            "cannot be continued"
+        )
 
     def _continue_at(self, software: SoftwareVersion) -> None:
         self._software = software
--- a/tests/platform/platform_system.py
+++ b/tests/platform/platform_system.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
+import shutil
 from pathlib import Path
 
 import aiohttp
@@ -202,17 +204,39 @@
         ).unwrap()
         if settings.bootstrap:
             await format_bootstrap_folder(settings)
-        process = ControlProcess(
-            settings,
-            make_control_application,
-            PlatformOrderChannel(),
-            PlatformDutyChannel(),
-        )
+        process = _control_process(settings)
         await process.start()
         self.controls.append(process)
         self.control_urls.append(f"http://127.0.0.1:{port}")
         return process
 
+    async def restart_controls(self, numbers: list[int], gap_s: float = 0.0) -> None:
+        """Stop control instances, and start each again with its disk.
+
+        Parameters
+        ----------
+        numbers : list of int
+            Control instances to restart.
+        gap_s : float
+            Seconds between a start and the next stop; 0 restarts all at once.
+        """
+        if not gap_s:
+            await asyncio.gather(*(self.controls[number].stop() for number in numbers))
+        for number in numbers:
+            if gap_s:
+                await self.controls[number].stop()
+            self.controls[number] = _control_process(self.controls[number]._settings)
+            await self.controls[number].start()
+            await asyncio.sleep(gap_s)
+
+    async def replace_control(self, number: int) -> None:
+        """Stop a control instance, and start it again with an empty disk."""
+        settings = self.controls[number]._settings
+        await self.controls[number].stop()
+        shutil.rmtree(settings.data_folder)
+        self.controls[number] = _control_process(settings)
+        await self.controls[number].start()
+
     async def add_entry(self, number: int) -> EntryProcess:
         """Start an entry process."""
         port, ready_port, relay_port = free_ports(3)
@@ -356,3 +380,12 @@
             results += page["results"]
             if len(results) == page["total"]:
                 return results
+
+
+def _control_process(settings: ControlSettings) -> ControlProcess:
+    return ControlProcess(
+        settings,
+        make_control_application,
+        PlatformOrderChannel(),
+        PlatformDutyChannel(),
+    )
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -10,26 +10,14 @@
 from pollenlb.process.renewals import LeaseRenewer
 
 from ..local_system import CutChannel, wait_until
-from .platform_system import HOST, MODEL, PlatformSystem, batch_job, configuration
-
-_STREAM_PATH = "/safe/1"
-
-
-async def _start(platform_system, software: list[str], entries=2) -> PlatformSystem:
-    """Start a system with engines of the given software versions."""
-    system = await platform_system(entries=entries, engines=0, controls=3)
-    for number, version in enumerate(software):
-        await system.add_engine(f"i-{number}", version)
-    changed = configuration(2)
-    changed["routes"][1] |= {"kind": "streaming", "resumable": True, "max_attempts": 3}
-    await system.call_control("POST", "/-/Config.Replace", changed)
-    await system.wait_until_served()
-    await wait_until(
-        lambda: all(
-            entry.context.configuration.revision >= 2 for entry in system.entries
-        )
-    )
-    return system
+from .platform_system import MODEL, PlatformSystem, batch_job
+from .streams import (
+    STREAM_PATH,
+    read_events,
+    resume,
+    software_of,
+    start_streaming_system,
+)
 
 
 def _resumed_at_another_version(system: PlatformSystem) -> set[str]:
@@ -47,49 +35,10 @@
     }
 
 
-async def _read_events(system: PlatformSystem, entry: int, request: str, count: int):
-    """Begin a stream, read some events and leave; return the number of the last."""
-    url = f"http://{system.entries[entry].context.identity.http}{_STREAM_PATH}"
-    headers = {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": "5000"}
-    async with system.session.post(url, json=400, headers=headers) as response:
-        assert response.status == 200
-        last = -1
-        while last + 1 < count:
-            line = await response.content.readline()
-            if line.startswith(b"id: "):
-                last = int(line[4:])
-        response.close()
-    return last
-
-
-async def _resume(
-    system: PlatformSystem, entry: int, request: str, began_as: str, last_event: int
-) -> tuple:
-    return await system.call_entry(
-        "POST",
-        entry,
-        _STREAM_PATH,
-        last_event + 4,
-        X_Request_Id=request,
-        X_Deadline_Ms="5000",
-        Last_Event_Id=str(last_event),
-        Resumes=began_as,
-    )
-
-
-def _software_of(system: PlatformSystem, request: str) -> set[str]:
-    return {
-        engine.software
-        for engine in system.engines
-        for run, _ in engine.received_runs
-        if run == request
-    }
-
-
 async def test_a_stream_is_continued_by_another_software_version_in_one_answer(
     platform_system,
 ):
-    system = await _start(platform_system, ["v1", "v2", "v2"])
+    system = await start_streaming_system(platform_system, ["v1", "v2", "v2"])
     for number in range(12):
         for engine in system.engines:
             engine.abort_at_event = 5
@@ -97,7 +46,7 @@
             await system.call_entry(
                 "POST",
                 number % 2,
-                _STREAM_PATH,
+                STREAM_PATH,
                 12,
                 X_Request_Id=f"stream-{number}",
                 X_Deadline_Ms="4000",
@@ -108,38 +57,40 @@
 
 
 async def test_a_caller_resumes_a_stream_at_another_software_version(platform_system):
-    system = await _start(platform_system, ["v1", "v1", "v2", "v2"])
+    system = await start_streaming_system(platform_system, ["v1", "v1", "v2", "v2"])
     for number in range(10):
         began_as = f"stream-{number}"
-        last = await _read_events(system, 0, began_as, 3)
-        status, body, _ = await _resume(system, 1, f"again-{number}", began_as, last)
+        last = await read_events(system, 0, began_as, 3)
+        status, body, _ = await resume(system, 1, f"again-{number}", began_as, last)
         assert (status, body.count(b"id: ")) == (200, 3)
-        assert _software_of(system, f"again-{number}") == _software_of(system, began_as)
+        assert software_of(system, f"again-{number}") == software_of(system, began_as)
 
 
 async def test_a_stream_of_a_crashed_entry_is_resumed_at_its_software_version(
     platform_system,
 ):
-    system = await _start(platform_system, ["v1", "v1", "v2", "v2"], entries=2)
-    last = [await _read_events(system, 0, f"stream-{number}", 3) for number in range(8)]
+    system = await start_streaming_system(
+        platform_system, ["v1", "v1", "v2", "v2"], entries=2
+    )
+    last = [await read_events(system, 0, f"stream-{number}", 3) for number in range(8)]
     await system.crash_entry(0)
     for number in range(8):
         began_as = f"stream-{number}"
-        status, _, _ = await _resume(
+        status, _, _ = await resume(
             system, 0, f"again-{number}", began_as, last[number]
         )
         assert status == 200
-        assert _software_of(system, f"again-{number}") == _software_of(system, began_as)
+        assert software_of(system, f"again-{number}") == software_of(system, began_as)
 
 
 async def test_a_stream_of_unknown_origin_is_joined(platform_system):
-    system = await _start(platform_system, ["v1", "v2"])
-    status, _, _ = await _resume(system, 0, "again", "never-begun", 3)
-    assert (status, _software_of(system, "again")) == (503, set())
+    system = await start_streaming_system(platform_system, ["v1", "v2"])
+    status, _, _ = await resume(system, 0, "again", "never-begun", 3)
+    assert (status, software_of(system, "again")) == (503, set())
 
 
 async def test_an_item_is_continued_by_another_software_version(platform_system):
-    system = await _start(platform_system, ["v1", "v2", "v2"])
+    system = await start_streaming_system(platform_system, ["v1", "v2", "v2"])
     for number in range(6):
         for engine in system.engines:
             engine.abort_at_event = 4
@@ -156,46 +107,46 @@
 async def test_an_entry_out_of_contact_joins_streams_of_servers_it_cannot_know(
     platform_system,
 ):
-    system = await _start(platform_system, ["v1", "v1"], entries=1)
+    system = await start_streaming_system(platform_system, ["v1", "v1"], entries=1)
     context = system.entries[0].context
     began_as = "stream"
-    last = await _read_events(system, 0, began_as, 3)
+    last = await read_events(system, 0, began_as, 3)
     for control in system.controls:
         await control.stop()
     system.controls.clear()
-    status, _, _ = await _resume(system, 0, "soon", began_as, last)
+    status, _, _ = await resume(system, 0, "soon", began_as, last)
     assert status == 200
     # From here on a server may have started again with other software.
     await wait_until(lambda: not context.knows_software_versions)
-    status, _, _ = await _resume(system, 0, "late", began_as, last)
-    assert (status, _software_of(system, "late")) == (503, set())
+    status, _, _ = await resume(system, 0, "late", began_as, last)
+    assert (status, software_of(system, "late")) == (503, set())
     status, _, _ = await system.call_entry(
-        "POST", 0, _STREAM_PATH, 3, X_Request_Id="new", X_Deadline_Ms="4000"
+        "POST", 0, STREAM_PATH, 3, X_Request_Id="new", X_Deadline_Ms="4000"
     )
     assert status == 200
 
 
 async def test_a_stream_is_cut_while_servers_of_its_version_recover(platform_system):
-    system = await _start(platform_system, ["v1", "v2"], entries=1)
+    system = await start_streaming_system(platform_system, ["v1", "v2"], entries=1)
     directory = system.entries[0].context.directory
-    last = await _read_events(system, 0, "stream", 3)
-    (software,) = _software_of(system, "stream")
+    last = await read_events(system, 0, "stream", 3)
+    (software,) = software_of(system, "stream")
     for server in directory.servers.values():
         if server.software == software:
             server.record_failure()
     # Servers of the other version are usable, which must not leave these out.
-    status, body, _ = await _resume(system, 0, "again", "stream", last)
+    status, body, _ = await resume(system, 0, "again", "stream", last)
     assert (status, body.count(b"id: ")) == (200, 3)
-    assert _software_of(system, "again") == {software}
+    assert software_of(system, "again") == {software}
 
 
 async def test_a_server_with_other_software_under_its_name_joins_before_its_check_in(
     platform_system,
 ):
     """The server serves again, at its address, before control has heard of it."""
-    system = await _start(platform_system, ["v1"])
+    system = await start_streaming_system(platform_system, ["v1"])
     (engine,) = system.engines
-    last = await _read_events(system, 0, "stream", 3)
+    last = await read_events(system, 0, "stream", 3)
     await engine.stop()
     restarted = PlatformEngine(
         engine.name, engine.service, engine.port, ["http://127.0.0.1:1"], MODEL
@@ -204,28 +155,28 @@
     restarted.started_at_ms = engine.started_at_ms + 1_000
     await restarted.start()
     system.engines[0] = restarted
-    status, _, _ = await _resume(system, 1, "again", "stream", last)
-    assert _software_of(system, "again") == set(), status
+    status, _, _ = await resume(system, 1, "again", "stream", last)
+    assert software_of(system, "again") == set(), status
 
 
 async def test_a_stream_goes_on_at_a_server_that_confirms_its_process(platform_system):
-    system = await _start(platform_system, ["v1", "v1"])
-    last = await _read_events(system, 0, "stream", 3)
-    status, _, _ = await _resume(system, 1, "again", "stream", last)
+    system = await start_streaming_system(platform_system, ["v1", "v1"])
+    last = await read_events(system, 0, "stream", 3)
+    status, _, _ = await resume(system, 1, "again", "stream", last)
     assert status == 200
-    assert _software_of(system, "again") == {"v1"}
+    assert software_of(system, "again") == {"v1"}
 
 
 # Guards against a stream whose recorded origin is the former software of its server.
 async def test_a_server_that_started_again_unseen_begins_no_stream(platform_system):
-    system = await _start(platform_system, ["v1", "v1"], entries=1)
+    system = await start_streaming_system(platform_system, ["v1", "v1"], entries=1)
     restarted, _ = system.engines
     restarted.stop_heartbeats()
     restarted.started_at_ms += 1_000
     restarted.software = "v2"
     for number in range(8):
         status, _, _ = await system.call_entry(
-            "POST", 0, _STREAM_PATH, 3, X_Request_Id=f"r{number}", X_Deadline_Ms="4000"
+            "POST", 0, STREAM_PATH, 3, X_Request_Id=f"r{number}", X_Deadline_Ms="4000"
         )
         assert status == 200
     assert restarted.received_runs == []
@@ -235,7 +186,7 @@
     platform_system,
 ):
     """The entry has seen a request to the server fail, so it asks before it sends."""
-    system = await _start(platform_system, ["v1", "v1"], entries=1)
+    system = await start_streaming_system(platform_system, ["v1", "v1"], entries=1)
     engine = system.engines[0]
     (entry,) = system.entries
     entry.context.directory.servers[engine.name].record_failure()
@@ -244,7 +195,7 @@
     for number in range(8):
         entry.context.directory.servers[engine.name]._backoff_until = 0.0
         await system.call_entry(
-            "POST", 0, _STREAM_PATH, 3, X_Request_Id=f"r{number}", X_Deadline_Ms="4000"
+            "POST", 0, STREAM_PATH, 3, X_Request_Id=f"r{number}", X_Deadline_Ms="4000"
         )
     assert engine.received_runs == []
 
@@ -255,7 +206,7 @@
 async def test_an_entry_that_missed_a_release_joins_no_stream_of_the_new_version(
     platform_system, trouble
 ):
-    system = await _start(platform_system, ["v1", "v1"])
+    system = await start_streaming_system(platform_system, ["v1", "v1"])
     late = system.entries[1]
     # Ends the renewal in flight, whose answer would tell of the first new server.
     await late._lease_renewer.stop()
@@ -278,8 +229,8 @@
     last: dict[str, int] = {}
     for number in range(12):
         request = f"stream-{number}"
-        last[request] = await _read_events(system, 0, request, 3)
-    assert {"v1", "v2"} == set().union(*(_software_of(system, each) for each in last))
+        last[request] = await read_events(system, 0, request, 3)
+    assert {"v1", "v2"} == set().union(*(software_of(system, each) for each in last))
     if trouble == "frozen":
         # It renews its lease after the thaw, while callers come to it.
         late._lease_renewer = LeaseRenewer(late.context, late._batch_runner)
@@ -287,8 +238,8 @@
     statuses = []
     for began_as, last_event in last.items():
         again = f"again-{began_as}"
-        status, _, _ = await _resume(system, 1, again, began_as, last_event)
+        status, _, _ = await resume(system, 1, again, began_as, last_event)
         statuses.append(status)
-        assert _software_of(system, again) <= _software_of(system, began_as)
-        assert (status == 200) == bool(_software_of(system, again))
+        assert software_of(system, again) <= software_of(system, began_as)
+        assert (status == 200) == bool(software_of(system, again))
     assert set(statuses) <= {200, 503}
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -29,12 +29,14 @@
 from pollenlb.connection import backend_api, engine_api, trainer_messages
 from pollenlb.connection.backend_api import ProbeAnswer, ProcessCheck
 from pollenlb.connection.control_api import (
+    COPY_STREAMS,
     FIND_STREAM,
     PROPOSE,
     READ_BATCH_JOB,
     READ_CONFIGURATION,
     READ_ITEM,
     RECORD_STREAM,
+    RECORD_STREAMS,
     RENEW,
     RETIRE,
     STATUS,
@@ -43,12 +45,14 @@
     CallStatus,
     ConfigurationRead,
     ConfigurationView,
+    CopyStreams,
     DirectoryView,
     DutiesView,
     EntriesView,
     FindStream,
     ItemRead,
     JobView,
+    KnownStream,
     LedgerView,
     LimitGrant,
     LimitReport,
@@ -61,6 +65,7 @@
     ReadConfiguration,
     ReadItem,
     RecordStream,
+    RecordStreams,
     RenewAnswer,
     RenewRequest,
     ReplicaView,
@@ -70,6 +75,7 @@
     StatusAnswer,
     StatusRequest,
     StreamFound,
+    StreamPage,
     StreamRecorded,
     WorkView,
 )
@@ -82,6 +88,8 @@
 from pollenlb.connection.operator import QueryFailure
 from pollenlb.connection.pool import OpeningReason
 from pollenlb.connection.rpc import CallFailure, Method
+from pollenlb.connection.stream_origins import Knowledge, StreamOrigin
+from pollenlb.connection.stream_table import _Stream
 from pollenlb.connection.trainer_messages import (
     DeliveredBatch,
     DeliveredSample,
@@ -313,6 +321,8 @@
     ("job_view", JobView, JSON),
     ("ledger_view", LedgerView, MSGPACK),
     ("find_stream", FindStream, MSGPACK),
+    ("known_stream", KnownStream, MSGPACK),
+    ("copy_streams", CopyStreams, MSGPACK),
     ("limit_grant", LimitGrant, MSGPACK),
     ("limit_report", LimitReport, MSGPACK),
     ("propose_answer", ProposeAnswer, MSGPACK),
@@ -322,6 +332,7 @@
     ("read_configuration", ReadConfiguration, MSGPACK),
     ("read_item", ReadItem, MSGPACK),
     ("record_stream", RecordStream, MSGPACK),
+    ("record_streams", RecordStreams, MSGPACK),
     ("renew_answer", RenewAnswer, MSGPACK),
     ("renew_request", RenewRequest, MSGPACK),
     ("retire_answer", RetireAnswer, MSGPACK),
@@ -330,6 +341,7 @@
     ("status_answer", StatusAnswer, JSON),
     ("status_request", StatusRequest, MSGPACK),
     ("stream_found", StreamFound, MSGPACK),
+    ("stream_page", StreamPage, MSGPACK),
     ("stream_recorded", StreamRecorded, MSGPACK),
     ("work_view", WorkView, MSGPACK),
     ("origin", TokenOrigin, JSON),
@@ -502,6 +514,7 @@
     # Returned by calls within a process.
     AnswerHead,
     AttemptFailure,
+    StreamOrigin,
     RewardCallFailure,
     _FieldNames,
     _Start,
@@ -511,6 +524,8 @@
     Resumption,
     # Sent as a JSON object that is built field by field, not by encoding the type.
     Refusal,
+    # Held only in the memory of entries and control instances.
+    _Stream,
     # Held only in the memory of the leader.
     AppliedVersions,
     Lease,
@@ -525,6 +540,7 @@
 
 _ENUMS: list[tuple[type[Enum], set[str]]] = [
     (CallStatus, {"done", "in-doubt", "not-leader"}),
+    (Knowledge, {"known", "unanswered", "unknown"}),
     (
         CloseReason,
         {
@@ -609,6 +625,13 @@
     (STATUS, "/pollenlb.Control/Status", StatusRequest, StatusAnswer),
     (RECORD_STREAM, "/pollenlb.Control/RecordStream", RecordStream, StreamRecorded),
     (FIND_STREAM, "/pollenlb.Control/FindStream", FindStream, StreamFound),
+    (
+        RECORD_STREAMS,
+        "/pollenlb.Control/RecordStreams",
+        RecordStreams,
+        StreamRecorded,
+    ),
+    (COPY_STREAMS, "/pollenlb.Control/CopyStreams", CopyStreams, StreamPage),
 ]
 
 # Keys in files, and the allowed values of the keys that have a fixed choice.
