Tell a busy backend server from a crashed one

Nobody has reported it; looking into broken answers makes it likelier.

Cause: no answer to a probe within 0.8 s was taken for no process. Health checks wait for a slot like any request, or are refused without naming the server.

Fix: without an answer, one more connection is opened. A process that accepts it and keeps it open has not crashed, so that nothing is reported and a trial ends without a verdict. A process that has ended refuses it, and a relay in between closes it.

A sound server that resets each new connection still looks like one that has ended.

--- a/pollenlb/connection/backend.py
+++ b/pollenlb/connection/backend.py
@@ -25,6 +25,7 @@
 from ..settings.entry import EntrySettings
 from .backend_api import ProbeAnswer, ProcessCheck
 from .load import ServerLoad
+from .probe import is_connection_held
 from .request_limit import LimitShares, RequestLimit
 from .sessions import idle_connections
 
@@ -37,6 +38,7 @@
 _MIN_BACKOFF_S = 0.4
 _MAX_BACKOFF_S = 3.2
 _CRASH_PROBE_TIMEOUT_S = 0.8
+_HELD_TIMEOUT_S = 0.2
 # Shorter than a backend server takes to start again.
 _CONFIRMED_S = 1.0
 
@@ -408,7 +410,8 @@
         """Return whether the process with a boot id still runs.
 
         Probes the backend server once. The answer is ``SAME``, ``OTHER`` if it names
-        another boot id, or ``SILENT``.
+        another boot id, ``UNKNOWN`` if a process runs there that does not answer in
+        time, or ``SILENT``.
 
         Parameters
         ----------
@@ -417,7 +420,9 @@
         """
         answer = await self._fetch_probe_answer(_CRASH_PROBE_TIMEOUT_S)
         if answer is None:
-            return ProcessCheck.SILENT
+            address = self._announcement.address
+            is_held = await is_connection_held(address, _HELD_TIMEOUT_S)
+            return ProcessCheck.UNKNOWN if is_held else ProcessCheck.SILENT
         return ProcessCheck.SAME if answer.boot == boot else ProcessCheck.OTHER
 
     async def _probe_periodically(self) -> None:
--- a/pollenlb/request/crash_trial.py
+++ b/pollenlb/request/crash_trial.py
@@ -160,7 +160,7 @@
                 "trial.not_ended", request=self._request_id, reason=str(error)
             )
 
-    def _start_report(self, report: Coroutine[Any, Any, None]) -> asyncio.Task:
+    def _start_report(self, report: Coroutine[Any, Any, Any]) -> asyncio.Task:
         self._report = asyncio.create_task(report)
         self._context.crash_reports.add(self._report)
         self._report.add_done_callback(self._forget_report)
@@ -173,14 +173,15 @@
 
     async def _clear_if_running(self, server: BackendServer) -> None:
         try:
-            await self._report_if_crashed(server)
+            check = await self._report_if_crashed(server)
         except (RequestCondemnedError, ControlError):
             await self._end(TrialEnd.OPEN)
         else:
-            await self._end(TrialEnd.CLEARED)
+            is_running = check is ProcessCheck.SAME
+            await self._end(TrialEnd.CLEARED if is_running else TrialEnd.OPEN)
 
-    async def _report_if_crashed(self, server: BackendServer) -> None:
-        """Probe a backend server, and report a crash.
+    async def _report_if_crashed(self, server: BackendServer) -> ProcessCheck:
+        """Probe a backend server, report a crash, and return what the probe told.
 
         Raises
         ------
@@ -192,13 +193,18 @@
         boot, lost_at = server.boot, now()
         check = await server.check_boot(boot)
         if check is ProcessCheck.SAME:
-            return
+            return check
+        if check is ProcessCheck.UNKNOWN:
+            self._context.events.record(
+                "server.not_confirmed", server=server.name, check=check.value
+            )
+            return check
         is_silent = check is ProcessCheck.SILENT
         if is_silent and await is_cut_off(server, lost_at, self._context):
             self._context.events.record(
                 "server.not_reached", server=server.name, request=self._request_id
             )
-            return
+            return check
         if server.is_usable:
             server.record_failure()
         self._context.events.record(
@@ -218,6 +224,7 @@
         if reported.is_condemned:
             self._context.events.record("request.condemned", request=self._request_id)
             raise RequestCondemnedError()
+        return check
 
     async def _propose(self, command: ReportCrash | StartTrial | EndTrial) -> AnyResult:
         command_id = CommandId(new_id("trial"))
--- a/tests/system/test_crashing_answers.py
+++ b/tests/system/test_crashing_answers.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
 
 from fakes.cut_answer import CrashingAnswer, CutAnswer, reset_connections
 from fakes.flood import REQUEST_ID
@@ -163,6 +164,27 @@
     assert await _send(system, 0, _POISON_PATH) == 200
 
 
+class _BusyProbe:
+    """Probes that wait for a slot longer than they may take."""
+
+    async def answer(self, request: web.Request) -> web.StreamResponse:
+        """Answer nothing until the connection is closed."""
+        await asyncio.Event().wait()
+        raise AssertionError("the wait has no end")
+
+
+# Guards against a sound server without a free slot that is taken for a crashed one.
+@pytest.mark.parametrize("shape", ["nothing", "half of the body", "some chunks"])
+async def test_broken_answers_of_a_busy_server_make_no_suspect(start_system, shape):
+    system = await _start(start_system, servers=2)
+    for service in system.plain_services:
+        service.floods[_POISON_PATH] = CutAnswer(_BROKEN_ANSWERS[shape], is_reset=True)
+        service.floods["/pollenlb/probe"] = _BusyProbe()
+    await _send(system, 0, _POISON_PATH)
+    await asyncio.gather(*system.entries[0].context.crash_reports)
+    assert not system.leader.machine.state.quarantine.suspects
+
+
 # Guards against servers that lose their work for an answer that they broke off.
 async def test_a_sound_server_that_breaks_off_an_answer_stays_usable(start_system):
     system = await _start(start_system, servers=1)
