Two tests: a leader's own first change, and a port that two runs shared

test_member_without_replication_yet_does_not_end_the_leader failed once beside three other test runs: a new leader records who the members are (members.change in its events), and the test's change met that one before it was committed. It is now tried again until then; what is checked is the same.

test_embedding_program_prints_its_result failed once: two runs of the suite started the page's program at the same moment, which listens at a fixed port. The test gives it a free one.

--- a/tests/durable/test_replica.py
+++ b/tests/durable/test_replica.py
@@ -413,9 +413,15 @@
         leader = await replicas.leader()
         leadership = leader.replica.leadership
         monkeypatch.setattr(leadership, "_update_followers", lambda: None)
-        members = leader.replica.storage.members
         added = Member("new", "new", Address("127.0.0.1:1"), is_voter=False)
-        await leadership.change_members([*members, added])
+        is_changed = False
+        while not is_changed:
+            members = leader.replica.storage.members
+            try:
+                await leadership.change_members([*members, added])
+                is_changed = True
+            except LogError:  # a new leader first records who the members are
+                await asyncio.sleep(0.01)
         health = leadership.member_health()
         assert [each.member for each in health] == [*members, added]
         assert not health[-1].is_caught_up
--- a/tests/test_documentation.py
+++ b/tests/test_documentation.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from fakes.ports import free_ports
+
 _DOCS = Path(__file__).parents[1] / "docs"
 _PAGE = _DOCS / "developer-guide/embedding.md"
 
@@ -20,7 +22,9 @@
     "number, printed", [(0, "the counter is 42"), (1, "the key ran")]
 )
 def test_embedding_program_prints_its_result(number, printed):
-    command = [sys.executable, "-c", _read_programs()[number]]
+    (port,) = free_ports(1)
+    program = _read_programs()[number].replace("7411", str(port))
+    command = [sys.executable, "-c", program]
     completed = subprocess.run(command, capture_output=True, text=True, timeout=60)
     assert printed in completed.stdout, completed.stderr
 
