End the trial of a request whose answer broke off at its caller, too

Cause: breaking off the caller's connection cancels its handler, and with it the wait for the report of a crash, after which the trial would end. A caller that left during a report had the same effect.

Fix: what follows an answer that was cut goes on in a task of its own, and a request that is cancelled during a report leaves the end of its trial to such a task, too.

--- a/pollenlb/process/context.py
+++ b/pollenlb/process/context.py
@@ -6,7 +6,9 @@
 import math
 import random
 from collections import Counter
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 import aiohttp
 
@@ -111,8 +113,8 @@
         Requests that wait for their turn, by service; empty without workspaces.
     reachability : Reachability
         Whether this entry reaches any backend server.
-    crash_reports : set of asyncio.Task
-        Reports of crashes that may outlast their requests.
+    background_tasks : set of asyncio.Task
+        Tasks that may outlast their requests, such as reports of crashes.
     peer_failures : dict
         When other entries could not take a relayed request, in seconds of the monotonic
         clock.
@@ -153,7 +155,7 @@
     )
     caller_queues: dict[ServiceName, CallerQueue] = field(default_factory=dict)
     reachability: Reachability = field(default_factory=Reachability)
-    crash_reports: set[asyncio.Task] = field(default_factory=set)
+    background_tasks: set[asyncio.Task] = field(default_factory=set)
     peer_failures: dict[BootId, float] = field(default_factory=dict)
 
     @property
@@ -167,6 +169,18 @@
             return self.configuration.is_received
         return self.configuration.is_leased
 
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        """Start a task that goes on if its request is cancelled."""
+        task = asyncio.create_task(coroutine)
+        self.background_tasks.add(task)
+        task.add_done_callback(self._forget_task)
+        return task
+
+    def _forget_task(self, task: asyncio.Task) -> None:
+        self.background_tasks.discard(task)
+        if not task.cancelled():
+            task.exception()  # retrieved, as nobody may wait for the task any more
+
     @property
     def knows_software_versions(self) -> bool:
         """Whether the known software versions of backend servers may be relied on.
--- a/pollenlb/process/entry.py
+++ b/pollenlb/process/entry.py
@@ -170,9 +170,9 @@
         await self._lease_renewer.stop()
         await context.directory.close()
         await context.stream_origins.close()
-        for report in context.crash_reports:
-            report.cancel()
-        await asyncio.gather(*context.crash_reports, return_exceptions=True)
+        for task in context.background_tasks:
+            task.cancel()
+        await asyncio.gather(*context.background_tasks, return_exceptions=True)
         await context.control.close()
         await context.session.close()
         await context.single_use_session.close()
--- a/pollenlb/request/crash_trial.py
+++ b/pollenlb/request/crash_trial.py
@@ -161,16 +161,9 @@
             )
 
     def _start_report(self, report: Coroutine[Any, Any, Any]) -> asyncio.Task:
-        self._report = asyncio.create_task(report)
-        self._context.crash_reports.add(self._report)
-        self._report.add_done_callback(self._forget_report)
+        self._report = self._context.spawn(report)
         return self._report
 
-    def _forget_report(self, report: asyncio.Task) -> None:
-        self._context.crash_reports.discard(report)
-        if not report.cancelled():
-            report.exception()  # retrieved, as nobody may wait for the report any more
-
     async def _clear_if_running(self, server: BackendServer) -> None:
         try:
             check = await self._report_if_crashed(server)
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -300,7 +300,7 @@
         if is_caller_gone:
             await retries.record_abandonment()
         else:
-            await retries.record_cut(answer.server, body_failure(answer, error))
+            retries.record_cut(answer.server, body_failure(answer, error))
     except BaseException:
         break_off(caller.http_request)
         await retries.record_abandonment()
--- a/pollenlb/request/retries.py
+++ b/pollenlb/request/retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 
 import aiohttp
@@ -240,11 +241,14 @@
         else:
             await self._trial.end(TrialEnd.CLEARED)
 
-    async def record_cut(self, server: BackendServer, failure: AttemptFailure) -> None:
+    def record_cut(self, server: BackendServer, failure: AttemptFailure) -> None:
         """Record an answer that broke off once its caller had its head.
 
-        A crash is reported, and nothing else can follow.
+        A crash is reported in the background, since the caller's connection ends.
         """
+        self._context.spawn(self._settle_cut(server, failure))
+
+    async def _settle_cut(self, server: BackendServer, failure: AttemptFailure) -> None:
         try:
             await self.record_failure(server, failure)
         except RefusedError:
@@ -269,7 +273,11 @@
             reported.
         """
         self._is_failure_settled = False
-        await self.record_failure(server, failure)
+        try:
+            await self.record_failure(server, failure)
+        except asyncio.CancelledError:
+            self._context.spawn(self._trial.end(TrialEnd.OPEN))
+            raise
         await self._trial.end(TrialEnd.OPEN)
         self._is_failure_settled = True
         self._check_may_retry(failure)
--- a/tests/system/test_crashing_answers.py
+++ b/tests/system/test_crashing_answers.py
@@ -115,6 +115,30 @@
     assert sum(answer.count for answer in answers) == 2
 
 
+# Guards against trials that go on after their request, and keep it from running.
+@pytest.mark.parametrize("leaves", [False, True])
+@pytest.mark.parametrize("shape", ["half of the body", "most of a large body"])
+async def test_a_trial_ends_as_a_sound_server_breaks_off_its_answer(
+    start_system, shape, leaves
+):
+    system = await _start(start_system, servers=2)
+    _poison(system, _BROKEN_ANSWERS["nothing"])
+    crashing, sound = system.plain_services
+    sound.floods[_POISON_PATH] = CutAnswer(_BROKEN_ANSWERS[shape], is_reset=True)
+    suspects = system.leader.machine.state.quarantine.suspects
+    while not suspects:
+        await _send(system, 0, _POISON_PATH)
+    suspect = next(iter(suspects.values()))
+    request = asyncio.create_task(_send(system, 0, _POISON_PATH))
+    if leaves:
+        await wait_until(lambda: suspect.trial is not None)
+        await asyncio.sleep(0.04)
+        request.cancel()
+    await asyncio.gather(request, return_exceptions=True)
+    await wait_until(lambda: suspect.trial is None, timeout_s=1.0)
+    assert not suspect.is_condemned
+
+
 # Guards against a crash that is forgotten because the caller leaves at once.
 @pytest.mark.parametrize("shape", ["half of the body", "most of a large body"])
 async def test_a_crash_is_reported_though_the_caller_leaves(start_system, shape):
@@ -181,7 +205,7 @@
         service.floods[_POISON_PATH] = CutAnswer(_BROKEN_ANSWERS[shape], is_reset=True)
         service.floods["/pollenlb/probe"] = _BusyProbe()
     await _send(system, 0, _POISON_PATH)
-    await asyncio.gather(*system.entries[0].context.crash_reports)
+    await asyncio.gather(*system.entries[0].context.background_tasks)
     assert not system.leader.machine.state.quarantine.suspects
 
 
