End trials of callers that are gone at the head; no probe without a body

And each answer to HEAD, and each 204 or 304, which has neither length nor body, costs a probe of its server.

Cause: the head was sent outside of the block that ends the trial; an answer without framing was taken for one whose body ends with its connection.

--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -33,6 +33,7 @@
 _REST_TIMEOUT_S = 0.02
 _MAX_REST_BYTES = 65_536
 _MAX_DETAIL_CHARACTERS = 300
+_STATUSES_WITHOUT_BODY = (204, 304)
 SEND_ERRORS = (aiohttp.ClientError, ConnectionLostError, TimeoutError, OSError)
 
 
@@ -136,7 +137,10 @@
     @property
     def ends_with_connection(self) -> bool:
         """Whether the end of the connection ends the body, which is then uncertain."""
-        headers = self.response.headers
+        response = self.response
+        if response.method == "HEAD" or response.status in _STATUSES_WITHOUT_BODY:
+            return False
+        headers = response.headers
         return "Content-Length" not in headers and "Transfer-Encoding" not in headers
 
 
--- a/pollenlb/request/passthrough.py
+++ b/pollenlb/request/passthrough.py
@@ -283,9 +283,9 @@
     response.headers.update(
         context.dialect.answer_headers(caller.request_id, answer.server.name)
     )
-    await response.prepare(caller.http_request)
     is_long = caller.request_class is RequestClass.LONG
     try:
+        await response.prepare(caller.http_request)
         with answer.server.load.track_request(is_long):
             await copy_body(answer.response, response, caller.deadline)
         await response.write_eof()
--- a/tests/system/test_crashing_answers.py
+++ b/tests/system/test_crashing_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 
 import aiohttp
 import pytest
@@ -10,6 +11,9 @@
 
 from fakes.cut_answer import CrashingAnswer, CutAnswer, reset_connections
 from fakes.flood import REQUEST_ID
+from pollenlb.request import passthrough
+from pollenlb.request.attempt import Answer
+from pollenlb.request.dialect import AnswerHead
 
 from ..local_system import LocalSystem, wait_until
 
@@ -139,6 +143,50 @@
     assert not suspect.is_condemned
 
 
+# Guards against a trial that goes on as its caller is gone when the answer begins.
+async def test_a_trial_ends_as_the_caller_is_gone_before_the_head(
+    start_system, monkeypatch
+):
+    system = await _start(start_system, servers=2)
+    _poison(system, _BROKEN_ANSWERS["nothing"])
+    _, sound = system.plain_services
+    content = _BROKEN_ANSWERS["most of a large body"]
+    sound.floods[_POISON_PATH] = CutAnswer(content, is_reset=True)
+    suspects = system.leader.machine.state.quarantine.suspects
+    while not suspects:
+        await _send(system, 0, _POISON_PATH)
+    suspect = next(iter(suspects.values()))
+
+    async def prepare(*_) -> None:
+        assert suspect.trial is not None
+        raise ConnectionResetError("the caller is gone")
+
+    monkeypatch.setattr(passthrough.web.StreamResponse, "prepare", prepare)
+    await _send(system, 0, _POISON_PATH)
+    await wait_until(lambda: suspect.trial is None, timeout_s=1.0)
+
+
+# Guards against a probe for each answer that has no body.
+@pytest.mark.parametrize(
+    "method, status, headers, expected",
+    [
+        ("GET", 200, {}, True),
+        ("GET", 500, {}, True),
+        ("GET", 200, {"Content-Length": "0"}, False),
+        ("GET", 200, {"Transfer-Encoding": "chunked"}, False),
+        ("HEAD", 200, {}, False),
+        ("GET", 204, {}, False),
+        ("GET", 304, {}, False),
+    ],
+)
+def test_only_a_body_without_framing_ends_with_its_connection(
+    method, status, headers, expected
+):
+    response = SimpleNamespace(method=method, status=status, headers=headers)
+    answer = Answer(None, response, "boot", AnswerHead())
+    assert answer.ends_with_connection is expected
+
+
 # Guards against a crash that is forgotten because the caller leaves at once.
 @pytest.mark.parametrize("shape", ["half of the body", "most of a large body"])
 async def test_a_crash_is_reported_though_the_caller_leaves(start_system, shape):
