Count a stream at its server while that is asked for its process

Cause: an entry chooses the server with the least load, asks it for its process, and counted the stream only then. All that began meanwhile chose the same server, were refused there, and spent the retry budget of the service.

Fix: a stream counts from the choice on; so does a completion that goes on (without a test of its own).

Test: platform/test_resumed_streams.py, burst of streams: 16 of 16 at one engine of 8 slots in 3 of 3 runs before; passes now.

--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -276,8 +276,10 @@
     RefusedError
         When the engine refuses the completion.
     """
+    is_long = generation.request_class is RequestClass.LONG
     if generation.tokens:
-        failure = await check_process(server, True, context)
+        with server.load.track_request(is_long):
+            failure = await check_process(server, True, context)
         if failure is not None:
             raise AttemptError(failure)
     generation.attempts += 1
@@ -306,7 +308,6 @@
             tokens=generation.tokens,
         )
     started_at = now()
-    is_long = generation.request_class is RequestClass.LONG
     with server.load.track_request(is_long):
         answer = await _open_stream(attempt, server, session, context)
         try:
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -162,12 +162,17 @@
         self._retries.require_software(software)
 
     async def _run_attempt(self, server: BackendServer) -> AttemptFailure | None:
+        # Counted from here on, so that streams that begin meanwhile go elsewhere.
+        with server.load.track_request(is_long=True):
+            if self._caller.route.resumable:
+                # The origin of the stream is recorded for those who continue it.
+                failure = await check_process(server, True, self._context)
+                if failure is not None:
+                    return failure
+            return await self._send(server)
+
+    async def _send(self, server: BackendServer) -> AttemptFailure | None:
         caller, context = self._caller, self._context
-        if caller.route.resumable:
-            # The origin of the stream is recorded for those who continue it.
-            failure = await check_process(server, True, context)
-            if failure is not None:
-                return failure
         headers = request_headers(caller, context.dialect)
         if self._last_event_number is not None:
             headers.update(context.dialect.resume_headers(self._last_event_number))
@@ -182,38 +187,37 @@
             usage=self._usage,
         )
         started_at = now()
-        with server.load.track_request(is_long=True):
-            sent = await send_attempt(
-                attempt,
-                server,
-                self._retries.session,
-                context.settings,
-                context.dialect,
-                self._head_deadline(),
+        sent = await send_attempt(
+            attempt,
+            server,
+            self._retries.session,
+            context.settings,
+            context.dialect,
+            self._head_deadline(),
+        )
+        if isinstance(sent, Err):
+            return sent.err_value
+        answer = self._answer = sent.ok_value
+        self._record_start(server)
+        progress_timeout_s = self._progress_timeout_s()
+        try:
+            await self._forward(answer, progress_timeout_s)
+        except (*SEND_ERRORS, ValueError) as error:
+            is_timeout = isinstance(error, TimeoutError)
+            reason = (
+                f"stream from {server.name} (progress timeout "
+                f"{progress_timeout_s:.3g} s) failed: "
+                f"{error_kind(error)}"
             )
-            if isinstance(sent, Err):
-                return sent.err_value
-            answer = self._answer = sent.ok_value
-            self._record_start(server)
-            progress_timeout_s = self._progress_timeout_s()
-            try:
-                await self._forward(answer, progress_timeout_s)
-            except (*SEND_ERRORS, ValueError) as error:
-                is_timeout = isinstance(error, TimeoutError)
-                reason = (
-                    f"stream from {server.name} (progress timeout "
-                    f"{progress_timeout_s:.3g} s) failed: "
-                    f"{error_kind(error)}"
-                )
-                return AttemptFailure(
-                    Outcome.UNKNOWN,
-                    reason,
-                    error_detail(error),
-                    is_connection_lost=not is_timeout,
-                    is_timeout=is_timeout,
-                )
-            finally:
-                answer.response.close()
+            return AttemptFailure(
+                Outcome.UNKNOWN,
+                reason,
+                error_detail(error),
+                is_connection_lost=not is_timeout,
+                is_timeout=is_timeout,
+            )
+        finally:
+            answer.response.close()
         server.record_answer(now() - started_at)
         return None
 
--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -162,6 +162,32 @@
     assert [result["text"] for result in results] == ["0.1\n1.1\n2.1"] * 6
 
 
+# Guards against a burst of streams that all begin at one server, as none of them counts
+# there while it is asked for its process.
+async def test_a_burst_of_streams_is_spread_over_the_servers(platform_system):
+    system = await platform_system(engines=3, entries=1)
+    changed = configuration(2)
+    changed["routes"][1] |= {"kind": "streaming", "resumable": True}
+    await system.call_control("POST", "/-/Config.Replace", changed)
+    (entry,) = system.entries
+    await wait_until(lambda: entry.context.configuration.revision >= 2)
+    streams = [
+        system.call_entry(
+            "POST",
+            0,
+            f"/safe/{number}",
+            40,
+            X_Request_Id=f"r-{number}",
+            X_Deadline_Ms="5000",
+        )
+        for number in range(16)
+    ]
+    answers = await asyncio.gather(*streams)
+    assert [status for status, _, _ in answers] == [200] * 16
+    runs = [len(engine.received_runs) for engine in system.engines]
+    assert max(runs) <= 8, f"runs {runs} at engines of 8 slots"
+
+
 # Guards against a stream that crashes servers in its events and is sent on and on.
 @pytest.mark.parametrize(
     "is_resumable, events", [(True, b""), (False, b""), (False, _events(0, 1))]
