Compare the id of an answer before anything else in it is believed

Cause: a server may send a second copy of an answer late, in front of the answer to a later request. Refusals, leaving and limits were read before the id was compared; closing an answer whose body is complete does not close its connection, which aiohttp has given back by then; and orders, reports and health checks, which carry no id, took any answer.

Evidence: an answer with status 200 and another id was refused, one with X-Not-Executed believed. With that mended, the property test still found requests that ran on after they had been given up, each at a connection in the pool.

Fix: an answer that names another request says nothing else, ends its connection and is the outcome "unknown". A call without an id accepts no answer that names a request. A refusal without an id is believed as before, since servers may send it.

--- a/pollenlb/connection/sessions.py
+++ b/pollenlb/connection/sessions.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 
 from .pool import (
     ConnectionTable,
@@ -49,6 +50,35 @@
             self._on_sent()
 
 
+class ServerResponse(aiohttp.ClientResponse):
+    """Answer of a backend server, whose connection can be closed at any time.
+
+    aiohttp gives a connection back to its pool as soon as the body is complete, also
+    if it was the answer to an earlier request and that to this one still comes.
+    """
+
+    _used_protocol: ResponseHandler | None = None
+
+    async def start(self, connection) -> aiohttp.ClientResponse:
+        """Read the head of the answer."""
+        self._used_protocol = connection.protocol
+        return await super().start(connection)
+
+    def close_connection(self) -> None:
+        """Close the connection, even if it was given back to its pool."""
+        self.close()
+        if self._used_protocol is not None:
+            self._used_protocol.close()
+
+
+def close_connection(response: aiohttp.ClientResponse) -> None:
+    """Close the connection of an answer that does not belong to its request."""
+    if isinstance(response, ServerResponse):
+        response.close_connection()
+    else:
+        response.close()
+
+
 def open_session(
     is_pooled: bool, max_header_bytes: int = 8190, table: ConnectionTable | None = None
 ) -> aiohttp.ClientSession:
@@ -111,6 +141,7 @@
 ) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connector,
+        response_class=ServerResponse,
         auto_decompress=False,
         max_line_size=max_header_bytes,
         max_field_size=max_header_bytes,
--- a/pollenlb/platform/dialect.py
+++ b/pollenlb/platform/dialect.py
@@ -46,6 +46,7 @@
     SERVER_PROOF_HEADER,
     WEIGHT_VERSION_HEADER,
     WORKSPACE_HEADER,
+    close_answer_of_request,
     parse_in_flight,
     parse_probe_answer,
     parse_request_limit,
@@ -182,10 +183,12 @@
         """Return what status and headers of a backend server's answer report."""
         is_other_server = status == MISDIRECTED_STATUS
         version = read_count(headers, WEIGHT_VERSION_HEADER)
+        named_request = headers.get(REQUEST_ID_HEADER)
         return AnswerHead(
             is_not_run=is_other_server or NOT_EXECUTED_HEADER in headers,
             is_other_server=is_other_server,
-            is_for_request=headers.get(REQUEST_ID_HEADER) == request_id,
+            is_for_request=named_request == request_id,
+            is_for_other_request=named_request not in (None, "", request_id),
             in_flight=parse_in_flight(headers),
             slowness=parse_slowness(headers),
             version=WeightVersion(version) if version is not None else None,
@@ -214,6 +217,8 @@
         url = f"http://{server.address}{health_path}"
         try:
             async with session.get(url, timeout=timeout) as response:
+                if close_answer_of_request(response):
+                    return None
                 return parse_probe_answer(server, response.status, response.headers)
         except _PROBE_ERRORS:
             return None
@@ -233,6 +238,8 @@
         headers = {EXPECTED_SERVER_HEADER: server.server}
         try:
             async with session.get(url, timeout=timeout, headers=headers) as response:
+                if close_answer_of_request(response):
+                    return ProcessCheck.SILENT
                 if response.status == MISDIRECTED_STATUS:
                     return ProcessCheck.OTHER
                 if _says_it_leaves(response.headers):
--- a/pollenlb/platform/names.py
+++ b/pollenlb/platform/names.py
@@ -9,7 +9,10 @@
 import math
 from collections.abc import Mapping
 
+import aiohttp
+
 from ..connection.backend_api import ProbeAnswer
+from ..connection.sessions import close_connection
 from ..durable.configuration_commands import Announcement, ServerState
 from ..external_data import parse_count
 from ..ids import BootId
@@ -118,6 +121,17 @@
     return limit_per_s if 0 <= limit_per_s < math.inf else None
 
 
+def close_answer_of_request(response: aiohttp.ClientResponse) -> bool:
+    """Return whether an answer to a call without a request id names a request.
+
+    Such an answer came late, in front of that to the call; its connection is closed.
+    """
+    if not response.headers.get(REQUEST_ID_HEADER):
+        return False
+    close_connection(response)
+    return True
+
+
 def parse_probe_answer(
     server: Announcement, status: int, headers: Mapping[str, str]
 ) -> ProbeAnswer | None:
--- a/pollenlb/platform/orders.py
+++ b/pollenlb/platform/orders.py
@@ -15,7 +15,12 @@
     SwapOrder,
 )
 from .announcements import LoadedModel, versions_by_model
-from .names import EXPECTED_SERVER_HEADER, ORDER_PATH, REPORT_PATH
+from .names import (
+    EXPECTED_SERVER_HEADER,
+    ORDER_PATH,
+    REPORT_PATH,
+    close_answer_of_request,
+)
 
 _REPORT_TIMEOUT_S = 0.5
 _MAX_REPORT_BYTES = 65_536
@@ -77,7 +82,7 @@
         headers = {EXPECTED_SERVER_HEADER: server.server}
         try:
             async with session.get(url, timeout=timeout, headers=headers) as response:
-                if response.status != 200:
+                if close_answer_of_request(response) or response.status != 200:
                     return None
                 body = await read_body(response.content, _MAX_REPORT_BYTES)
                 report = _decode_report(body)
@@ -111,6 +116,8 @@
             async with session.post(
                 url, data=msgspec.json.encode(body), timeout=timeout, headers=headers
             ) as response:
+                if close_answer_of_request(response):
+                    return OrderOutcome.UNKNOWN
                 status = response.status
         except ORDER_ERRORS:
             return OrderOutcome.UNKNOWN
--- a/pollenlb/request/attempt.py
+++ b/pollenlb/request/attempt.py
@@ -17,7 +17,7 @@
 from ..connection.backend import BackendServer
 from ..connection.bodies import BodyTooLongError, read_body
 from ..connection.pool import NoAnswerError
-from ..connection.sessions import ConnectionLostError, SendTracker
+from ..connection.sessions import ConnectionLostError, SendTracker, close_connection
 from ..ids import BootId, RequestId, WorkspaceName
 from ..process.usage_meter import RequestUsage
 from ..settings.entry import EntrySettings
@@ -214,6 +214,9 @@
     content = response.content
     content.on_eof(lambda: server.record_traffic(0, content.total_bytes))
     head = dialect.read_head(attempt.request_id, response.status, response.headers)
+    if head.is_for_other_request:
+        close_connection(response)
+        return Err(_foreign_answer_failure(server))
     if head.is_leaving:
         server.record_leaving(head.boot or boot)
     if head.is_for_request and not head.is_other_server:
@@ -387,6 +390,11 @@
     )
 
 
+def _foreign_answer_failure(server: BackendServer) -> AttemptFailure:
+    reason = f"{server.name} sent the answer of another request"
+    return AttemptFailure(Outcome.UNKNOWN, reason)
+
+
 def _check_head(
     server: BackendServer, response: aiohttp.ClientResponse, head: AnswerHead
 ) -> Result[Answer, AttemptFailure]:
@@ -403,12 +411,8 @@
             )
         )
     if not head.is_for_request:
-        response.close()
-        return Err(
-            AttemptFailure(
-                Outcome.UNKNOWN, f"{server.name} sent the answer of another request"
-            )
-        )
+        close_connection(response)
+        return Err(_foreign_answer_failure(server))
     if head.in_flight is not None:
         server.load.record_reported_in_flight(head.in_flight)
     if head.slowness is not None:
--- a/pollenlb/request/dialect.py
+++ b/pollenlb/request/dialect.py
@@ -62,7 +62,10 @@
     is_other_server : bool
         Whether another server than the intended one answered.
     is_for_request : bool
-        Whether it is the answer to this request and not to an earlier one.
+        Whether it names this request.
+    is_for_other_request : bool
+        Whether it names another one, as a late copy of an earlier answer does. Nothing
+        else in it is about this request.
     boot : BootId or None
         Boot id of the process that answered.
     in_flight : int or None
@@ -83,6 +86,7 @@
     is_not_run: bool = False
     is_other_server: bool = False
     is_for_request: bool = True
+    is_for_other_request: bool = False
     boot: BootId | None = None
     in_flight: int | None = None
     slowness: float | None = None
--- a/pollenlb/request/native_dialect.py
+++ b/pollenlb/request/native_dialect.py
@@ -139,9 +139,11 @@
     ) -> AnswerHead:
         """Return the parsed status and headers of a backend server's answer."""
         boot = headers.get(BOOT_HEADER)
+        named_request = headers.get(REQUEST_ID_HEADER)
         return AnswerHead(
             is_not_run=headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN.value,
-            is_for_request=headers.get(REQUEST_ID_HEADER) == request_id,
+            is_for_request=named_request == request_id,
+            is_for_other_request=named_request not in (None, "", request_id),
             boot=BootId(boot) if boot is not None else None,
             in_flight=read_count(headers, IN_FLIGHT_HEADER),
             retry_after_s=parse_retry_after_s(headers.get("Retry-After")),
