Let the tests be divided among processes

'make test WORKERS=6' divides it by file among six processes with pytest-xdist; tests of memory and of crowds run after the others, by themselves.

--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,12 @@
 demo: install
 	$(BIN)/python -m demo
 
+# Processes among which the tests are divided; 0 runs them one after the other.
+WORKERS ?= 0
+
 test: install
-	$(BIN)/python -m pytest -q
+	$(BIN)/python -m pytest -q -m "not alone" -n $(WORKERS) --dist loadfile
+	$(BIN)/python -m pytest -q -m alone
 
 bench: install
 	$(BIN)/python -m benchmarks
--- a/tests/durable/test_control_memory.py
+++ b/tests/durable/test_control_memory.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+pytestmark = pytest.mark.alone
+
 # Memory of the smallest machines that run a control instance.
 _MACHINE_MB = 170
 
--- a/tests/system/test_untrusted_callers.py
+++ b/tests/system/test_untrusted_callers.py
@@ -19,6 +19,8 @@
 
 from fakes.ports import free_ports
 
+pytestmark = pytest.mark.alone
+
 ROOT = Path(__file__).resolve().parents[2]
 
 _CONNECTION_COUNT = 40
