Late copies: what they claim comes from the copies alone

The servers' own answers said at times that a server leaves or takes few requests, which is true there, so that the entry rightly sent nothing more. Now only copies claim that, and the test also checks that no server is taken for leaving or limited: it is stricter.

--- a/fakes/late_copies.py
+++ b/fakes/late_copies.py
@@ -12,12 +12,17 @@
 _REFUSALS = [
     (503, {"X-Not-Executed": "1"}),
     (429, {"X-Not-Executed": "1", "Retry-After": "0.1"}),
-    (421, {}),
-    (503, {"X-Not-Executed": "1", "Server-Leaving": "1"}),
-    (503, {"X-Not-Executed": "1", "Server-Limit": "0.1"}),
 ]
-_RUNS = [(200, {}), (500, {}), (404, {}), (200, {"X-Load-Report": "900,900,8,100"})]
-
+_RUNS = [(200, {}), (500, {}), (404, {})]
+# What copies say beside what the earlier answer said.
+_CLAIMS = [
+    {},
+    {"Server-Leaving": "1"},
+    {"Server-Limit": "0.1"},
+    {"X-Load-Report": "900,900,8,100"},
+    {"X-Not-Executed": "1"},
+    {"X-Weight-Versions": "9"},
+]
 # Of a request whose answer comes after a copy.
 _LONG_RUN_S = 1.5
 
@@ -44,7 +49,7 @@
         self._rng = rng
         self._runs = runs
         self._running = running
-        self._earlier: dict[object, list[bytes]] = defaultdict(list)
+        self._earlier: dict[object, list[tuple]] = defaultdict(list)
         self.copies_sent = 0
 
     async def answer(self, request: web.Request) -> web.StreamResponse:
@@ -55,7 +60,9 @@
         run_s = 0.0
         if earlier and self._rng.random() < 0.5:
             assert request.transport is not None
-            request.transport.write(self._rng.choice(earlier))
+            status, headers, body = self._rng.choice(earlier)
+            headers = {**headers, **self._rng.choice(_CLAIMS)}
+            request.transport.write(_encode(status, headers, body))
             self.copies_sent += 1
             run_s = _LONG_RUN_S
         is_refused = self._rng.random() < 0.4
@@ -64,7 +71,7 @@
         headers = {**headers, "X-Request-Id": request_id, "X-Server-Stamp": request_id}
         if not is_refused:
             await self._run(request_id, run_s)
-        earlier.append(_encode(status, headers, body))
+        earlier.append((status, headers, body))
         return web.Response(status=status, headers=headers, body=body)
 
     async def _run(self, request_id: str, run_s: float) -> None:
--- a/tests/platform/test_late_copies.py
+++ b/tests/platform/test_late_copies.py
@@ -70,6 +70,9 @@
                 assert (proof, body) == (name, f"{status} for {name}".encode())
         await asyncio.sleep(_LEFT_S)
         assert not +running, "requests still run that were given up"
+    servers = system.entries[0].context.directory.servers.values()
+    assert not any(server.is_leaving for server in servers)
+    assert all(server.request_limit.limit_per_s is None for server in servers)
     # Requests that must not run twice get connections of their own.
     assert kind == "unsafe" or sum(each.copies_sent for each in copies)
     refused = [name for name, status in told.items() if status in _NOT_RUN]
