Let followers answer heartbeats while they write their logs

Cause: a follower answers under the lock under which it writes, and the leader sends one message at a time, so it hears of neither follower for as long as both disks take.

Why it works: the leader sends heartbeats while another message is not answered, and a follower answers one at once while its lock is held by a change of the log, during which neither the term nor the vote changes. It claims nothing that is not stored, and stays silent when its disk has stopped. Votes and reads are as safe as before: a heartbeat waits for a vote (test_heartbeat_waits_for_a_vote).

--- a/pollenlb/durable/follower.py
+++ b/pollenlb/durable/follower.py
@@ -75,6 +75,7 @@
         self._reported_member = member
         self._release = UNREPORTED
         self._sender: SnapshotSender | None = None
+        self._pending_since: float | None = None
         self.member = member
         self.wake = asyncio.Event()
         self.task: asyncio.Task | None = None
@@ -147,6 +148,7 @@
         a heartbeat interval.
         """
         heartbeat_s = self._replica.settings.heartbeat_s
+        heartbeats = self._replica.spawn(self._send_heartbeats())
         try:
             while self._is_term_current():
                 self.wake.clear()
@@ -157,8 +159,37 @@
                 else:
                     await sleep_until(deadline_in(heartbeat_s))
         finally:
+            heartbeats.cancel()
             self._close_sender()
 
+    async def _send_heartbeats(self) -> None:
+        """Send heartbeats while the follower has not answered another message.
+
+        It may wait for its disk, for instance to replace its log by a snapshot, which
+        all followers do at about the same time.
+        """
+        heartbeat_s = self._replica.settings.heartbeat_s
+        while self._is_term_current():
+            await sleep_until(deadline_in(heartbeat_s))
+            since = self._pending_since
+            if since is not None and now() >= since + heartbeat_s:
+                await self._send_heartbeat()
+
+    async def _send_heartbeat(self) -> None:
+        request = self._append_request(self._match_index, max_entry_count=0)
+        if request is None:
+            return
+        sent_at = now()
+        channel = self._replica.channel(self.member.address)
+        timeout_s = self._replica.settings.election_timeout_s
+        match await channel.call(APPEND, request, timeout_s):
+            case Ok(answer):
+                if answer.is_known and answer.term == self._term:
+                    self._record_contact(answer, sent_at)
+                    await self._on_answer()
+            case Err(_):
+                return
+
     def _is_term_current(self) -> bool:
         leadership = self._replica.leadership
         return leadership is not None and leadership.term == self._term
@@ -170,11 +201,19 @@
             method: Any = SNAPSHOT_BLOCK
             timeout_s = _SNAPSHOT_TIMEOUT_S
         else:
-            request = self._append_request()
+            request = self._append_request(
+                LogIndex(self._next_index - 1), _MAX_ENTRIES_PER_MESSAGE
+            )
+            assert request is not None
             method = APPEND
             timeout_s = self._replica.settings.election_timeout_s
         channel = self._replica.channel(self.member.address)
-        match await channel.call(method, request, timeout_s):
+        self._pending_since = sent_at
+        try:
+            result = await channel.call(method, request, timeout_s)
+        finally:
+            self._pending_since = None
+        match result:
             case Ok(answer):
                 return await self._process_answer(answer, sent_at)
             case Err(_):
@@ -204,11 +243,14 @@
             self._sender.close()
             self._sender = None
 
-    def _append_request(self) -> AppendRequest:
+    def _append_request(
+        self, previous_index: LogIndex, max_entry_count: int
+    ) -> AppendRequest | None:
+        """Return the message with entries after one; None if its term is not known."""
         storage = self._replica.storage
-        previous_index = LogIndex(self._next_index - 1)
         previous_term = storage.term_at(previous_index)
-        assert previous_term is not None
+        if previous_term is None:
+            return None
         return AppendRequest(
             cluster=storage.hard_state.cluster,
             sender=storage.hard_state.replica,
@@ -219,8 +261,8 @@
             commit_index=self._replica.commit_index,
             leader_address=Address(self._replica.settings.listen),
             entries=storage.entries_from(
-                self._next_index,
-                _MAX_ENTRIES_PER_MESSAGE,
+                LogIndex(previous_index + 1),
+                max_entry_count,
                 _MAX_ENTRY_BYTES_PER_MESSAGE,
             ),
             format=storage.hard_state.format,
@@ -232,13 +274,7 @@
         if answer.term > self._term:
             await self._replica.observe_term(answer.term)
             return False
-        self._last_contact_at = max(self._last_contact_at, sent_at)
-        self._release = answer.release
-        self._reported_member = msgspec.structs.replace(
-            self.member,
-            instance=answer.instance or self.member.instance,
-            failure_domain=answer.failure_domain,
-        )
+        self._record_contact(answer, sent_at)
         is_repeated = False
         if answer.received_bytes is not None and self._sender is not None:
             if self._sender.record_received(answer.received_bytes):
@@ -254,6 +290,15 @@
         await self._on_answer()
         return not is_repeated
 
+    def _record_contact(self, answer: AppendAnswer, sent_at: float) -> None:
+        self._last_contact_at = max(self._last_contact_at, sent_at)
+        self._release = answer.release
+        self._reported_member = msgspec.structs.replace(
+            self.member,
+            instance=answer.instance or self.member.instance,
+            failure_domain=answer.failure_domain,
+        )
+
     def _record_match(self, last_index: LogIndex) -> None:
         last_index = min(last_index, self._replica.storage.last_index)
         is_newer = last_index > self._match_index
--- a/pollenlb/durable/rpc_handlers.py
+++ b/pollenlb/durable/rpc_handlers.py
@@ -105,6 +105,9 @@
             When a committed log entry would be overwritten, or a write fails.
         """
         replica = self._replica
+        if self._is_heartbeat_during_log_change(request):
+            replica.record_leader_contact(Address(request.leader_address))
+            return self._append_answer(True, request.previous_index)
         async with replica.lock:
             if not self._can_read(request):
                 return AppendAnswer(Term(0), False, False, LogIndex(0))
@@ -237,6 +240,26 @@
         replica.record_leader_contact(Address(request.leader_address))
         return None
 
+    def _is_heartbeat_during_log_change(self, request: AppendRequest) -> bool:
+        """Return whether a heartbeat can be answered without waiting for the disk.
+
+        Whoever holds the lock is writing the log and does not vote, and a candidate
+        that waits for the lock is then told of the contact with the leader. A disk
+        that has not finished a write for an election timeout is of no use to the
+        leader, so its replica stays silent.
+        """
+        replica = self._replica
+        storage = replica.storage
+        if request.entries or not storage.is_changing_log:
+            return False
+        return (
+            self._is_addressed(request.cluster, request.receiver)
+            and request.term == replica.term
+            and request.format <= storage.hard_state.format
+            and storage.oldest_write_age_s <= replica.settings.election_timeout_s
+            and storage.term_at(request.previous_index) == request.previous_term
+        )
+
     def _can_read(self, request: AppendRequest | SnapshotBlockRequest) -> bool:
         """Return whether this release reads the format of the leader's log.
 
--- a/pollenlb/durable/storage.py
+++ b/pollenlb/durable/storage.py
@@ -8,6 +8,7 @@
 import os
 from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
 from pathlib import Path
 from typing import TypeVar
 
@@ -100,6 +101,7 @@
         self._is_full = False
         self._has_stale_frames = False
         self._write_started_at: dict[object, float] = {}
+        self._log_change_count = 0
 
     @property
     def is_formatted(self) -> bool:
@@ -159,6 +161,14 @@
             else 0.0
         )
 
+    @property
+    def is_changing_log(self) -> bool:
+        """Whether log entries are being written, removed or replaced by a snapshot.
+
+        The caller holds the lock of the replica, so the term and the vote stay.
+        """
+        return self._log_change_count > 0
+
     @property
     def is_full(self) -> bool:
         """Whether the last write found no room on the disk."""
@@ -254,7 +264,8 @@
             return
         data = encode_frame(_encode(entries))
         start = self._frame_ends[-1] if self._frame_ends else 0
-        await self._run_write(lambda: self._append_at(start, data))
+        with self._log_change():
+            await self._run_write(lambda: self._append_at(start, data))
         self._entries.extend(entries)
         self._frame_ends.extend([start + len(data)] * len(entries))
         if any(entry.kind is EntryKind.MEMBERS for entry in entries):
@@ -266,7 +277,8 @@
         position = index - self.first_index
         if position >= len(self._entries):
             return
-        await self._rewrite_log(self._entries[:position])
+        with self._log_change():
+            await self._rewrite_log(self._entries[:position])
         self._update_members()
 
     def snapshot_pieces(self) -> Iterator[bytes]:
@@ -290,7 +302,8 @@
             lambda: write_snapshot_file(path, head, [snapshot.state]),
             self._snapshot_executor,
         )
-        await self._adopt(head, path)
+        with self._log_change():
+            await self._adopt(head, path)
 
     async def write_snapshot(self, head: Snapshot, pieces: Iterable[bytes]) -> None:
         """Write a snapshot beside the stored one, until ``adopt_snapshot``.
@@ -345,7 +358,8 @@
             Whether it is the received one, and not the one that was written last.
         """
         name = _RECEIVED_SNAPSHOT_FILE if is_received else _NEW_SNAPSHOT_FILE
-        await self._adopt(head, self._folder / name)
+        with self._log_change():
+            await self._adopt(head, self._folder / name)
 
     async def _adopt(self, head: Snapshot, path: Path) -> None:
         if head.index <= self._snapshot.index:
@@ -517,6 +531,14 @@
             os.close(descriptor)
         return head
 
+    @contextmanager
+    def _log_change(self) -> Iterator[None]:
+        self._log_change_count += 1
+        try:
+            yield
+        finally:
+            self._log_change_count -= 1
+
     def _update_members(self) -> None:
         self._members = self.members_at(self.last_index)
 
