Keep the work of workspaces apart

Cause: a batch job takes over results and saved output of earlier ones, and BatchJobTable compared model, id and body, not the workspace. Streams, the partial output that entries keep, reward calls, completions, idempotency keys of public routes and the hint at a shared prompt had it as well, and are found by InWorkspace or by texts with the workspace in front.

The comparison is made in apply, and replicas of two releases must apply one log to one state. So it takes effect with the first new format of the log: AdoptFormat says from where on, and submissions before it have their former effect. A new log begins with it.

Replicas of registers say that they read format 0, as they did.

--- a/pollenlb/__init__.py
+++ b/pollenlb/__init__.py
@@ -1,3 +1,3 @@
 """A rollout service for reinforcement learning with a replicated control plane."""
 
-__version__ = "0.2.0"
+__version__ = "0.3.0"
--- a/pollenlb/commands/control.py
+++ b/pollenlb/commands/control.py
@@ -15,6 +15,7 @@
 from ..ids import Address, ClusterId, InstanceName, ReplicaId
 from ..process.control import ApplicationFactory, ControlProcess
 from ..process.duty_channel import DutyChannel
+from ..release import THIS_RELEASE, Release
 from ..settings.control import ControlSettings
 from ..version.order_channel import OrderChannel
 
@@ -108,11 +109,15 @@
         )
         for address in sorted(settings.seed_addresses)
     ]
-    await _format_folder(settings, members, ReplicaId(f"{settings.listen}-first"))
+    own_replica = ReplicaId(f"{settings.listen}-first")
+    await _format_folder(settings, members, own_replica, THIS_RELEASE)
 
 
 async def _format_folder(
-    settings: ControlSettings, members: list[Member], own_replica: ReplicaId
+    settings: ControlSettings,
+    members: list[Member],
+    own_replica: ReplicaId,
+    release: Release,
 ) -> bool:
     """Format the data folder if it is empty; return whether it was."""
     storage = Storage(settings.data_folder)
@@ -122,16 +127,26 @@
             return False
         cluster = ClusterId(hashlib.sha256(repr(members).encode()).hexdigest()[:16])
         await storage.format(
-            first_hard_state(own_replica, cluster), first_entries(members)
+            first_hard_state(own_replica, cluster, release.reads),
+            first_entries(members),
         )
         return True
     finally:
         storage.close()
 
 
-async def format_data_folder(settings: ControlSettings) -> None:
+async def format_data_folder(
+    settings: ControlSettings, release: Release = THIS_RELEASE
+) -> None:
     """Format the data folder with ``members`` as members of a new cluster.
 
+    Parameters
+    ----------
+    settings : ControlSettings
+        Settings of the instance.
+    release : Release
+        Release of the instances, whose newest format the log uses from the start.
+
     Raises
     ------
     PollenError
@@ -146,7 +161,8 @@
         )
         for name, member in sorted(settings.members.items())
     ]
-    if not await _format_folder(settings, members, ReplicaId(f"{settings.name}-first")):
+    own_replica = ReplicaId(f"{settings.name}-first")
+    if not await _format_folder(settings, members, own_replica, release):
         raise PollenError(
             f"{settings.data_folder} is already formatted as a data folder"
         )
--- a/pollenlb/connection/control_api.py
+++ b/pollenlb/connection/control_api.py
@@ -619,10 +619,13 @@
     ----------
     request : RequestId
         Request with which the stream began.
+    workspace : WorkspaceName or None
+        Workspace of its caller, also None from a release that does not report it.
     """
 
     request: RequestId
     software: SoftwareVersion
+    workspace: WorkspaceName | None = None
 
 
 class StreamRecorded(msgspec.Struct, frozen=True):
@@ -647,11 +650,14 @@
         Request with which the stream began.
     kept_s : float
         Seconds for which the stream may still be taken up.
+    workspace : WorkspaceName or None
+        Workspace of its caller, also None from a release that does not report it.
     """
 
     request: RequestId
     software: SoftwareVersion
     kept_s: float
+    workspace: WorkspaceName | None = None
 
 
 class RecordStreams(msgspec.Struct, frozen=True):
@@ -661,9 +667,18 @@
 
 
 class FindStream(msgspec.Struct, frozen=True):
-    """Asks a control instance which software version began a stream."""
+    """Asks a control instance which software version began a stream.
+
+    Attributes
+    ----------
+    request : RequestId
+        Request with which the stream began.
+    workspace : WorkspaceName or None
+        Workspace of the caller that takes it up.
+    """
 
     request: RequestId
+    workspace: WorkspaceName | None = None
 
 
 class StreamFound(msgspec.Struct, frozen=True):
--- a/pollenlb/connection/stream_origins.py
+++ b/pollenlb/connection/stream_origins.py
@@ -21,7 +21,7 @@
 
 from ..clock import Deadline, deadline_in, remaining_time_s, sleep_until
 from ..events import EventLog
-from ..ids import Address, BootId, RequestId, SoftwareVersion
+from ..ids import Address, BootId, InWorkspace, RequestId, SoftwareVersion
 from .control import ControlConnection
 from .control_api import (
     FIND_STREAM,
@@ -110,7 +110,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def record(self, request: RequestId, software: SoftwareVersion) -> None:
+    async def record(
+        self, request: InWorkspace[RequestId], software: SoftwareVersion
+    ) -> None:
         """Record which software version began a stream.
 
         Returns once a majority of the control instances knows it. Without an answer
@@ -118,7 +120,8 @@
         it up at another entry.
         """
         self._own.add(request, software)
-        message = self._last_own = RecordStream(request, software)
+        message = RecordStream(request.name, software, request.workspace)
+        self._last_own = message
         pending = {
             self._spawn(self._record_at(address, message))
             for address in self._control.members
@@ -134,17 +137,19 @@
             missing -= sum(call.result() for call in done)
         if missing > 0:
             self._events.record(
-                "stream.not_recorded", request=request, software=software
+                "stream.not_recorded", request=request.name, software=software
             )
 
-    async def find(self, request: RequestId, deadline: Deadline) -> StreamOrigin:
+    async def find(
+        self, request: InWorkspace[RequestId], deadline: Deadline
+    ) -> StreamOrigin:
         """Return which software version began a stream.
 
         Waits for a moment while control instances may still learn it.
 
         Parameters
         ----------
-        request : RequestId
+        request : InWorkspace of RequestId
             Request that began the stream.
         deadline : Deadline
             Deadline of the request that takes the stream up.
@@ -162,9 +167,11 @@
                 return origin
             await sleep_until(deadline_in(_FIND_PAUSE_S))
 
-    async def _ask(self, request: RequestId, deadline: Deadline) -> StreamOrigin:
+    async def _ask(
+        self, request: InWorkspace[RequestId], deadline: Deadline
+    ) -> StreamOrigin:
         """Ask all control instances once; the first that knows the stream decides."""
-        message = FindStream(request)
+        message = FindStream(request.name, request.workspace)
         members = self._control.members
         calls = [
             self._spawn(
--- a/pollenlb/connection/stream_table.py
+++ b/pollenlb/connection/stream_table.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..clock import Deadline, deadline_in, remaining_time_s
-from ..ids import RequestId, SoftwareVersion
+from ..ids import InWorkspace, RequestId, SoftwareVersion
 from .control_api import KnownStream, StreamPage
 
 # Callers take a stream up while their own deadline lasts, which is shorter.
@@ -26,7 +26,7 @@
     """Software versions of recent streams, by the request that began them."""
 
     def __init__(self) -> None:
-        self._streams: OrderedDict[RequestId, _Stream] = OrderedDict()
+        self._streams: OrderedDict[InWorkspace[RequestId], _Stream] = OrderedDict()
         self._positions = count(1)
 
     def __len__(self) -> int:
@@ -34,7 +34,10 @@
         return len(self._streams)
 
     def add(
-        self, request: RequestId, software: SoftwareVersion, kept_s: float = _KEPT_S
+        self,
+        request: InWorkspace[RequestId],
+        software: SoftwareVersion,
+        kept_s: float = _KEPT_S,
     ) -> None:
         """Add a stream, and remove those that are too old or too many.
 
@@ -43,7 +46,7 @@
 
         Parameters
         ----------
-        request : RequestId
+        request : InWorkspace of RequestId
             Request that began the stream.
         software : SoftwareVersion
             Software version that began it.
@@ -62,10 +65,11 @@
     def merge(self, streams: list[KnownStream]) -> None:
         """Add streams that another process knows; known ones stay as they are."""
         for stream in streams:
-            if self.find(stream.request) is None:
-                self.add(stream.request, stream.software, stream.kept_s)
+            request = InWorkspace(stream.workspace, stream.request)
+            if self.find(request) is None:
+                self.add(request, stream.software, stream.kept_s)
 
-    def find(self, request: RequestId) -> SoftwareVersion | None:
+    def find(self, request: InWorkspace[RequestId]) -> SoftwareVersion | None:
         """Return the software version that began a stream; None if not known."""
         stream = self._streams.get(request)
         if stream is None or not remaining_time_s(stream.kept_until):
@@ -94,7 +98,10 @@
             last = stream.position
             kept_s = remaining_time_s(stream.kept_until)
             if kept_s:
-                streams.append(KnownStream(request, stream.software, kept_s))
+                known = KnownStream(
+                    request.name, stream.software, kept_s, request.workspace
+                )
+                streams.append(known)
         return StreamPage(streams, last, True, is_complete)
 
     def _remove_old(self) -> None:
--- a/pollenlb/durable/batch_jobs.py
+++ b/pollenlb/durable/batch_jobs.py
@@ -6,7 +6,17 @@
 
 import msgspec
 
-from ..ids import BatchJobId, BootId, ItemId, LogIndex, WeightVersion
+from ..ids import (
+    BatchJobId,
+    BootId,
+    FormatVersion,
+    InWorkspace,
+    ItemId,
+    LogIndex,
+    ModelName,
+    WeightVersion,
+)
+from ..release import THIS_RELEASE, WORKSPACES_APART
 from .batch_job_commands import (
     AssignBatchJobs,
     BatchItem,
@@ -142,12 +152,18 @@
     batch_jobs: dict[BatchJobId, BatchJob] = {}
     changed_at: dict[BootId, LogIndex] = {}
 
-    def submit(self, command: SubmitBatchJob, index: LogIndex, at_ms: int) -> AnyResult:
+    def submit(
+        self,
+        command: SubmitBatchJob,
+        index: LogIndex,
+        at_ms: int,
+        log_format: FormatVersion = THIS_RELEASE.reads,
+    ) -> AnyResult:
         """Add a batch job, unless its id is known.
 
-        Items that an earlier batch job has already run get that result at once,
-        if the new job accepts it. Output that was saved of the others goes with
-        them.
+        Items that an earlier batch job of the workspace has already run get that
+        result at once, if the new job accepts it. Output that was saved of the others
+        goes with them.
 
         Parameters
         ----------
@@ -157,6 +173,8 @@
             Log index of the command.
         at_ms : int
             Wall time of the leader, milliseconds since the epoch.
+        log_format : FormatVersion
+            Format that determines the effect of the submission.
         """
         spec = command.spec
         existing = self.batch_jobs.get(spec.batch_job)
@@ -164,11 +182,12 @@
             return BatchJobAccepted(existing.owner)
         self._remove_expired(at_ms)
         batch_job = BatchJob(spec, at_ms, command.owner, changed_at=index)
-        for result in self._find_reusable_results(spec):
+        related = self._related_jobs(spec, log_format)
+        for result in _find_reusable_results(related, spec):
             batch_job.results.append(result)
             batch_job.listed.add(result.item)
         batch_job.discard_requests()
-        self._move_saved_outputs(batch_job)
+        _move_saved_outputs(related, batch_job)
         self.batch_jobs[spec.batch_job] = batch_job
         self._record_owner_change(command.owner, index)
         return BatchJobAccepted(command.owner)
@@ -332,41 +351,19 @@
         while len(self.changed_at) > MAX_TRACKED_OWNER_COUNT:
             del self.changed_at[next(iter(self.changed_at))]
 
-    def _find_reusable_results(self, spec: BatchJobSpec) -> list[ItemResult]:
-        """Return results of earlier batch jobs that answer the same items.
+    def _related_jobs(
+        self, spec: BatchJobSpec, log_format: FormatVersion
+    ) -> list[BatchJob]:
+        """Return the batch jobs whose work a new one may take over, oldest first.
 
-        The model, the body and the reward call of the item must be the same, and
-        the weight versions must meet the new job's requirements.
+        They are of its model and of its workspace.
         """
-        requested = {item.item: item for item in spec.items}
-        reusable: dict[ItemId, ItemResult] = {}
-        for earlier in self.batch_jobs.values():
-            if earlier.spec.model != spec.model:
-                continue
-            for result in earlier.results:
-                item = requested.get(result.item)
-                if item is None or not _is_reusable(result, spec):
-                    continue
-                if earlier.has_same_work(item):
-                    reusable[result.item] = result
-        return list(reusable.values())
-
-    def _move_saved_outputs(self, batch_job: BatchJob) -> None:
-        """Move saved output of earlier batch jobs to the same items of a new one."""
-        spec = batch_job.spec
-        requested = {
-            item.item: item for item in spec.items if item.item not in batch_job.listed
-        }
-        for earlier in self.batch_jobs.values():
-            if earlier.spec.model != spec.model:
-                continue
-            for name in earlier.saved.keys() & requested.keys():
-                earlier_item = earlier.find_item(name)
-                if earlier_item is None or earlier_item.body != requested[name].body:
-                    continue
-                output = earlier.saved.pop(name)
-                if output.satisfies(spec):
-                    batch_job.saved[name] = output
+        key = _work_key(spec, log_format)
+        return [
+            earlier
+            for earlier in self.batch_jobs.values()
+            if _work_key(earlier.spec, log_format) == key
+        ]
 
     def _remove_expired(self, at_ms: int) -> None:
         expired = [
@@ -378,6 +375,47 @@
             del self.batch_jobs[name]
 
 
+def _work_key(spec: BatchJobSpec, log_format: FormatVersion) -> InWorkspace[ModelName]:
+    is_apart = log_format >= WORKSPACES_APART
+    return InWorkspace(spec.workspace if is_apart else None, spec.model)
+
+
+def _find_reusable_results(
+    related: list[BatchJob], spec: BatchJobSpec
+) -> list[ItemResult]:
+    """Return results of related batch jobs that answer the same items.
+
+    The body and the reward call of the item must be the same, and the weight versions
+    must meet the new job's requirements.
+    """
+    requested = {item.item: item for item in spec.items}
+    reusable: dict[ItemId, ItemResult] = {}
+    for earlier in related:
+        for result in earlier.results:
+            item = requested.get(result.item)
+            if item is None or not _is_reusable(result, spec):
+                continue
+            if earlier.has_same_work(item):
+                reusable[result.item] = result
+    return list(reusable.values())
+
+
+def _move_saved_outputs(related: list[BatchJob], batch_job: BatchJob) -> None:
+    """Move saved output of related batch jobs to the same items of a new one."""
+    spec = batch_job.spec
+    requested = {
+        item.item: item for item in spec.items if item.item not in batch_job.listed
+    }
+    for earlier in related:
+        for name in earlier.saved.keys() & requested.keys():
+            earlier_item = earlier.find_item(name)
+            if earlier_item is None or earlier_item.body != requested[name].body:
+                continue
+            output = earlier.saved.pop(name)
+            if output.satisfies(spec):
+                batch_job.saved[name] = output
+
+
 def _is_reusable(result: ItemResult, spec: BatchJobSpec) -> bool:
     if result.state is not ItemState.COMPLETED or not result.versions:
         return False
--- a/pollenlb/durable/commands.py
+++ b/pollenlb/durable/commands.py
@@ -51,6 +51,7 @@
     SkipUsage,
     TakeDuties,
 )
+from .format_commands import AdoptFormat
 from .job_commands import (
     BatchNotReady,
     BatchSealed,
@@ -97,6 +98,7 @@
     | CloseUsage
     | OrderReplicas
     | EndReplicaOrder
+    | AdoptFormat
 )
 
 AnyResult = (
--- a/pollenlb/durable/leadership.py
+++ b/pollenlb/durable/leadership.py
@@ -483,7 +483,7 @@
                 self._replica.step_down("this replica is no longer a voter")
 
     async def _raise_format(self) -> None:
-        """Let the log use the newest format that all members read."""
+        """Let the log use the newest format that all members read, up to the goal."""
         storage = self._replica.storage
         if self._readable_format() <= storage.hard_state.format:
             return
@@ -501,7 +501,8 @@
         self._replica.events.record("log.format", format=readable)
 
     def _readable_format(self) -> FormatVersion:
-        return min(release.reads for release in self.releases.values())
+        reads = [release.reads for release in self.releases.values()]
+        return min(self._replica.format_goal, *reads)
 
     def member_health(self) -> list[MemberHealth]:
         """Return the health of each member, as this leader observes it.
--- a/pollenlb/durable/ledger.py
+++ b/pollenlb/durable/ledger.py
@@ -7,7 +7,16 @@
 
 import msgspec
 
-from ..ids import BatchNumber, GroupIndex, ItemId, JobName, LogIndex, StepNumber
+from ..ids import (
+    BatchNumber,
+    FormatVersion,
+    GroupIndex,
+    ItemId,
+    JobName,
+    LogIndex,
+    StepNumber,
+)
+from ..release import THIS_RELEASE
 from .batch_job_commands import ItemResult, ItemsCommitted, SampleSlot, SubmitBatchJob
 from .batch_jobs import BatchJob, BatchJobTable
 from .command_base import Done, Refused
@@ -90,6 +99,7 @@
         batch_jobs: BatchJobTable,
         index: LogIndex,
         at_ms: int,
+        log_format: FormatVersion = THIS_RELEASE.reads,
     ) -> AnyResult:
         """Add a step to a job; a repeat with the same prompts has no effect.
 
@@ -103,6 +113,8 @@
             Log index of the command.
         at_ms : int
             Wall time of the leader, milliseconds since the epoch.
+        log_format : FormatVersion
+            Format that determines the effect of the submission.
         """
         job = self.jobs.get(command.job)
         if job is None:
@@ -118,7 +130,8 @@
                 f"it has ended, a new step must be {job.next_step} or higher"
             )
         spec = job.batch_job_spec(command)
-        batch_jobs.submit(SubmitBatchJob(spec, command.owner), index, at_ms)
+        submission = SubmitBatchJob(spec, command.owner)
+        batch_jobs.submit(submission, index, at_ms, log_format)
         groups = [GroupIndex(number) for number in range(len(command.prompts))]
         job.steps[command.step] = Step(at_ms, spec.batch_job, groups)
         job.next_step = StepNumber(command.step + 1)
--- a/pollenlb/durable/replica.py
+++ b/pollenlb/durable/replica.py
@@ -19,6 +19,7 @@
 from ..ids import (
     Address,
     FailureDomain,
+    FormatVersion,
     InstanceName,
     LogIndex,
     ReplicaId,
@@ -117,6 +118,9 @@
         Returns the instances that are being retired.
     release : Release
         Release that the replica reports.
+    get_format_goal : callable, optional
+        Returns the newest format that the log may use when all members read it; by
+        default there is no such limit.
     """
 
     def __init__(
@@ -128,8 +132,10 @@
         rng: random.Random | None = None,
         get_retiring_instances: Callable[[], Collection[InstanceName]] = frozenset,
         release: Release = THIS_RELEASE,
+        get_format_goal: Callable[[], FormatVersion] | None = None,
     ) -> None:
         self._release = release
+        self._get_format_goal = get_format_goal or (lambda: release.reads)
         self._get_retiring_instances = get_retiring_instances
         self._settings = settings
         self._storage = storage
@@ -237,6 +243,11 @@
             replace_after_s=self._settings.replace_after_s,
         )
 
+    @property
+    def format_goal(self) -> FormatVersion:
+        """Newest format that the log may use when all members read it."""
+        return self._get_format_goal()
+
     @property
     def fatal_error(self) -> asyncio.Future[None]:
         """Future that gets the error after which the process must stop."""
--- a/pollenlb/durable/replica_interface.py
+++ b/pollenlb/durable/replica_interface.py
@@ -9,7 +9,7 @@
 from ..connection.rpc import RpcChannel
 from ..events import EventLog
 from ..exceptions import DiskFullError
-from ..ids import Address, LogIndex, Term
+from ..ids import Address, FormatVersion, LogIndex, Term
 from ..release import Release
 from ..settings.control import ControlSettings
 from .membership import MembershipGoal
@@ -78,6 +78,10 @@
     def membership_goal(self) -> MembershipGoal:
         """Membership that changes of members work towards."""
 
+    @property
+    def format_goal(self) -> FormatVersion:
+        """Newest format that the log may use when all members read it."""
+
     def channel(self, address: Address) -> RpcChannel:
         """Return the channel to the replica at an address; open it on first use."""
 
--- a/pollenlb/durable/state_machine.py
+++ b/pollenlb/durable/state_machine.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ..ids import BatchJobId, InstanceName, LogIndex
+from ..ids import BatchJobId, FormatVersion, InstanceName, LogIndex
 from .batch_job_commands import (
     AssignBatchJobs,
     CommitItems,
@@ -50,6 +50,7 @@
     SkipUsage,
     TakeDuties,
 )
+from .format_commands import AdoptFormat
 from .job_commands import CreateJob, PullBatch, SetTrainerVersion, SubmitStep
 from .key_commands import ClaimKey, LoseClaimants, SettleKey
 from .keys import KeyTable
@@ -80,6 +81,8 @@
         Results of recent commands, for deduplication.
     duties : DutyTable
         Calls to the infrastructure that one control instance makes.
+    format : FormatVersion
+        Format that determines the effect of further commands.
     """
 
     configuration: ConfigurationTable = msgspec.field(
@@ -93,6 +96,7 @@
     retiring: set[InstanceName] = set()
     commands: CommandResultTable = msgspec.field(default_factory=CommandResultTable)
     duties: DutyTable = msgspec.field(default_factory=DutyTable)
+    format: FormatVersion = FormatVersion(0)
 
 
 class LogPosition(msgspec.Struct, frozen=True):
@@ -293,7 +297,9 @@
     is_known = command.spec.batch_job in state.batch_jobs.batch_jobs
     if not is_known and 0 <= command.revision < current:
         return ConfigurationConflict(current, None)
-    return state.batch_jobs.submit(command, position.index, position.at_ms)
+    return state.batch_jobs.submit(
+        command, position.index, position.at_ms, state.format
+    )
 
 
 @apply_command.register
@@ -359,7 +365,7 @@
 @apply_command.register
 def _(command: SubmitStep, state: State, position: LogPosition) -> AnyResult:
     return state.ledger.submit(
-        command, state.batch_jobs, position.index, position.at_ms
+        command, state.batch_jobs, position.index, position.at_ms, state.format
     )
 
 
@@ -436,6 +442,12 @@
     return state.duties.end_replica_order(command)
 
 
+@apply_command.register
+def _(command: AdoptFormat, state: State, position: LogPosition) -> AnyResult:
+    state.format = max(state.format, command.format)
+    return Done()
+
+
 # Tables that each type of command may change, of those that entry processes hold a
 # view of. ``CommitItems`` and ``NoteOrder`` are missing, since theirs depend on more
 # than the type.
--- a/pollenlb/durable/storage.py
+++ b/pollenlb/durable/storage.py
@@ -16,7 +16,7 @@
 
 from ..clock import now
 from ..exceptions import DiskFullError, StorageDamagedError, StorageError
-from ..ids import ClusterId, LogIndex, ReplicaId, Term
+from ..ids import ClusterId, FormatVersion, LogIndex, ReplicaId, Term
 from ..release import THIS_RELEASE, Release
 from .files import (
     encode_frame,
@@ -599,6 +599,10 @@
         raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
 
 
-def first_hard_state(replica: ReplicaId, cluster: ClusterId) -> HardState:
+def first_hard_state(
+    replica: ReplicaId,
+    cluster: ClusterId,
+    log_format: FormatVersion = FormatVersion(0),
+) -> HardState:
     """Return the hard state of a new replica: term 0, without a vote."""
-    return HardState(replica, cluster, Term(0))
+    return HardState(replica, cluster, Term(0), format=log_format)
--- a/pollenlb/ids.py
+++ b/pollenlb/ids.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import secrets
-from typing import NewType
+from dataclasses import dataclass
+from typing import Generic, NewType, TypeVar
 
 InstanceName = NewType("InstanceName", str)
 FailureDomain = NewType("FailureDomain", str)
@@ -37,6 +38,24 @@
 
 _ID_BYTES = 8
 
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class InWorkspace(Generic[T]):
+    """Key of a table for a name that callers choose, which two workspaces may choose.
+
+    Attributes
+    ----------
+    workspace : WorkspaceName or None
+        Workspace of the caller; None where callers need no key.
+    name : object
+        The name, such as the id of an item.
+    """
+
+    workspace: WorkspaceName | None
+    name: T
+
 
 def new_id(prefix: str) -> str:
     """Return a new random identifier.
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -26,6 +26,8 @@
     BackendServerName,
     BatchJobId,
     CommandId,
+    GroupName,
+    InWorkspace,
     ItemId,
     ModelName,
     ServiceName,
@@ -99,7 +101,9 @@
     def __init__(self, context: EntryContext) -> None:
         self._context = context
         self._jobs: dict[BatchJobId, OwnedJob] = {}
-        self._partials: dict[ItemId, tuple[ItemProgress, Deadline]] = {}
+        self._partials: dict[
+            tuple[ModelName, InWorkspace[ItemId]], tuple[ItemProgress, Deadline]
+        ] = {}
         self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self._reward_calls = RewardCalls(context)
@@ -278,11 +282,9 @@
         """Return the progress of an item, with retained partial output if allowed."""
         output = self._context.item_runner.create_output(item, spec)
         fresh = ItemProgress(item, spec, expires_at, output)
-        partial, _ = self._partials.pop(item.item, (None, None))
+        partial, _ = self._partials.pop(_partial_key(item.item, spec), (None, None))
         if partial is None or not partial.output.events:
             return fresh
-        if partial.spec.workspace != spec.workspace:
-            return fresh
         if partial.item.body != item.body or not partial.satisfies(spec):
             return fresh
         fresh.output = partial.output
@@ -298,7 +300,7 @@
             job.commit_task.cancel()
         retained_until = deadline_in(_PARTIAL_RETENTION_S)
         for item, progress in job.items.items():
-            self._partials[item] = (progress, retained_until)
+            self._partials[_partial_key(item, job.spec)] = (progress, retained_until)
 
     async def _run_placement_loop(self) -> None:
         while True:
@@ -347,9 +349,9 @@
         self.contact_changed.set()
 
     def _discard_expired_partials(self) -> None:
-        for item, (_, retained_until) in list(self._partials.items()):
+        for key, (_, retained_until) in list(self._partials.items()):
             if not remaining_time_s(retained_until):
-                del self._partials[item]
+                del self._partials[key]
 
     def _start_reward_calls(self) -> None:
         """Start to score the items whose output is complete."""
@@ -532,8 +534,8 @@
         ]
         return complete_assignment(views, goals, self._assigned)
 
-    def _groups_at(self, server: BackendServerName) -> set:
-        return {progress.item.group for progress in self._running_at.get(server, ())}
+    def _groups_at(self, server: BackendServerName) -> set[InWorkspace[GroupName]]:
+        return {_group_key(progress) for progress in self._running_at.get(server, ())}
 
     def _index_running_items(self) -> None:
         """Group the running items by engine, once for each placement.
@@ -754,6 +756,16 @@
         return True
 
 
+def _group_key(progress: ItemProgress) -> InWorkspace[GroupName]:
+    return InWorkspace(progress.spec.workspace, progress.item.group)
+
+
+def _partial_key(
+    item: ItemId, spec: BatchJobSpec
+) -> tuple[ModelName, InWorkspace[ItemId]]:
+    return spec.model, InWorkspace(spec.workspace, item)
+
+
 def _waiting_item(
     name: BatchJobId,
     job: OwnedJob,
@@ -767,12 +779,11 @@
         if not remaining_time_s(wait_until)
     ]:
         del progress.avoided[server]
-    group = progress.item.group
     return WaitingItem(
         key=(name, progress.item.item),
         batch_job=name,
         due_at=job.due_at,
-        group=group,
+        group=_group_key(progress),
         is_group_started=progress.output.events > 0,
         expected_tokens=progress.item.length_hint or progress.item.tokens,
         least_version=job.spec.least_version,
--- a/pollenlb/process/control.py
+++ b/pollenlb/process/control.py
@@ -62,6 +62,7 @@
 from .control_context import ControlContext, LeaderState
 from .duties import DutyIssuer
 from .duty_channel import DutyChannel
+from .format_goal import FormatGoal
 from .http_server import HttpServer
 from .lease_service import LeaseService
 from .retirement import RetirementService
@@ -108,8 +109,10 @@
             machine,
             self._events,
             get_retiring_instances=lambda: machine.state.retiring,
+            get_format_goal=lambda: self._format_goal.newest(),
         )
         self._context = ControlContext(settings, self._events, machine, self._replica)
+        self._format_goal = FormatGoal(self._context)
         self._server = RpcServer(Address(settings.listen), self._events)
         self._leases = LeaseService(self._context)
         self._stream_origins = StreamOriginService(self._context)
--- a/pollenlb/process/control_context.py
+++ b/pollenlb/process/control_context.py
@@ -15,6 +15,7 @@
     SubmitBatchJob,
 )
 from ..durable.commands import AnyCommand, AnyResult, Proposal
+from ..durable.format_commands import AdoptFormat
 from ..durable.leadership import Leadership
 from ..durable.leases import LeaseTable
 from ..durable.replica import Replica
@@ -161,8 +162,8 @@
             take effect.
         """
         self.replica.current_leadership().check_readable(command.needed_format)
-        proposal = Proposal(command_id, time.time_ns() // 1_000_000, command)
-        result = await self.replica.propose(encode_proposal(proposal))
+        await self._adopt_format()
+        result = await self._propose(command, command_id)
         if isinstance(command, SubmitBatchJob):
             self._submitted_at.setdefault(command.spec.batch_job, now())
         if isinstance(command, (CommitItems, EndBatchJob)):
@@ -172,6 +173,19 @@
                 self.views_changed.notify_all()
         return result
 
+    async def _adopt_format(self) -> None:
+        """Let the command that follows have its effect in the format of the log."""
+        newest = self.replica.storage.hard_state.format
+        if newest > self.machine.state.format:
+            await self._propose(AdoptFormat(newest), None)
+            self.events.record("log.format_adopted", format=newest)
+
+    async def _propose(
+        self, command: AnyCommand, command_id: CommandId | None
+    ) -> AnyResult:
+        proposal = Proposal(command_id, time.time_ns() // 1_000_000, command)
+        return await self.replica.propose(encode_proposal(proposal))
+
     async def wait_for_results(self, batch_job: BatchJobId, wait_s: float) -> None:
         """Return when a batch job gets results or ends, or after ``wait_s`` seconds."""
         deadline = deadline_in(wait_s)
--- a/pollenlb/process/stream_origin_service.py
+++ b/pollenlb/process/stream_origin_service.py
@@ -26,7 +26,7 @@
 )
 from ..connection.rpc import RpcServer
 from ..connection.stream_table import StreamTable
-from ..ids import Address, BootId, new_id
+from ..ids import Address, BootId, InWorkspace, RequestId, SoftwareVersion, new_id
 from .control_context import ControlContext
 
 _COPY_PAUSE_S = 0.3
@@ -111,7 +111,8 @@
                     return False
 
     async def _record(self, request: RecordStream) -> StreamRecorded:
-        self._streams.add(request.request, request.software)
+        key = InWorkspace(request.workspace, request.request)
+        self._streams.add(key, request.software)
         return StreamRecorded(self._boot)
 
     async def _record_all(self, request: RecordStreams) -> StreamRecorded:
@@ -119,7 +120,15 @@
         return StreamRecorded(self._boot)
 
     async def _find(self, request: FindStream) -> StreamFound:
-        return StreamFound(self._streams.find(request.request), self._is_complete)
+        key = InWorkspace(request.workspace, request.request)
+        software = self._streams.find(key) or self._find_without_workspace(key)
+        return StreamFound(software, self._is_complete)
+
+    def _find_without_workspace(
+        self, key: InWorkspace[RequestId]
+    ) -> SoftwareVersion | None:
+        """Return the origin of a stream that a former release has recorded."""
+        return self._streams.find(InWorkspace(None, key.name))
 
     async def _copy(self, request: CopyStreams) -> StreamPage:
         return self._streams.page(request.after, _STREAMS_PER_PAGE, self._is_complete)
--- a/pollenlb/release.py
+++ b/pollenlb/release.py
@@ -11,6 +11,9 @@
 from . import __version__
 from .ids import FormatVersion
 
+# Since this format, no workspace finds the work of another one.
+WORKSPACES_APART = FormatVersion(1)
+
 
 class Release(msgspec.Struct, frozen=True):
     """Release that a process runs, as it reports it to others.
@@ -32,4 +35,4 @@
 
 
 UNREPORTED = Release()
-THIS_RELEASE = Release(__version__, FormatVersion(0))
+THIS_RELEASE = Release(__version__, WORKSPACES_APART)
--- a/pollenlb/request/generation.py
+++ b/pollenlb/request/generation.py
@@ -132,6 +132,8 @@
     def fingerprint(self) -> Fingerprint:
         """Digest of the service and the prompt, the same for all samples of a group."""
         text = f"{self.service}\n{self.request_body['prompt']}"
+        if self.workspace is not None:
+            text = f"{self.workspace}\0{text}"
         return Fingerprint(hashlib.sha256(text.encode()).hexdigest()[:32])
 
     @property
--- a/pollenlb/request/handler.py
+++ b/pollenlb/request/handler.py
@@ -15,7 +15,7 @@
 )
 from ..connection.engine_api import COMPLETIONS_PATH
 from ..external_data import read_count
-from ..ids import RequestId, RequestKey, ServiceName, WorkspaceName
+from ..ids import RequestId, ServiceName
 from ..process.context import EntryContext
 from ..settings.cluster import RouteSettings
 from .at_most_once import run_at_most_once
@@ -31,7 +31,7 @@
 )
 from .passthrough import pass_through
 from .stream import EventStream
-from .workspace_access import identify_workspace
+from .workspace_access import identify_workspace, scope_key
 
 # A leader election among the control instances takes about this long; the caller
 # may retry after it.
@@ -161,7 +161,7 @@
             request_class=terms.request_class,
             deadline=Deadline(min(terms.deadline, self._last_end)),
             is_repeatable=terms.is_repeatable,
-            key=_scope_key(terms.key, workspace),
+            key=scope_key(terms.key, workspace, context),
             http_request=request,
             body=body,
             received_at=received_at,
@@ -251,12 +251,3 @@
             # Shielded so that the key is settled even if the caller disconnects.
             return await asyncio.shield(run_at_most_once(caller, self._context))
         return await pass_through(caller, self._context)
-
-
-def _scope_key(
-    key: RequestKey | None, workspace: WorkspaceName | None
-) -> RequestKey | None:
-    """Return an idempotency key that no other workspace can use."""
-    if key is None or workspace is None:
-        return key
-    return RequestKey(f"{workspace}/{key}")
--- a/pollenlb/request/item.py
+++ b/pollenlb/request/item.py
@@ -201,6 +201,7 @@
             path=call.path,
             headers=context.dialect.reward_call_headers(call),
             body=call.body,
+            workspace=progress.spec.workspace,
         )
 
     def record_score(
--- a/pollenlb/request/reward_call.py
+++ b/pollenlb/request/reward_call.py
@@ -15,7 +15,7 @@
 from ..connection.backend import BackendServer
 from ..durable.crash_commands import TrialEnd
 from ..exceptions import ControlError, RequestCondemnedError
-from ..ids import Fingerprint, RequestId, ServiceName
+from ..ids import Fingerprint, RequestId, ServiceName, WorkspaceName
 from ..process.context import EntryContext
 from .attempt import Attempt, AttemptFailure, read_complete_body, send_attempt
 from .crash_trial import CrashTrial
@@ -83,6 +83,8 @@
         Body of the request.
     service : ServiceName or None
         Service that scores; None when a route determines it.
+    workspace : WorkspaceName or None
+        Workspace for which it runs; None without one.
     may_be_given_up : bool
         Whether the call ends after repeated failures instead of being repeated
         until it succeeds.
@@ -94,13 +96,17 @@
     headers: Mapping[str, str]
     body: bytes
     service: ServiceName | None = None
+    workspace: WorkspaceName | None = None
     may_be_given_up: bool = True
 
     @property
     def fingerprint(self) -> Fingerprint:
         """Digest of the request's content, the same for each repeat."""
-        text = f"{self.host}\n{self.path}\n".encode()
-        return Fingerprint(hashlib.sha256(text + self.body).hexdigest()[:32])
+        text = f"{self.host}\n{self.path}\n"
+        if self.workspace is not None:
+            text = f"{self.workspace}\0{text}"
+        digest = hashlib.sha256(text.encode() + self.body)
+        return Fingerprint(digest.hexdigest()[:32])
 
 
 @dataclass(frozen=True)
--- a/pollenlb/request/stream.py
+++ b/pollenlb/request/stream.py
@@ -11,7 +11,7 @@
 from ..connection.backend import BackendServer
 from ..connection.bodies import read_body
 from ..connection.stream_origins import Knowledge, StreamOrigin
-from ..ids import SoftwareVersion
+from ..ids import InWorkspace, RequestId, SoftwareVersion, WorkspaceName
 from ..process.context import EntryContext
 from .attempt import (
     SEND_ERRORS,
@@ -136,7 +136,8 @@
         origin = StreamOrigin(Knowledge.UNKNOWN)
         if resumption.began_as is not None:
             origin = await self._context.stream_origins.find(
-                resumption.began_as, self._caller.deadline
+                self._in_workspace(resumption.began_as),
+                self._caller.deadline,
             )
         self._context.events.record(
             "stream.taken_up",
@@ -274,9 +275,16 @@
         self._continue_at(server.software)
         if self._caller.route.resumable and self._context.knows_software_versions:
             await self._context.stream_origins.record(
-                self._caller.request_id, server.software
+                self._in_workspace(self._caller.request_id), server.software
             )
 
+    def _in_workspace(self, request: RequestId) -> InWorkspace[RequestId]:
+        """Return the key of a stream; streams of former releases have none."""
+        workspace = self._caller.workspace
+        if workspace is None and self._caller.hides_credentials:
+            workspace = WorkspaceName("")
+        return InWorkspace(workspace, request)
+
     async def _forward_error(self, answer: Answer) -> None:
         """Forward an answer other than a stream, once it is complete."""
         if self._response is not None:
--- a/pollenlb/request/workspace_access.py
+++ b/pollenlb/request/workspace_access.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from ..ids import BatchJobId, WorkspaceName
+from ..ids import BatchJobId, RequestKey, WorkspaceName
 from ..process.context import EntryContext
 from .outcome import RefusedError, bad_request, unavailable
 
@@ -61,6 +61,21 @@
     return BatchJobId(f"{workspace or ''}/{name}")
 
 
+def scope_key(
+    key: RequestKey | None, workspace: WorkspaceName | None, context: EntryContext
+) -> RequestKey | None:
+    """Return the idempotency key under which a request of a workspace is recorded.
+
+    A key with a slash that a caller without a workspace chose must not be one of a
+    workspace. Other keys of such callers stay as they are.
+    """
+    if key is None or not context.configuration.settings.requires_keys:
+        return key
+    if workspace is None and "/" not in key:
+        return key
+    return RequestKey(f"{workspace or ''}/{key}")
+
+
 def _unknown_key_error(key: str | None, context: EntryContext) -> RefusedError:
     if key is None:
         reason, label = "the request has no key of a workspace", "missing"
--- a/pollenlb/scheduling/item_placement.py
+++ b/pollenlb/scheduling/item_placement.py
@@ -13,6 +13,7 @@
     BackendServerName,
     BatchJobId,
     GroupName,
+    InWorkspace,
     SoftwareVersion,
     WeightVersion,
 )
@@ -47,7 +48,7 @@
         Monotonic time at which the results of the batch job are due, in
         seconds; infinite for a batch job without a due time, which shares the
         engines equally with others.
-    group : GroupName
+    group : InWorkspace of GroupName
         Group of the item; items of one group share their prompt.
     is_group_started : bool
         Whether the item has generated output, so that its group has started.
@@ -75,7 +76,7 @@
     key: K
     batch_job: BatchJobId
     due_at: float
-    group: GroupName
+    group: InWorkspace[GroupName]
     is_group_started: bool
     expected_tokens: float
     least_version: WeightVersion
@@ -105,7 +106,7 @@
         Whether the items' model is the one that the engine is assigned to.
     slowness : float
         Time per event as a multiple of the typical time.
-    groups : set of GroupName
+    groups : set of InWorkspace of GroupName
         Groups whose prompt the engine has read; grows as items are placed.
     allowed_starts : float
         Number of requests that the engine's limit allows now; falls as items are
@@ -125,7 +126,7 @@
     version: WeightVersion
     is_assigned_model: bool = True
     slowness: float = 1.0
-    groups: set[GroupName] = field(default_factory=set)
+    groups: set[InWorkspace[GroupName]] = field(default_factory=set)
     allowed_starts: float = math.inf
     software: SoftwareVersion = SoftwareVersion("")
     idle_connections: int = 0
--- a/tests/durable/replica_set.py
+++ b/tests/durable/replica_set.py
@@ -19,12 +19,15 @@
 from pollenlb.durable.storage import Storage
 from pollenlb.events import EventLog
 from pollenlb.exceptions import LogError
-from pollenlb.ids import Address
-from pollenlb.release import THIS_RELEASE, Release
+from pollenlb.ids import Address, FormatVersion
+from pollenlb.release import Release
 from pollenlb.settings.control import ControlSettings
 
 from ..local_system import control_settings, wait_until
 
+# Registers are stored in one form only, whatever the formats of the control state are.
+_RELEASE = Release("registers", FormatVersion(0))
+
 
 class Write(msgspec.Struct):
     """Command that sets a register; with ``expected``, only if it has that value."""
@@ -77,7 +80,8 @@
     def __init__(self, settings: ControlSettings, rng: random.Random) -> None:
         self.settings = settings
         self.rng = rng
-        self.release: Release = THIS_RELEASE
+        self.release: Release = _RELEASE
+        self.format_goal: FormatVersion | None = None
         self.relays: dict[Address, Relay] = {}
         self.replica: RelayedReplica | None = None
         self.registers = Registers()
@@ -113,6 +117,9 @@
             events,
             self.rng,
             release=self.release,
+            get_format_goal=lambda: (
+                self.release.reads if self.format_goal is None else self.format_goal
+            ),
         )
         self.replica.relays = self.relays
         self._server = RpcServer(self.address, events)
@@ -163,7 +170,7 @@
                 relay = Relay(int(other.address.rpartition(":")[2]))
                 await relay.start()
                 node.relays[other.address] = relay
-            await format_data_folder(node.settings)
+            await format_data_folder(node.settings, node.release)
         for node in self.nodes:
             await node.start()
         return self
--- a/tests/durable/test_formats.py
+++ b/tests/durable/test_formats.py
@@ -47,6 +47,22 @@
         leader.replica.leadership.check_readable(FormatVersion(2))
 
 
+async def test_format_is_not_used_before_the_goal_allows_it(tmp_path):
+    async with ReplicaSet(tmp_path, seed=42) as replicas:
+        for node in replicas.nodes:
+            node.format_goal = FormatVersion(0)
+            await _restart(node, _NEW)
+        leader = await replicas.write("x", 1)
+        await wait_until(
+            lambda: set(leader.replica.leadership.releases.values()) == {_NEW}
+        )
+        await asyncio.sleep(5 * leader.settings.heartbeat_s)
+        assert [_format(node) for node in replicas.nodes] == [0, 0, 0]
+        for node in replicas.nodes:
+            node.format_goal = FormatVersion(1)
+        await wait_until(lambda: [_format(node) for node in replicas.nodes] == [1] * 3)
+
+
 async def test_refused_command_names_both_releases(tmp_path):
     async with ReplicaSet(tmp_path, seed=43) as replicas:
         for node in replicas.nodes[:2]:
--- a/tests/durable/test_replica.py
+++ b/tests/durable/test_replica.py
@@ -133,7 +133,7 @@
     await leader.kill()
     empty.delete_data_folder()
     if keeps_identity:
-        await format_data_folder(empty.settings)
+        await format_data_folder(empty.settings, empty.release)
     replicas.heal(lagging)
     await empty.start()
     return leader
--- a/tests/platform/test_workspace_batch_jobs.py
+++ b/tests/platform/test_workspace_batch_jobs.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+import json
+
 from ..local_system import wait_until
-from .platform_system import ROLLOUT_PATH_PREFIX, batch_job, configuration
+from .platform_system import (
+    ROLLOUT_PATH_PREFIX,
+    PlatformSystem,
+    batch_job,
+    configuration,
+)
 
 _MANY_COUNT = 64
 _FEW_COUNT = 8
@@ -42,3 +49,50 @@
     last = max(index for index, name in enumerate(tenants) if name == "few")
     # What runs before the batch job comes, then at most one of the others for each.
     assert last < 3 * _FEW_COUNT + 8
+
+
+# Guards against a workspace that reads the texts of another one, whose trainer chose
+# the same ids and bodies for its items.
+async def test_items_of_two_workspaces_are_each_generated(platform_system):
+    system = await platform_system(entries=1, engines=1)
+    changed = configuration(2)
+    changed["tenants"] = [
+        {"name": name, "api_keys": [f"key-{name}"]} for name in ("one", "two")
+    ]
+    status, _ = await system.call_control("POST", "/-/Config.Replace", changed)
+    assert status == 200
+    (engine,) = system.engines
+    items = {f"item-{number}": 2 for number in range(_FEW_COUNT)}
+    for name in ("one", "two"):
+        status, _, _ = await system.call_entry(
+            "POST",
+            0,
+            ROLLOUT_PATH_PREFIX + name,
+            batch_job(items),
+            X_Request_Id=name,
+            X_Deadline_Ms="9000",
+            Authorization=f"Token key-{name}",
+        )
+        assert status == 202
+        await _read_all_results(system, name, len(items))
+    tenants = [
+        dict(headers)["X-Tenant"]
+        for headers in engine.received_headers
+        if "X-Tenant" in dict(headers)
+    ]
+    assert min(tenants.count(name) for name in ("one", "two")) >= len(items)
+
+
+async def _read_all_results(system: PlatformSystem, name: str, count: int) -> None:
+    read: list[dict] = []
+    while len(read) < count:
+        status, page, _ = await system.call_entry(
+            "GET",
+            0,
+            f"/-/lots/{name}?after={len(read)}",
+            Authorization=f"Token key-{name}",
+            X_Wait_Ms="1000",
+        )
+        assert status == 200
+        read += json.loads(page)["results"]
+    assert all(result["state"] == "completed" for result in read)
--- a/tests/test_stored_and_sent.py
+++ b/tests/test_stored_and_sent.py
@@ -167,6 +167,7 @@
     SkipUsage,
     TakeDuties,
 )
+from pollenlb.durable.format_commands import AdoptFormat
 from pollenlb.durable.job import Job, Step
 from pollenlb.durable.job_commands import (
     Batch,
@@ -499,6 +500,7 @@
     ("replica_order", ReplicaOrder, MSGPACK),
     ("order_replicas", OrderReplicas, MSGPACK),
     ("end_replica_order", EndReplicaOrder, MSGPACK),
+    ("adopt_format", AdoptFormat, MSGPACK),
     ("platform_scale_order", _ScaleOrder, JSON),
     ("platform_scaling", _Scaling, JSON),
 ]
@@ -915,7 +917,7 @@
 # TYPE pollenlb_in_flight gauge
 pollenlb_in_flight 2.0
 # TYPE pollenlb_release gauge
-pollenlb_release{version="0.2.0"} 1.0
+pollenlb_release{version="0.3.0"} 1.0
 """
 
 # Files of the data folder that ``_write_folder`` writes, as hexadecimal text.
@@ -1038,6 +1040,9 @@
     )
     present = ControlStateMachine()
     present.restore([bytes.fromhex(piece) for piece in _SAMPLES["pieces_of_the_state"]])
+    # It reads no other, so that the commands after it have their former effect.
+    assert machine.state.format == 0
+    machine.state.format = present.state.format
     assert machine.state == present.state
 
 
@@ -1184,6 +1189,8 @@
     pieces = [bytes.fromhex(piece) for piece in _SAMPLES["pieces_of_the_state"]]
     machine = ControlStateMachine()
     machine.restore(pieces)
+    assert former.state.format == 0
+    former.state.format = machine.state.format
     assert machine.state == former.state
     assert list(former.snapshot()) == pieces
 
