Let the failed runs of an item count on in later batch jobs

Cause: a batch job counts the failed runs for its next owner, and a later one of the same work began at 0. The count was dropped when the item was abandoned, and never had the last run.

A new batch job begins with the counts of the same work: workspace, model, item, body and reward call, while the earlier one can be read. The result of an abandoned item carries its count. In a later batch job an item runs once, until all failed runs are three times its attempts; an answer of 422 counts as all of them. It takes effect with format 1 of the log.

--- a/pollenlb/durable/batch_job_commands.py
+++ b/pollenlb/durable/batch_job_commands.py
@@ -228,6 +228,8 @@
         Weight versions that generated it, in order.
     score : str or None
         Score from the item's reward call, as received; None without a reward call.
+    failed_runs : int
+        Number of runs that engines ended with an error, of an item that was abandoned.
     """
 
     item: ItemId
@@ -235,6 +237,7 @@
     packed: bytes = b""
     versions: list[WeightVersion] = []
     score: str | None = None
+    failed_runs: int = 0
 
     @classmethod
     def completed(
--- a/pollenlb/durable/batch_jobs.py
+++ b/pollenlb/durable/batch_jobs.py
@@ -16,7 +16,7 @@
     ModelName,
     WeightVersion,
 )
-from ..release import THIS_RELEASE, WORKSPACES_APART
+from ..release import FAILED_RUNS_CARRIED, THIS_RELEASE, WORKSPACES_APART
 from .batch_job_commands import (
     AssignBatchJobs,
     BatchItem,
@@ -64,7 +64,8 @@
     saved : dict
         Saved output of items without a result, by item.
     failed_runs : dict
-        Number of runs that engines ended with an error, by item without a result.
+        Number of runs that engines ended with an error, by item that is not completed.
+        A later batch job of the item counts on from there.
     digests : dict
         Digest of the request of each item with a result, whose request is not
         retained; empty for a step of a rollout job, whose results may be dropped.
@@ -188,12 +189,29 @@
             batch_job.listed.add(result.item)
         batch_job.discard_requests()
         _move_saved_outputs(related, batch_job)
+        if log_format >= FAILED_RUNS_CARRIED:
+            _carry_failed_runs(related, batch_job)
         self.batch_jobs[spec.batch_job] = batch_job
         self._record_owner_change(command.owner, index)
         return BatchJobAccepted(command.owner)
 
-    def commit(self, command: CommitItems, index: LogIndex) -> AnyResult:
-        """Store results of items that have none yet; reject those of stale weights."""
+    def commit(
+        self,
+        command: CommitItems,
+        index: LogIndex,
+        log_format: FormatVersion = THIS_RELEASE.reads,
+    ) -> AnyResult:
+        """Store results of items that have none yet; reject those of stale weights.
+
+        Parameters
+        ----------
+        command : CommitItems
+            The batch job and the results.
+        index : LogIndex
+            Log index of the command.
+        log_format : FormatVersion
+            Format that determines the effect of the commit.
+        """
         batch_job = self.batch_jobs.get(command.batch_job)
         if batch_job is None:
             return Refused(
@@ -211,7 +229,11 @@
             batch_job.results.append(result)
             batch_job.listed.add(result.item)
             batch_job.saved.pop(result.item, None)
-            batch_job.failed_runs.pop(result.item, None)
+            failed_runs = batch_job.failed_runs.pop(result.item, 0)
+            failed_runs = max(failed_runs, result.failed_runs)
+            is_abandoned = result.state is ItemState.EXPIRED
+            if log_format >= FAILED_RUNS_CARRIED and is_abandoned and failed_runs:
+                batch_job.failed_runs[result.item] = failed_runs
         batch_job.discard_requests()
         if not batch_job.is_open and batch_job.owner is not None:
             self._record_owner_change(batch_job.owner, index)
@@ -416,6 +438,20 @@
                 batch_job.saved[name] = output
 
 
+def _carry_failed_runs(related: list[BatchJob], batch_job: BatchJob) -> None:
+    """Let the failed runs of the same items in related batch jobs count on."""
+    requested = {
+        item.item: item
+        for item in batch_job.spec.items
+        if item.item not in batch_job.listed
+    }
+    for earlier in related:
+        for name in earlier.failed_runs.keys() & requested.keys():
+            if earlier.has_same_work(requested[name]):
+                known = batch_job.failed_runs.get(name, 0)
+                batch_job.failed_runs[name] = max(known, earlier.failed_runs[name])
+
+
 def _is_reusable(result: ItemResult, spec: BatchJobSpec) -> bool:
     if result.state is not ItemState.COMPLETED or not result.versions:
         return False
--- a/pollenlb/durable/state_machine.py
+++ b/pollenlb/durable/state_machine.py
@@ -304,7 +304,7 @@
 
 @apply_command.register
 def _(command: CommitItems, state: State, position: LogPosition) -> AnyResult:
-    result = state.batch_jobs.commit(command, position.index)
+    result = state.batch_jobs.commit(command, position.index, state.format)
     if isinstance(result, ItemsCommitted):
         sample = state.batch_jobs.batch_jobs[command.batch_job].spec.sample
         if sample is not None:
--- a/pollenlb/process/batch_runner.py
+++ b/pollenlb/process/batch_runner.py
@@ -78,6 +78,8 @@
 _EXPIRY_MARGIN_S = 3.0
 # An item expires after this many failed runs per allowed attempt of its route.
 _MAX_FAILURES_RATIO = 2
+# In a later batch job it runs again, until it has failed this often in all of them.
+_MAX_CARRIED_FAILURES_RATIO = 3
 
 
 class BatchRunner:
@@ -274,6 +276,8 @@
             failed_runs = work.failed_runs.get(item.item, 0)
             progress.failed_runs = progress.saved_failed_runs = failed_runs
             job.add(progress)
+            if failed_runs >= _MAX_CARRIED_FAILURES_RATIO * spec.max_attempts:
+                self._add_result(job, progress, ItemState.EXPIRED)
         return [item.item for item in missing]
 
     def _create_progress(
@@ -587,6 +591,9 @@
             self._run_s += _RUN_SMOOTHING_RATIO * (now() - started_at - self._run_s)
             self._handle_generated(job, progress, server, started_at)
         elif end is RunEnd.IMPOSSIBLE:
+            # No engine needs to be asked again in a later batch job.
+            most = _MAX_CARRIED_FAILURES_RATIO * job.spec.max_attempts
+            progress.failed_runs = max(progress.failed_runs, most)
             self._add_result(job, progress, ItemState.EXPIRED)
         else:
             self._handle_incomplete_run(job, progress, server, end)
--- a/pollenlb/release.py
+++ b/pollenlb/release.py
@@ -13,6 +13,8 @@
 
 # Since this format, no workspace finds the work of another one.
 WORKSPACES_APART = FormatVersion(1)
+# Since this format, the failed runs of an item count on in later batch jobs.
+FAILED_RUNS_CARRIED = FormatVersion(1)
 
 
 class Release(msgspec.Struct, frozen=True):
--- a/pollenlb/request/item_progress.py
+++ b/pollenlb/request/item_progress.py
@@ -204,7 +204,7 @@
     def result(self, state: ItemState) -> ItemResult:
         """Return the result of the item in its final state."""
         if state is ItemState.EXPIRED:
-            return ItemResult(self.item.item, state)
+            return ItemResult(self.item.item, state, failed_runs=self.failed_runs)
         return ItemResult.completed(
             self.item.item,
             self.output.content(),
