Run the upgrade soak until the log uses the present format

The soak ended when the last process was replaced, so no client ever ran with the format that an upgrade brings. It now goes on until a control instance has recorded log.format_adopted, for at most 40 s, which is a violation, and 3 s longer.

--- a/soak/programs.py
+++ b/soak/programs.py
@@ -80,6 +80,11 @@
                 stderr=output,
             )
 
+    def has_recorded(self, name: str, event: str) -> bool:
+        """Return whether a process has ever recorded an event of a type."""
+        output = (self.folder / f"{name}.out").read_text(errors="replace")
+        return f'"message_type":"{event}"' in output
+
     def start_all(self) -> None:
         """Start every process."""
         for name in self._roles:
--- a/soak/upgrade.py
+++ b/soak/upgrade.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import tempfile
+import time
 from enum import Enum
 from pathlib import Path
 
@@ -17,6 +18,10 @@
 
 _DISK_REPAIR_S = 6.0
 _LONG_STOP_S = 60.0
+# An upgrade counts as finished some 10 s after the last process was replaced.
+_FINISH_TIMEOUT_S = 40.0
+_FINISHED_RUN_S = 3.0
+_POLL_INTERVAL_S = 0.2
 
 
 class Replacement(Enum):
@@ -79,6 +84,7 @@
     async def _disturb(self, programs: Programs) -> None:
         """Replace all processes; some runs go back half way before they go on."""
         await self._replace_in_turns(programs)
+        await self._run_in_present_format(programs)
         self._check_processes(programs)
 
     async def _replace_in_turns(self, programs: Programs) -> None:
@@ -94,6 +100,19 @@
             await self._replace_all(programs, replaced, self._former)
         await self._replace_all(programs, names, ROOT)
 
+    async def _run_in_present_format(self, programs: Programs) -> None:
+        """Let the clients go on for a while once the upgrade is finished."""
+        ends_at = time.monotonic() + _FINISH_TIMEOUT_S
+        while not any(
+            programs.has_recorded(name, "log.format_adopted")
+            for name in programs.controls
+        ):
+            if time.monotonic() > ends_at:
+                self.violations.append("the log does not use the present format")
+                return
+            await asyncio.sleep(_POLL_INTERVAL_S)
+        await asyncio.sleep(_FINISHED_RUN_S)
+
     async def _stop_half_way(self) -> None:
         is_long = self._upgrade_rng.random() < 0.1
         await asyncio.sleep(_LONG_STOP_S if is_long else 2.0)
