Choose another leader than the old replica in a test of formats

test_refused_command_names_both_releases failed once in a whole run: the replica of the old release led before its restart and again after it (leader.elected twice for control-2, the first election had taken 5 s), and the test waited for one of the others to lead. It restarts the old replica until another one leads, and checks the same.

--- a/tests/durable/test_formats.py
+++ b/tests/durable/test_formats.py
@@ -31,6 +31,12 @@
     return node.replica.storage.hard_state.format
 
 
+def _has_heard_from_all(node: Node) -> bool:
+    """Return whether a node leads and all members have told it their release."""
+    leadership = node.replica.leadership
+    return leadership is not None and set(leadership.releases.values()) == {_NEW}
+
+
 async def test_format_is_used_once_all_members_have_said_that_they_read_it(tmp_path):
     async with ReplicaSet(tmp_path, seed=41) as replicas:
         first, second, last = replicas.nodes
@@ -49,14 +55,13 @@
 
 async def test_format_is_not_used_before_the_goal_allows_it(tmp_path):
     async with ReplicaSet(tmp_path, seed=42) as replicas:
+        first, *_ = replicas.nodes
         for node in replicas.nodes:
             node.format_goal = FormatVersion(0)
             await _restart(node, _NEW)
-        leader = await replicas.write("x", 1)
-        await wait_until(
-            lambda: set(leader.replica.leadership.releases.values()) == {_NEW}
-        )
-        await asyncio.sleep(5 * leader.settings.heartbeat_s)
+        await replicas.write("x", 1)
+        await wait_until(lambda: any(map(_has_heard_from_all, replicas.nodes)))
+        await asyncio.sleep(5 * first.settings.heartbeat_s)
         assert [_format(node) for node in replicas.nodes] == [0, 0, 0]
         for node in replicas.nodes:
             node.format_goal = FormatVersion(1)
@@ -68,8 +73,10 @@
         for node in replicas.nodes[:2]:
             await _restart(node, _NEW)
         await replicas.write("x", 1)
-        await _restart(replicas.nodes[2], UNREPORTED)
-        leader = await replicas.leader(among=replicas.nodes[:2])
+        old = replicas.nodes[2]
+        await _restart(old, UNREPORTED)
+        while (leader := await replicas.leader()) is old:
+            await _restart(old, UNREPORTED)
         leadership = leader.replica.leadership
         await wait_until(lambda: UNREPORTED in leadership.releases.values())
         expected = "release 2.0, .* runs an earlier release, which reads format 0"
